--- /dev/null
+++ b/src/model/DrainKind.ts
@@ -0,0 +1,8 @@
+/** What a drain empties. */
+export const DrainKind = {
+  upstream: 'upstream',
+  zone: 'zone',
+  host: 'host'
+} as const
+
+export type DrainKind = typeof DrainKind[keyof typeof DrainKind]
--- /dev/null
+++ b/src/model/ZoneSpec.ts
@@ -0,0 +1,5 @@
+/** An availability zone. */
+export interface ZoneSpec {
+  readonly name: string
+  readonly region: string
+}
--- /dev/null
+++ b/src/wire/PeerIdentity.ts
@@ -0,0 +1,8 @@
+/** Who a process says it is in the handshake of a frame connection. */
+export interface PeerIdentity {
+  /** Name of the host. */
+  readonly name: string
+  readonly role: 'agent' | 'entry' | 'lookup'
+  /** Start of the process in ms since the Unix epoch, raised when needed. */
+  readonly incarnation: number
+}
--- /dev/null
+++ b/test/wire/FrameConnection.test.ts
@@ -0,0 +1,53 @@
+import { connect } from 'node:net'
+import { test } from 'node:test'
+import { expect } from 'earl'
+import { DialMap } from '../../src/common/DialMap.js'
+import { SystemClock } from '../../src/common/SystemClock.js'
+import { encodeFrame } from '../../src/wire/encodeFrame.js'
+import { FrameClient } from '../../src/wire/FrameClient.js'
+import { FrameServer } from '../../src/wire/FrameServer.js'
+
+const address = '127.0.7.1'
+const serverSelf = { name: 'b', role: 'agent', incarnation: 1 } as const
+const clientSelf = { name: 'a', role: 'agent', incarnation: 1 } as const
+
+function createClient (clusterKey: string): FrameClient {
+  return new FrameClient({ self: clientSelf, clusterKey, dial: new DialMap(), clock: new SystemClock(), onMessage: () => undefined })
+}
+
+// Guards against a handshake that lets requests through without a proof, or answers to the wrong request.
+test('requests are answered after the handshake', async () => {
+  const server = new FrameServer({ self: serverSelf, clusterKey: 'k', onMessage: (message) => ({ t: 'echo', n: message.n }) })
+  await server.listen(address, 17_001)
+  const client = createClient('k')
+  const answers = await Promise.all([1, 2, 3].map(async (n) => await client.request(`${address}:17001`, { t: 'ask', n }, 1_000)))
+  expect(answers.map((answer) => answer._unsafeUnwrap().n)).toEqual([1, 2, 3])
+  client.close()
+  await server.close()
+})
+
+// Guards against a peer without the cluster key being served.
+test('a wrong key is refused', async () => {
+  let admitted = 0
+  const server = new FrameServer({ self: serverSelf, clusterKey: 'k', onMessage: () => undefined, onPeer: () => { admitted += 1 } })
+  await server.listen(address, 17_002)
+  const client = createClient('other')
+  const answer = await client.request(`${address}:17002`, { t: 'ask' }, 1_000)
+  expect(answer._unsafeUnwrapErr().name).toEqual('peerUnreachable')
+  expect(admitted).toEqual(0)
+  client.close()
+  await server.close()
+})
+
+// Guards against frames being read before the peer has proved the key.
+test('a frame before the handshake closes the connection', async () => {
+  let handled = 0
+  const server = new FrameServer({ self: serverSelf, clusterKey: 'k', onMessage: () => { handled += 1; return undefined } })
+  await server.listen(address, 17_003)
+  const socket = connect(17_003, address)
+  socket.write(encodeFrame({ t: 'ask' }))
+  socket.resume()
+  await new Promise((resolve) => socket.once('close', resolve))
+  expect(handled).toEqual(0)
+  await server.close()
+})
