Add steering: endpoint ownership, slots, fair queue, pacing, link budget

Cause: hosts that all read the same late load report pick the same endpoint and overload it. Change: one owner per endpoint that counts its own requests, adopters that need a fresh view and probe, start-time fair queueing between customers, paced moves between regions, link shares by class, and a score from the configured objective.

--- /dev/null
+++ b/src/steer/SteerService.ts
@@ -0,0 +1,353 @@
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import type { Clock } from '../common/Clock.js'
+import { createFailure } from '../common/createFailure.js'
+import type { Failure } from '../common/Failure.js'
+import type { ResultName } from '../common/ResultName.js'
+import { Table } from '../common/Table.js'
+import type { ConfigDoc } from '../model/ConfigDoc.js'
+import type { EndpointSpec } from '../model/EndpointSpec.js'
+import type { ServiceLoad } from '../model/ServiceLoad.js'
+import type { View } from '../model/View.js'
+import type { WorkClass } from '../model/WorkClass.js'
+import { applyAttempt } from './applyAttempt.js'
+import { applyReport } from './applyReport.js'
+import type { AttemptResult } from './AttemptResult.js'
+import type { EndpointReport } from './EndpointReport.js'
+import type { EndpointRow } from './EndpointRow.js'
+import { EndpointTable } from './EndpointTable.js'
+import { FairQueue } from './FairQueue.js'
+import { hopDelays } from './hopDelays.js'
+import { LinkTable } from './LinkTable.js'
+import { MovePacer } from './MovePacer.js'
+import type { OwnerCandidate } from './OwnerCandidate.js'
+import { OwnerTable } from './OwnerTable.js'
+import { scoreOwner } from './scoreOwner.js'
+import { steerLimits } from './steerLimits.js'
+import type { SteerRequest } from './SteerRequest.js'
+import { Steering } from './Steering.js'
+import type { SteerTarget } from './SteerTarget.js'
+import type { WaitingRequest } from './WaitingRequest.js'
+
+/** What the service needs. */
+interface SteerOptions {
+  readonly host: string
+  readonly clock: Clock
+  /** Number in [0, 1); breaks ties between equal owners. */
+  readonly random: () => number
+}
+
+/** Counters of unusual reports and refusals, readable for metrics. */
+interface SteerCounters {
+  /** Reports that claimed less load than this host itself had in flight. */
+  understatedReports: number
+  /** Requests shed from a full queue. */
+  shed: number
+}
+
+/** A placed request, or why there is no room for it now. */
+type Placement = Result<SteerTarget, ResultName>
+
+/** Random part of a score; spreads hosts that see the same digests over equal owners. */
+const scoreJitter = 0.1
+const retryAfterMs = 1_000
+const idleMoveMs = 60_000
+
+/** Steering over the endpoints that this host owns and the owners that the view describes. */
+export class SteerService extends Steering {
+  readonly counters: SteerCounters = { understatedReports: 0, shed: 0 }
+  private readonly endpoints: EndpointTable
+  private readonly owners: OwnerTable
+  private readonly links: LinkTable
+  private readonly pacer = new MovePacer()
+  private readonly queues = new Table<FairQueue>()
+  private doc: ConfigDoc | undefined
+  private view: View | undefined
+  private viewAtMs = -Infinity
+  private isLeaving = false
+  private region = ''
+
+  constructor (private readonly options: SteerOptions) {
+    super()
+    this.endpoints = new EndpointTable(options.host)
+    this.owners = new OwnerTable(options.host)
+    this.links = new LinkTable(options.host)
+  }
+
+  setConfig (doc: ConfigDoc): void {
+    this.doc = doc
+    const zone = doc.hosts.find((host) => host.name === this.options.host)?.zone
+    this.region = doc.zones.find((candidate) => candidate.name === zone)?.region ?? ''
+    this.links.update(doc)
+    this.refresh()
+  }
+
+  setView (view: View): void {
+    this.view = view
+    this.viewAtMs = this.options.clock.nowMs() - view.contactAgeMs
+    this.refresh()
+  }
+
+  /** Gives up all endpoints: new work goes to other owners, work in flight ends by itself. */
+  prepareStop (): void {
+    this.isLeaving = true
+    this.refresh()
+  }
+
+  /** Ends waits that are over and places requests that fit now. */
+  tick (nowMs: number): void {
+    this.updateOwnership(nowMs)
+    for (const queue of this.queues) {
+      for (const waiting of queue.removeExpired(nowMs)) waiting.settle(err(this.refuse(this.explainWait(waiting))))
+      this.dispatch(queue, nowMs)
+    }
+    this.pacer.forgetIdle(nowMs, idleMoveMs)
+  }
+
+  override async choose (request: SteerRequest): Promise<Result<SteerTarget, Failure>> {
+    return await this.place(request, false, request.waitUntilMs)
+  }
+
+  override async chooseOwned (request: SteerRequest): Promise<Result<SteerTarget, Failure>> {
+    if (!this.ownsService(request.service)) return err(this.refuse('notOwner'))
+    const untilMs = Math.min(request.waitUntilMs, this.options.clock.nowMs() + steerLimits.forwardedWaitMs)
+    return await this.place(request, true, untilMs)
+  }
+
+  override report (endpoint: string, report: EndpointReport, probed: boolean): void {
+    const row = this.endpoints.get(endpoint)
+    if (row === undefined) return
+    const effect = applyReport(row, report, probed, this.options.clock.nowMs())
+    if (effect.understated) this.counters.understatedReports += 1
+    this.dispatchService(row.spec.service)
+  }
+
+  override reserveLinkBytes (region: string, workClass: WorkClass, bytes: number): number {
+    return region === this.region ? 0 : this.links.reserve(region, workClass, bytes, this.options.clock.nowMs())
+  }
+
+  /** Endpoints that are due for a probe now; each is returned once per interval. */
+  listProbes (nowMs: number): EndpointSpec[] {
+    return this.endpoints.listProbes(nowMs).map((row) => row.spec)
+  }
+
+  /** A probe got no valid answer in time. */
+  probeFailed (endpoint: string): void {
+    const row = this.endpoints.get(endpoint)
+    if (row === undefined) return
+    row.failures += 1
+    if (row.failures >= steerLimits.maxFailures) row.blocked = true
+  }
+
+  /** Load of each service of which this host owns endpoints. */
+  listLoads (): ServiceLoad[] {
+    return this.endpoints.listLoads(this.options.clock.nowMs())
+      .map((load) => ({ ...load, queued: this.queues.get(load.service)?.size ?? 0 }))
+  }
+
+  /** Owned endpoints that said themselves that they are leaving. */
+  listLeavingEndpoints (): string[] {
+    return [...this.endpoints].filter((row) => row.saidLeaving).map((row) => row.spec.name)
+  }
+
+  /** Requests in flight at each owned endpoint that is leaving. */
+  drainInFlight (): Record<string, number> {
+    const leaving = [...this.endpoints].filter((row) => row.drained || row.saidLeaving || row.ownership === 'none')
+    return Object.fromEntries(leaving.map((row) => [row.spec.name, row.inFlight]))
+  }
+
+  /** Where a request would go now and why, one line per possible owner. */
+  explain (service: string): Array<{ step: string, detail: string }> {
+    const nowMs = this.options.clock.nowMs()
+    const none = new Set<string>()
+    const local = this.listLoads().find((load) => load.service === service)
+    const own = local === undefined ? 'owns no endpoint' : `${local.used} of ${local.slots} slots used, ${local.queued} waiting`
+    const remote = this.owners.listCandidates(service, none, nowMs)
+      .map((candidate) => ({ candidate, score: this.score(candidate) }))
+      .sort((a, b) => a.score - b.score)
+      .map(({ candidate, score }) => ({
+        step: 'owner',
+        detail: `${candidate.host} in ${candidate.region}: ${candidate.used} of ${candidate.slots} slots used, score ${score.toFixed(1)}`
+      }))
+    return [{ step: 'own-endpoints', detail: own }, ...remote]
+  }
+
+  private async place (request: SteerRequest, ownedOnly: boolean, untilMs: number): Promise<Result<SteerTarget, Failure>> {
+    const nowMs = this.options.clock.nowMs()
+    const queue = this.queues.ensure(request.service, () => new FairQueue())
+    if (queue.size === 0) {
+      const placement = this.tryPlace(request, ownedOnly, nowMs)
+      if (placement.isOk()) return ok(placement.value)
+      if (placement.error === 'noEndpoint' || untilMs <= nowMs) return err(this.refuse(placement.error))
+    }
+    return await this.enqueue(queue, request, ownedOnly, untilMs)
+  }
+
+  private async enqueue (queue: FairQueue, request: SteerRequest, ownedOnly: boolean, untilMs: number): Promise<Result<SteerTarget, Failure>> {
+    return await new Promise((resolve) => {
+      const leave = (): void => {
+        if (queue.remove(waiting)) resolve(err(this.refuse('noCapacity')))
+      }
+      const waiting: WaitingRequest = {
+        request,
+        ownedOnly,
+        untilMs,
+        settle: (result) => {
+          request.signal.removeEventListener('abort', leave)
+          resolve(result)
+        }
+      }
+      request.signal.addEventListener('abort', leave, { once: true })
+      queue.add(waiting)
+      this.shedOverflow(queue, request.service)
+      this.dispatch(queue, this.options.clock.nowMs())
+    })
+  }
+
+  private shedOverflow (queue: FairQueue, service: string): void {
+    const slots = this.endpoints.listLoads(this.options.clock.nowMs()).find((load) => load.service === service)?.slots ?? 0
+    if (queue.size <= Math.max(steerLimits.minQueue, slots * steerLimits.queuePerSlot)) return
+    const victim = queue.findVictim()
+    if (victim === undefined) return
+    queue.remove(victim)
+    this.counters.shed += 1
+    victim.settle(err(this.refuse('shed')))
+  }
+
+  private dispatchService (service: string): void {
+    const queue = this.queues.get(service)
+    if (queue !== undefined) this.dispatch(queue, this.options.clock.nowMs())
+  }
+
+  /** Places waiting requests in fair order until none of the next ones fits. */
+  private dispatch (queue: FairQueue, nowMs: number): void {
+    let placed = true
+    while (placed && queue.size > 0) {
+      placed = queue.listNext().some((waiting) => this.tryDispatch(queue, waiting, nowMs))
+    }
+  }
+
+  private tryDispatch (queue: FairQueue, waiting: WaitingRequest, nowMs: number): boolean {
+    const placement = this.tryPlace(waiting.request, waiting.ownedOnly, nowMs)
+    if (placement.isErr()) return false
+    queue.take(waiting)
+    waiting.settle(ok(placement.value))
+    return true
+  }
+
+  private tryPlace (request: SteerRequest, ownedOnly: boolean, nowMs: number): Placement {
+    const row = request.allowsRegion(this.region) || ownedOnly
+      ? this.endpoints.findFree(request.service, request.excluded, nowMs)
+      : undefined
+    if (ownedOnly) return row === undefined ? err('noCapacity') : ok(this.reserveEndpoint(row))
+    const remote = this.findRemote(request, nowMs)
+    if (row === undefined && remote === undefined) return err(this.explainNoRoom(request, nowMs))
+    if (remote === undefined) return ok(this.reserveEndpoint(row!))
+    if (row !== undefined && this.scoreLocal(request.service, nowMs) <= remote.score) return ok(this.reserveEndpoint(row))
+    return ok(this.reserveOwner(remote.candidate, request, nowMs))
+  }
+
+  private findRemote (request: SteerRequest, nowMs: number) {
+    return this.owners.listCandidates(request.service, request.excluded, nowMs)
+      .filter((candidate) => this.allowsMove(candidate, request, nowMs))
+      .map((candidate) => ({ candidate, score: this.score(candidate) * (1 + scoreJitter * this.options.random()) }))
+      .reduce<{ candidate: ReturnType<OwnerTable['listCandidates']>[number], score: number } | undefined>(
+        (best, next) => best === undefined || next.score < best.score ? next : best, undefined)
+  }
+
+  private allowsMove (candidate: OwnerCandidate, request: SteerRequest, nowMs: number): boolean {
+    if (!request.allowsRegion(candidate.region)) return false
+    if (candidate.region === this.region) return true
+    if (this.links.delayMs(candidate.region, request.workClass, nowMs) > steerLimits.maxLinkDelayMs) return false
+    return this.pacer.allows(this.describeMove(candidate, request, nowMs))
+  }
+
+  private describeMove (candidate: OwnerCandidate, request: SteerRequest, nowMs: number) {
+    const slots = this.owners.countSlots(request.service, candidate.region)
+    const senders = Math.max(1, this.doc?.hosts.length ?? 1)
+    return {
+      customer: request.customer,
+      service: request.service,
+      region: candidate.region,
+      growthPerSecond: request.moveStep * slots / senders,
+      nowMs
+    }
+  }
+
+  private score (candidate: OwnerCandidate): number {
+    return scoreOwner(candidate, this.doc?.objective ?? { latency: 1, headroom: 0 })
+  }
+
+  private scoreLocal (service: string, nowMs: number): number {
+    const load = this.endpoints.listLoads(nowMs).find((candidate) => candidate.service === service)
+    if (load === undefined || load.slots === 0) return Infinity
+    return this.score({ ...load, host: this.options.host, region: this.region, delayMs: hopDelays.sameHost })
+  }
+
+  private reserveEndpoint (row: EndpointRow): SteerTarget {
+    row.inFlight += 1
+    let isReleased = false
+    return {
+      kind: 'endpoint',
+      endpoint: row.spec,
+      region: row.region,
+      release: (result, elapsedMs) => {
+        if (isReleased) return
+        isReleased = true
+        applyAttempt(row, result, elapsedMs, this.options.clock.nowMs())
+        this.dispatchService(row.spec.service)
+      }
+    }
+  }
+
+  private reserveOwner (candidate: ReturnType<OwnerTable['listCandidates']>[number], request: SteerRequest, nowMs: number): SteerTarget {
+    const leaveRegion = candidate.region === this.region ? () => {} : this.pacer.enter(this.describeMove(candidate, request, nowMs))
+    this.owners.noteForward(candidate.host, request.service)
+    let isReleased = false
+    return {
+      kind: 'host',
+      host: candidate.spec,
+      region: candidate.region,
+      release: (result: AttemptResult) => {
+        if (isReleased) return
+        isReleased = true
+        leaveRegion()
+        this.owners.noteResult(candidate.host, request.service, result, this.options.clock.nowMs())
+        this.dispatchService(request.service)
+      }
+    }
+  }
+
+  private refresh (): void {
+    const nowMs = this.options.clock.nowMs()
+    if (this.doc !== undefined && this.view !== undefined) this.owners.update(this.doc, this.view.members)
+    this.updateOwnership(nowMs)
+    for (const queue of this.queues) this.dispatch(queue, nowMs)
+  }
+
+  private updateOwnership (nowMs: number): void {
+    if (this.doc === undefined) return
+    const isViewFresh = nowMs - this.viewAtMs <= steerLimits.viewMaxAgeMs
+    this.endpoints.update({ doc: this.doc, view: this.view, isViewFresh, isLeaving: this.isLeaving })
+  }
+
+  private ownsService (service: string): boolean {
+    return [...this.endpoints].some((row) => row.spec.service === service && row.ownership !== 'none')
+  }
+
+  private explainNoRoom (request: SteerRequest, nowMs: number): ResultName {
+    const hasOwner = this.ownsService(request.service) || this.owners.hasOwner(request.service)
+    if (!hasOwner) return 'noEndpoint'
+    const candidates = this.owners.listCandidates(request.service, request.excluded, nowMs)
+    if (candidates.length === 0) return 'noCapacity'
+    return candidates.some((candidate) => request.allowsRegion(candidate.region)) ? 'pacingLimit' : 'regionShareCap'
+  }
+
+  private explainWait (waiting: WaitingRequest): ResultName {
+    return waiting.ownedOnly ? 'noCapacity' : this.explainNoRoom(waiting.request, this.options.clock.nowMs())
+  }
+
+  private refuse (name: ResultName): Failure {
+    return createFailure(name, { retryAfterMs })
+  }
+}
--- /dev/null
+++ b/test/support/createMember.ts
@@ -0,0 +1,30 @@
+import type { Digest } from '../../src/model/Digest.js'
+import type { Member } from '../../src/model/Member.js'
+import { MemberState } from '../../src/model/MemberState.js'
+
+/** Builds a live, serving member with an empty digest; `digest` and `change` override parts. */
+export function createMember (host: string, digest: Partial<Digest> = {}, change: Partial<Member> = {}): Member {
+  return {
+    host,
+    zone: host.slice(0, host.lastIndexOf('-')),
+    incarnation: 1,
+    seq: 1,
+    state: MemberState.alive,
+    configVersion: 1,
+    digest: {
+      host,
+      entryIncarnation: 1,
+      seq: 1,
+      appliedVersion: 1,
+      serving: true,
+      leaving: false,
+      inFlight: 0,
+      loads: [],
+      leavingEndpoints: [],
+      drainInFlight: {},
+      uses: [],
+      ...digest
+    },
+    ...change
+  }
+}
