Add parsers for settings, deployments and contracts

Cause: every daemon and shuntctl need validated documents, and operators need all faults of a file at once. Change: JSON with comments is parsed by jsonc-parser and checked by zod; relations between parts are checked on rows that may be invalid, so schema and relation faults are reported together with file, line, column, key path and message.

--- /dev/null
+++ b/src/config/listRows.ts
@@ -0,0 +1,15 @@
+import type { ConfigRow } from './ConfigRow.js'
+
+/**
+ * Returns the objects of the array at `key` of `parent`; nothing when there is no such array.
+ * Relations are checked on rows that may be invalid, so that all problems are reported at once.
+ */
+export function listRows (parent: unknown, key: string, parentKeys: readonly (string | number)[] = []): ConfigRow[] {
+  const list = isObject(parent) ? parent[key] : undefined
+  if (!Array.isArray(list)) return []
+  return list.flatMap((fields: unknown, index) => isObject(fields) ? [{ keys: [...parentKeys, key, index], fields }] : [])
+}
+
+function isObject (value: unknown): value is Record<string, unknown> {
+  return typeof value === 'object' && value !== null && !Array.isArray(value)
+}
--- /dev/null
+++ b/src/config/parseDeployment.ts
@@ -0,0 +1,12 @@
+import type { Result } from 'neverthrow'
+import type { Deployment } from '../model/Deployment.js'
+import { checkDeployment } from './checkDeployment.js'
+import type { ConfigProblem } from './ConfigProblem.js'
+import { deploymentSchema } from './deploymentSchema.js'
+import { parseText } from './parseText.js'
+import { validateValue } from './validateValue.js'
+
+/** Parses a deployment file; `file` names it in problems. */
+export function parseDeployment (text: string, file: string): Result<Deployment, ConfigProblem[]> {
+  return parseText(text, file, (value) => validateValue(deploymentSchema, checkDeployment, value))
+}
--- /dev/null
+++ b/src/config/toProblems.ts
@@ -0,0 +1,8 @@
+import type { ConfigIssue } from './ConfigIssue.js'
+import type { ConfigProblem } from './ConfigProblem.js'
+import { formatKeyPath } from './formatKeyPath.js'
+
+/** Turns issues into problems without positions. */
+export function toProblems (issues: readonly ConfigIssue[]): ConfigProblem[] {
+  return issues.map(({ keys, message }) => ({ path: formatKeyPath(keys), message }))
+}
