--- /dev/null
+++ b/src/entry/AnswerWriter.ts
@@ -0,0 +1,97 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { AttemptResult } from '../steer/AttemptResult.js'
+import { copyAnswerHeaders } from './copyAnswerHeaders.js'
+import type { OpenAnswer } from './OpenAnswer.js'
+
+/** How an answer is passed on. */
+interface AnswerOptions {
+  /** Headers to add, names and values in turn. */
+  readonly headers: readonly string[]
+  readonly isHead: boolean
+  /** Reserves bytes on the way to the receiver and returns the ms to wait before they may be sent. */
+  readonly reserveBytes?: ((bytes: number) => number) | undefined
+}
+
+/** Passes one answer on: whole when it is held, else with back-pressure and at most one chunk in memory. */
+export class AnswerWriter {
+  private resolve!: (isWhole: boolean) => void
+  private timer: NodeJS.Timeout | undefined
+  private ended = false
+
+  constructor (
+    private readonly res: ServerResponse,
+    private readonly open: OpenAnswer,
+    private readonly options: AnswerOptions
+  ) {}
+
+  /** Resolves to true when the whole answer came from the other side and was written. */
+  async write (): Promise<boolean> {
+    const { answer } = this.open
+    const headers = copyAnswerHeaders(answer.headers)
+    if (answer.rest === undefined) return this.writeHeld(headers)
+    headers.push(...this.options.headers)
+    this.res.writeHead(answer.status, headers)
+    if (answer.body.length > 0) this.res.write(answer.body)
+    return await new Promise((resolve) => {
+      this.resolve = resolve
+      this.stream(answer.rest!)
+    })
+  }
+
+  private writeHeld (headers: string[]): boolean {
+    const { status, body } = this.open.answer
+    const hasBody = !this.options.isHead && status !== 204 && status !== 304
+    const all = hasBody ? replaceLength(headers, body.length) : headers
+    all.push(...this.options.headers)
+    this.res.writeHead(status, all)
+    this.res.end(body.length === 0 ? undefined : body)
+    return true
+  }
+
+  private stream (rest: IncomingMessage): void {
+    rest.on('data', (chunk: Buffer) => this.pass(rest, chunk))
+    rest.on('end', () => this.end(rest.complete))
+    rest.on('close', () => this.end(rest.complete && rest.readableEnded))
+    rest.on('error', () => this.end(false))
+    this.res.on('drain', () => rest.resume())
+    this.res.on('close', () => this.end(false))
+    rest.resume()
+  }
+
+  private pass (rest: IncomingMessage, chunk: Buffer): void {
+    const waitMs = this.options.reserveBytes?.(chunk.length) ?? 0
+    if (waitMs <= 0) {
+      if (!this.res.write(chunk)) rest.pause()
+      return
+    }
+    rest.pause()
+    this.timer = setTimeout(() => {
+      if (this.res.write(chunk)) rest.resume()
+    }, waitMs)
+  }
+
+  private end (isWhole: boolean): void {
+    if (this.ended) return
+    this.ended = true
+    clearTimeout(this.timer)
+    if (isWhole) {
+      this.res.end()
+      this.open.finish(AttemptResult.ok)
+    } else {
+      // The receiver must not take the part that it has for the whole.
+      this.open.finish(this.res.destroyed ? AttemptResult.cancelled : AttemptResult.broken)
+      this.res.destroy()
+      this.open.abort()
+    }
+    this.resolve(isWhole)
+  }
+}
+
+function replaceLength (headers: readonly string[], length: number): string[] {
+  const all: string[] = []
+  for (let index = 0; index < headers.length; index += 2) {
+    if (headers[index]!.toLowerCase() !== 'content-length') all.push(headers[index]!, headers[index + 1]!)
+  }
+  all.push('Content-Length', String(length))
+  return all
+}
--- /dev/null
+++ b/src/entry/Attempt.ts
@@ -0,0 +1,163 @@
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { createFailure } from '../common/createFailure.js'
+import type { Failure } from '../common/Failure.js'
+import { Outcome } from '../common/Outcome.js'
+import { AttemptResult } from '../steer/AttemptResult.js'
+import type { SteerTarget } from '../steer/SteerTarget.js'
+import type { AttemptContext } from './AttemptContext.js'
+import type { AttemptFailure } from './AttemptFailure.js'
+import type { AttemptPlan } from './AttemptPlan.js'
+import type { EntryRequest } from './EntryRequest.js'
+import { findHeader } from './findHeader.js'
+import type { OpenAnswer } from './OpenAnswer.js'
+import { parseLoadReport } from './parseLoadReport.js'
+import { readRefusal } from './readRefusal.js'
+import type { UpstreamAnswer } from './UpstreamAnswer.js'
+import type { UpstreamCall } from './UpstreamCall.js'
+
+const shedRetryAfterMs = 1_000
+const shedStatus = 503
+
+/** One attempt at one reserved target. The target is released when the attempt ends, exactly once. */
+export class Attempt {
+  readonly reply: Promise<Result<OpenAnswer, AttemptFailure>>
+  private readonly startMs: number
+  private readonly call: UpstreamCall
+  private released = false
+
+  constructor (
+    private readonly context: AttemptContext,
+    private readonly request: EntryRequest,
+    readonly target: SteerTarget,
+    private readonly plan: AttemptPlan,
+    private readonly excluded: ReadonlySet<string>
+  ) {
+    this.startMs = context.clock.nowMs()
+    this.call = target.kind === 'endpoint' ? this.callEndpoint(target) : this.callHost(target)
+    request.scope.addHook(this.onCancel)
+    this.reply = this.complete()
+  }
+
+  /** Ends an attempt whose answer is not wanted any more. */
+  cancel (): void {
+    this.call.cancel('cancelled')
+  }
+
+  private readonly onCancel = (): void => {
+    this.call.cancel(this.request.scope.reason === 'deadline' ? 'timeout' : 'cancelled')
+  }
+
+  private async complete (): Promise<Result<OpenAnswer, AttemptFailure>> {
+    const reply = await this.call.reply
+    const failure = reply.isErr() ? this.translate(reply.error) : this.inspect(reply.value)
+    if (failure !== undefined) {
+      this.release(failure.result)
+      return err(failure)
+    }
+    return ok(this.open(reply._unsafeUnwrap()))
+  }
+
+  private open (answer: UpstreamAnswer): OpenAnswer {
+    if (answer.rest === undefined) this.release(AttemptResult.ok)
+    return {
+      answer,
+      reserveBytes: () => 0,
+      abort: () => this.cancel(),
+      finish: (result) => this.release(result)
+    }
+  }
+
+  private callEndpoint (target: Extract<SteerTarget, { kind: 'endpoint' }>): UpstreamCall {
+    return this.context.endpoints.start({
+      address: target.endpoint.address,
+      method: this.request.method,
+      path: this.request.path,
+      headers: this.buildHeaders(),
+      body: this.request.body,
+      fresh: !this.request.idempotent,
+      mayWrite: this.plan.mayWrite,
+      reserveBytes: this.plan.reserveUploadBytes
+    })
+  }
+
+  private callHost (target: Extract<SteerTarget, { kind: 'host' }>): UpstreamCall {
+    const { request, plan, context } = this
+    const { method, path, id } = request
+    const headers = this.buildHeaders()
+    headers.push('Shunt-Internal', context.auth.sign(context.host, { method, path, requestId: id }))
+    const writeUntilMs = plan.writeUntilMs()
+    if (writeUntilMs !== Infinity) headers.push('Shunt-Claim-Ms', String(Math.max(0, Math.floor(writeUntilMs - this.startMs))))
+    if (!request.idempotent) headers.push('Shunt-Once', '1')
+    if (this.excluded.size > 0) headers.push('Shunt-Excluded', [...this.excluded].join(','))
+    return context.hosts.start({
+      address: `${target.host.address}:${target.host.ports.internal}`,
+      method,
+      path,
+      headers,
+      body: request.body,
+      fresh: !request.idempotent,
+      mayWrite: plan.mayWrite,
+      reserveBytes: (bytes) => Math.max(
+        plan.reserveUploadBytes(bytes),
+        context.steering.reserveLinkBytes(target.region, request.workClass, bytes)
+      )
+    })
+  }
+
+  private buildHeaders (): string[] {
+    const { headers, id, customer, scope } = this.request
+    return [
+      ...headers,
+      'Shunt-Request-Id', id,
+      'Shunt-Deadline-Ms', String(Math.max(1, Math.floor(scope.deadlineAtMs - this.startMs))),
+      'Shunt-Customer', customer
+    ]
+  }
+
+  /** Names the failures of a forward, which are not those of an endpoint. */
+  private translate (failed: AttemptFailure): AttemptFailure {
+    if (this.target.kind === 'endpoint') return failed
+    const { name, outcome } = failed.failure
+    if (name === 'upstreamRefused') return { ...failed, failure: createFailure('forwardFailed') }
+    if (name === 'upstreamReset' || name === 'upstreamTruncated') return { ...failed, failure: createFailure('forwardBroken', { outcome }) }
+    return failed
+  }
+
+  private inspect (answer: UpstreamAnswer): AttemptFailure | undefined {
+    return this.target.kind === 'endpoint' ? this.inspectEndpoint(answer, this.target.endpoint.name) : this.inspectHost(answer)
+  }
+
+  private inspectEndpoint (answer: UpstreamAnswer, endpoint: string): AttemptFailure | undefined {
+    const load = findHeader(answer.headers, 'upstream-load')
+    const report = load === undefined ? undefined : parseLoadReport(load)
+    if (report !== undefined) this.context.steering.report(endpoint, report, false)
+    if (answer.status !== shedStatus || findHeader(answer.headers, 'upstream-not-run') !== '1') return undefined
+    if (answer.rest !== undefined) this.cancel()
+    return { failure: createFailure('upstreamShed', { retryAfterMs: shedRetryAfterMs }), result: AttemptResult.shed, endpoint }
+  }
+
+  private inspectHost (answer: UpstreamAnswer): AttemptFailure | undefined {
+    const refusal = readRefusal(answer)
+    if (refusal === undefined) return undefined
+    const endpoint = findHeader(answer.headers, 'shunt-endpoint')
+    const result = this.classifyRefusal(refusal, endpoint)
+    return endpoint === undefined ? { failure: refusal, result } : { failure: refusal, result, endpoint }
+  }
+
+  // The owner answered, so a failure of one of its endpoints is no failure of the owner.
+  private classifyRefusal (refusal: Failure, endpoint: string | undefined): AttemptResult {
+    if (endpoint !== undefined && refusal.name !== 'upstreamShed') return AttemptResult.cancelled
+    return refusal.outcome === Outcome.notRun ? AttemptResult.shed : AttemptResult.broken
+  }
+
+  private release (result: AttemptResult): void {
+    if (this.released) return
+    this.released = true
+    this.request.scope.removeHook(this.onCancel)
+    const elapsedMs = this.context.clock.nowMs() - this.startMs
+    if (result === AttemptResult.ok) this.context.times.add(this.request.service, elapsedMs)
+    this.target.release(result, elapsedMs)
+    this.plan.leaveRegion(this.target.region)
+  }
+}
--- /dev/null
+++ b/src/entry/AttemptLoop.ts
@@ -0,0 +1,153 @@
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { createFailure } from '../common/createFailure.js'
+import type { Failure } from '../common/Failure.js'
+import { Outcome } from '../common/Outcome.js'
+import { AttemptResult } from '../steer/AttemptResult.js'
+import type { SteerTarget } from '../steer/SteerTarget.js'
+import { Attempt } from './Attempt.js'
+import type { AttemptContext } from './AttemptContext.js'
+import type { AttemptFailure } from './AttemptFailure.js'
+import type { AttemptPlan } from './AttemptPlan.js'
+import type { EntryRequest } from './EntryRequest.js'
+import { HedgedAttempt } from './HedgedAttempt.js'
+import type { OpenAnswer } from './OpenAnswer.js'
+
+/** Bytes of head that a forwarded request costs on a link besides its body. */
+const headBytes = 512
+
+/** Chooses targets and makes attempts until a request is answered or may not be tried again. */
+export class AttemptLoop {
+  private readonly excluded: Set<string>
+  private attempts = 0
+  private mayHaveRun = false
+
+  constructor (
+    private readonly context: AttemptContext,
+    private readonly request: EntryRequest,
+    private readonly plan: AttemptPlan
+  ) {
+    this.excluded = new Set(plan.excluded)
+  }
+
+  /** The failure is `notRun` only when no attempt can have run. */
+  async run (): Promise<Result<OpenAnswer, Failure>> {
+    let last: AttemptFailure | undefined
+    for (;;) {
+      const target = await this.chooseTarget(this.plan.waitUntilMs)
+      if (target.isErr()) return this.refuse(last?.failure ?? target.error)
+      const reply = await this.attempt(target.value)
+      if (reply.isOk()) return ok(reply.value)
+      last = reply.error
+      this.mayHaveRun ||= last.failure.outcome === Outcome.unknown
+      if (!this.isRetryable(last)) return this.refuse(last.failure)
+      if (!this.plan.takeRetry()) return this.refuse(this.describeBudget(last.failure))
+      this.exclude(target.value, last)
+      this.context.metrics.retried(last.failure.name, this.request.service, this.request.customer)
+    }
+  }
+
+  private async chooseTarget (waitUntilMs: number): Promise<Result<SteerTarget, Failure>> {
+    const { customer, service, workClass, priority, moveStep, scope } = this.request
+    const target = await this.plan.choose({
+      customer,
+      service,
+      workClass,
+      priority,
+      moveStep,
+      waitUntilMs,
+      excluded: this.excluded,
+      allowsRegion: this.plan.allowsRegion,
+      get signal () { return scope.signal }
+    })
+    return target.andThen((reserved) => this.enter(reserved))
+  }
+
+  private enter (target: SteerTarget): Result<SteerTarget, Failure> {
+    const isOver = this.request.scope.reason !== undefined
+    if (!isOver && this.plan.enterRegion(target.region)) return ok(target)
+    target.release(AttemptResult.cancelled, 0)
+    return err(createFailure(isOver ? 'deadlineExceeded' : 'regionShareCap'))
+  }
+
+  private async attempt (target: SteerTarget): Promise<Result<OpenAnswer, AttemptFailure>> {
+    const prepared = await this.prepare(target)
+    if (prepared.isErr()) {
+      this.giveBack(target)
+      return err({ failure: prepared.error, result: AttemptResult.cancelled })
+    }
+    this.attempts += 1
+    const first = this.start(target)
+    const hedgeAfterMs = this.context.times.hedgeAfterMs(this.request.service)
+    const mayHedge = this.plan.mayHedge && this.request.body.rest === undefined && hedgeAfterMs < this.request.scope.leftMs
+    if (!mayHedge) return await first.reply
+    return await new HedgedAttempt(hedgeAfterMs, async () => await this.startSecond(target)).run(first)
+  }
+
+  private async prepare (target: SteerTarget): Promise<Result<void, Failure>> {
+    const waited = await this.waitForLink(target)
+    if (waited.isErr()) return waited
+    const prepared = await this.plan.prepareAttempt()
+    if (prepared.isErr()) return prepared
+    return this.request.scope.reason === undefined ? ok() : err(createFailure('deadlineExceeded'))
+  }
+
+  /** Waits for room on the link for the part of a request that is sent at once. */
+  private async waitForLink (target: SteerTarget): Promise<Result<void, Failure>> {
+    if (target.kind === 'endpoint') return ok()
+    const bytes = this.request.body.bytes.length + headBytes
+    const waitMs = this.context.steering.reserveLinkBytes(target.region, this.request.workClass, bytes)
+    if (waitMs <= 0) return ok()
+    if (waitMs >= this.request.scope.leftMs) return err(createFailure('linkBudget', { retryAfterMs: waitMs }))
+    await new Promise((resolve) => setTimeout(resolve, waitMs))
+    return ok()
+  }
+
+  private start (target: SteerTarget): Attempt {
+    return new Attempt(this.context, this.request, target, this.plan, this.excluded)
+  }
+
+  private async startSecond (first: SteerTarget): Promise<Attempt | undefined> {
+    const { service, customer } = this.request
+    this.excluded.add(nameTarget(first))
+    const target = await this.chooseTarget(this.context.clock.nowMs())
+    if (target.isErr()) return undefined
+    if (!this.plan.takeRetry()) {
+      this.giveBack(target.value)
+      return undefined
+    }
+    this.context.metrics.hedged(service, customer)
+    return this.start(target.value)
+  }
+
+  private giveBack (target: SteerTarget): void {
+    target.release(AttemptResult.cancelled, 0)
+    this.plan.leaveRegion(target.region)
+  }
+
+  private isRetryable (failed: AttemptFailure): boolean {
+    const { body, scope, idempotent } = this.request
+    if (failed.result === AttemptResult.cancelled && failed.endpoint === undefined) return false
+    if (scope.reason !== undefined || scope.leftMs <= 0) return false
+    if (this.attempts >= this.plan.maxAttempts || !body.isReplayable) return false
+    return idempotent || failed.failure.outcome === Outcome.notRun
+  }
+
+  // When the owner named the endpoint that failed, its other endpoints may still be used.
+  private exclude (target: SteerTarget, failed: AttemptFailure): void {
+    if (failed.endpoint !== undefined && !this.excluded.has(failed.endpoint)) this.excluded.add(failed.endpoint)
+    else this.excluded.add(nameTarget(target))
+  }
+
+  private describeBudget (failure: Failure): Failure {
+    return createFailure('retryBudget', { outcome: failure.outcome, message: `The retry budget of the customer is used up after ${failure.name}.`, retryAfterMs: 1_000 })
+  }
+
+  private refuse (failure: Failure): Result<never, Failure> {
+    return err(this.mayHaveRun ? { ...failure, outcome: Outcome.unknown } : failure)
+  }
+}
+
+function nameTarget (target: SteerTarget): string {
+  return target.kind === 'endpoint' ? target.endpoint.name : target.host.name
+}
--- /dev/null
+++ b/src/entry/ClaimStep.ts
@@ -0,0 +1,109 @@
+import { createHash } from 'node:crypto'
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import type { ClaimHandle } from '../claim/ClaimHandle.js'
+import type { Claims } from '../claim/Claims.js'
+import type { KeptAnswer } from '../claim/KeptAnswer.js'
+import type { Clock } from '../common/Clock.js'
+import { createFailure } from '../common/createFailure.js'
+import type { Failure } from '../common/Failure.js'
+import { Outcome } from '../common/Outcome.js'
+import { copyAnswerHeaders } from './copyAnswerHeaders.js'
+import type { EntryRequest } from './EntryRequest.js'
+import { entryLimits } from './entryLimits.js'
+import type { UpstreamAnswer } from './UpstreamAnswer.js'
+
+/** Holds the claim of one request; settles it exactly once. */
+export class ClaimStep {
+  private handle: ClaimHandle | undefined
+  private kept: KeptAnswer | undefined
+  private validUntilMs = Infinity
+  private wasGranted = false
+
+  constructor (private readonly claims: Claims, private readonly clock: Clock, private readonly request: EntryRequest) {}
+
+  /** True when the request may only run under a claim. */
+  get isNeeded (): boolean {
+    return !this.request.idempotent && this.request.key !== undefined
+  }
+
+  /** Answer of an earlier request with the same key; then nothing may be sent. */
+  get replay (): KeptAnswer | undefined {
+    return this.kept
+  }
+
+  /** Monotonic time in ms after which the claim may not be used. */
+  get writeUntilMs (): number {
+    return this.validUntilMs
+  }
+
+  /**
+   * Obtains a claim when one is needed and none is usable. A claim that ran out before anything was sent is given back
+   * and asked for again.
+   */
+  async ensure (): Promise<Result<void, Failure>> {
+    if (!this.isNeeded || this.handle?.isUsable() === true) return ok()
+    this.handle?.settleNotRun()
+    this.handle = undefined
+    this.validUntilMs = this.clock.nowMs() + entryLimits.claimValidMs
+    const { customer, key, scope } = this.request
+    const decision = await this.claims.claim({ customer, key: key!, fingerprint: this.computeFingerprint(), deadlineAtMs: scope.deadlineAtMs })
+    if (decision.isErr()) return err(decision.error)
+    this.wasGranted = true
+    if (decision.value.kind === 'granted') {
+      this.handle = decision.value.claim
+      return ok()
+    }
+    this.kept = decision.value.answer
+    return err(createFailure('keyRunning', { outcome: Outcome.unknown }))
+  }
+
+  isUsable (): boolean {
+    return !this.isNeeded || this.handle?.isUsable() === true
+  }
+
+  /** Settles with the failure's outcome, and returns the failure as it applies to the key. */
+  settleFailure (failure: Failure): Failure {
+    if (failure.outcome === Outcome.notRun) this.settle((handle) => handle.settleNotRun())
+    else this.settle((handle) => handle.settleUnknown())
+    // Without a claim nothing is known about earlier requests with the key, unless the claim service itself said so.
+    const isCertain = this.request.key === undefined || this.wasGranted || failure.name.startsWith('key')
+    return isCertain ? failure : { ...failure, outcome: Outcome.unknown }
+  }
+
+  settleAnswer (answer: UpstreamAnswer): void {
+    if (answer.rest !== undefined) return
+    const headers = groupHeaders(copyAnswerHeaders(answer.headers))
+    this.settle((handle) => handle.settleDone({ status: answer.status, headers, body: answer.body }))
+  }
+
+  /** Settles an answer that was too long to be kept, once it is known whether all of it came. */
+  settleStreamed (isWhole: boolean): void {
+    this.settle((handle) => isWhole ? handle.settleDone(undefined) : handle.settleUnknown())
+  }
+
+  private settle (apply: (handle: ClaimHandle) => void): void {
+    const { handle } = this
+    this.handle = undefined
+    if (handle !== undefined) apply(handle)
+  }
+
+  private computeFingerprint (): string {
+    const { customer, method, path, body } = this.request
+    const hash = createHash('sha256').update(JSON.stringify([customer, method, path, body.length ?? -1]))
+    if (body.rest === undefined) hash.update(body.bytes)
+    return hash.digest('hex')
+  }
+}
+
+function groupHeaders (flat: readonly string[]): Record<string, string | string[]> {
+  const grouped: Record<string, string | string[]> = Object.create(null) as Record<string, string | string[]>
+  for (let index = 0; index < flat.length; index += 2) {
+    const name = flat[index]!.toLowerCase()
+    const value = flat[index + 1]!
+    const earlier = grouped[name]
+    if (earlier === undefined) grouped[name] = value
+    else grouped[name] = typeof earlier === 'string' ? [earlier, value] : [...earlier, value]
+  }
+  return { ...grouped }
+}
--- /dev/null
+++ b/src/entry/ConnectLimitAgent.ts
@@ -0,0 +1,17 @@
+import { Agent } from 'node:http'
+import { createConnectTimeout } from './createConnectTimeout.js'
+import { entryLimits } from './entryLimits.js'
+
+type CreateConnection = Agent['createConnection']
+
+/** An agent whose connections must be made within the connect time-out. */
+export class ConnectLimitAgent extends Agent {
+  override createConnection (...args: Parameters<CreateConnection>): ReturnType<CreateConnection> {
+    const socket = super.createConnection(...args)
+    const timer = setTimeout(() => socket?.destroy(createConnectTimeout()), entryLimits.connectTimeoutMs)
+    const clear = (): void => clearTimeout(timer)
+    socket?.once('connect', clear)
+    socket?.once('close', clear)
+    return socket
+  }
+}
--- /dev/null
+++ b/src/entry/EntryGateway.ts
@@ -0,0 +1,133 @@
+import type { ServerResponse } from 'node:http'
+import type { Claims } from '../claim/Claims.js'
+import type { Clock } from '../common/Clock.js'
+import type { DialMap } from '../common/DialMap.js'
+import type { Logger } from '../common/Logger.js'
+import type { Settings } from '../config/Settings.js'
+import type { RequestMetrics } from '../metrics/RequestMetrics.js'
+import type { ConfigDoc } from '../model/ConfigDoc.js'
+import type { Admission } from '../share/Admission.js'
+import type { Steering } from '../steer/Steering.js'
+import type { AttemptContext } from './AttemptContext.js'
+import { Authenticator } from './Authenticator.js'
+import { CallerHandler } from './CallerHandler.js'
+import { CredentialThrottle } from './CredentialThrottle.js'
+import { EntryState } from './EntryState.js'
+import { HttpFront } from './HttpFront.js'
+import { HttpUpstreamClient } from './HttpUpstreamClient.js'
+import { InternalAuth } from './InternalAuth.js'
+import { InternalHandler } from './InternalHandler.js'
+import { LookupProxy } from './LookupProxy.js'
+import { RequestIds } from './RequestIds.js'
+import { RequestPipeline } from './RequestPipeline.js'
+import { ServiceTimes } from './ServiceTimes.js'
+import type { UpstreamClient } from './UpstreamClient.js'
+
+/** What the data path of a host needs. */
+interface EntryGatewayOptions {
+  readonly host: string
+  readonly address: string
+  readonly ports: Settings['ports']
+  readonly clusterKey: string
+  readonly limits: Settings['limits']
+  /** Certificate and key for the callers' port. */
+  readonly tls?: { readonly cert: string, readonly key: string } | undefined
+  readonly clock: Clock
+  readonly dial: DialMap
+  readonly logger: Logger
+  readonly metrics: RequestMetrics
+  readonly admission: Admission
+  readonly claims: Claims
+  readonly steering: Steering
+}
+
+/** An endpoint gets about as many connections as it has slots, so few of them are idle. */
+const maxIdlePerEndpoint = 8
+const maxIdlePerHost = 64
+/** Peers hold their connections longer than callers, so that a forward seldom needs a new one. */
+const internalLimits = { maxConnections: 4_096, maxHeaderBytes: 32_768, headersTimeoutMs: 10_000, idleTimeoutMs: 60_000 }
+
+/** The data path of a host: callers' server, internal server, and the clients for endpoints and other hosts. */
+export class EntryGateway {
+  readonly state = new EntryState()
+  readonly callers: HttpFront
+  readonly internal: HttpFront
+  readonly endpointClient: UpstreamClient
+  private readonly hostClient: UpstreamClient
+  private readonly authenticator: Authenticator
+  private readonly times = new ServiceTimes()
+
+  constructor (private readonly options: EntryGatewayOptions) {
+    const { clock, dial } = options
+    this.endpointClient = new HttpUpstreamClient({ dial, clock, maxIdle: maxIdlePerEndpoint })
+    this.hostClient = new HttpUpstreamClient({ dial, clock, maxIdle: maxIdlePerHost })
+    this.authenticator = new Authenticator(new CredentialThrottle(clock))
+    const context = this.createContext()
+    this.callers = this.createCallerFront(context)
+    this.internal = this.createInternalFront(context)
+  }
+
+  /** Requests without a complete answer, callers' and forwarded ones. */
+  get inFlight (): number {
+    return this.callers.inFlight + this.internal.inFlight
+  }
+
+  setConfig (doc: ConfigDoc): void {
+    this.authenticator.setConfig(doc)
+    this.times.retain(new Set(doc.services.map((service) => service.name)))
+    this.state.setConfig(doc)
+  }
+
+  async listen (): Promise<void> {
+    const { address, ports } = this.options
+    await this.internal.listen(address, ports.internal)
+    await this.callers.listen(address, ports.caller)
+  }
+
+  close (): void {
+    this.callers.closeAll()
+    this.internal.closeAll()
+    this.endpointClient.close()
+    this.hostClient.close()
+  }
+
+  private createContext (): AttemptContext {
+    const { host, clock, steering, clusterKey, metrics } = this.options
+    return {
+      host,
+      clock,
+      steering,
+      metrics,
+      times: this.times,
+      endpoints: this.endpointClient,
+      hosts: this.hostClient,
+      auth: new InternalAuth(clusterKey, clock)
+    }
+  }
+
+  private createCallerFront (context: AttemptContext): HttpFront {
+    const { clock, logger, metrics, admission, claims, limits, tls, address, ports } = this.options
+    const { state, authenticator } = this
+    const ids = new RequestIds()
+    const pipeline = new RequestPipeline({ context, admission, claims, answerHeaders: () => state.answerHeaders })
+    const lookup = new LookupProxy({ client: this.hostClient, address: `${address}:${ports.lookup}`, state })
+    const handler = new CallerHandler({ clock, state, authenticator, pipeline, lookup, ids, metrics, logger })
+    return new HttpFront({
+      limits,
+      tls,
+      onRequest: (req, res, expectation) => handler.handle(req, res, expectation),
+      createRequestId: () => ids.create(),
+      onRefused: (name) => metrics.refused(name, '', '')
+    })
+  }
+
+  private createInternalFront (context: AttemptContext): HttpFront {
+    const handler = new InternalHandler({ context, state: this.state, logger: this.options.logger })
+    return new HttpFront({
+      limits: internalLimits,
+      onRequest: (req, res: ServerResponse) => handler.handle(req, res),
+      createRequestId: () => '',
+      onRefused: () => {}
+    })
+  }
+}
--- /dev/null
+++ b/src/entry/EntryState.ts
@@ -0,0 +1,33 @@
+import type { ConfigDoc } from '../model/ConfigDoc.js'
+import { RouteTable } from './RouteTable.js'
+
+const noHeaders: readonly string[] = []
+const leavingHeaders: readonly string[] = ['Connection', 'close', 'Shunt-Leaving', '1']
+
+/** What the request handlers of a process share: the configuration in force and whether the host is leaving. */
+export class EntryState {
+  private doc: ConfigDoc | undefined
+  private table: RouteTable | undefined
+  /** True once a planned stop or a drain of the host has begun. */
+  isLeaving = false
+  /** True when callers' new requests are refused. */
+  isRefusing = false
+
+  setConfig (doc: ConfigDoc): void {
+    this.doc = doc
+    this.table = new RouteTable(doc)
+  }
+
+  get config (): ConfigDoc | undefined {
+    return this.doc
+  }
+
+  get routes (): RouteTable | undefined {
+    return this.table
+  }
+
+  /** Headers for every answer of this moment, names and values in turn. */
+  get answerHeaders (): readonly string[] {
+    return this.isLeaving ? leavingHeaders : noHeaders
+  }
+}
--- /dev/null
+++ b/src/entry/HttpExchange.ts
@@ -0,0 +1,221 @@
+import { request as httpRequest } from 'node:http'
+import type { Agent, ClientRequest, IncomingMessage, RequestOptions } from 'node:http'
+import { connect } from 'node:net'
+import type { Socket } from 'node:net'
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { createFailure } from '../common/createFailure.js'
+import type { Failure } from '../common/Failure.js'
+import { Outcome } from '../common/Outcome.js'
+import type { ResultName } from '../common/ResultName.js'
+import { AttemptResult } from '../steer/AttemptResult.js'
+import type { AttemptFailure } from './AttemptFailure.js'
+import { createConnectTimeout } from './createConnectTimeout.js'
+import { entryLimits } from './entryLimits.js'
+import { UploadPump } from './UploadPump.js'
+import type { UpstreamAnswer } from './UpstreamAnswer.js'
+import type { UpstreamCall } from './UpstreamCall.js'
+import type { UpstreamRequest } from './UpstreamRequest.js'
+
+type Reply = Result<UpstreamAnswer, AttemptFailure>
+
+const noBytes = Buffer.alloc(0)
+const bodylessStatuses = new Set([204, 304])
+
+/**
+ * One request and its answer on one connection. A failure is `notRun` only while no byte of the request can have left:
+ * before the connection was made, or when the write was forbidden.
+ */
+export class HttpExchange implements UpstreamCall {
+  readonly reply: Promise<Reply>
+  private resolve!: (reply: Reply) => void
+  private socket: Socket | undefined
+  private outgoing: ClientRequest | undefined
+  private pump: UploadPump | undefined
+  private incoming: IncomingMessage | undefined
+  private chunks: Buffer[] = []
+  private bytes = 0
+  private settled = false
+  private mayHaveLeft = false
+  private retriedStale = false
+
+  constructor (
+    private readonly request: UpstreamRequest,
+    private readonly destination: { readonly host: string, readonly port: number },
+    private readonly agent: Agent
+  ) {
+    this.reply = new Promise((resolve) => { this.resolve = resolve })
+    if (request.fresh) this.connectFresh()
+    else this.send(undefined)
+  }
+
+  cancel (reason: 'timeout' | 'cancelled'): void {
+    const name = reason === 'timeout' ? 'upstreamTimeout' : 'deadlineExceeded'
+    this.fail(name, reason === 'timeout' ? AttemptResult.timeout : AttemptResult.cancelled)
+    this.destroy()
+  }
+
+  /** Opens a connection first, so that the moment of the write is known. */
+  private connectFresh (): void {
+    const socket = connect({ ...this.destination, noDelay: true })
+    this.socket = socket
+    const timer = setTimeout(() => socket.destroy(createConnectTimeout()), entryLimits.connectTimeoutMs)
+    socket.once('error', this.onConnectFailure)
+    socket.once('close', () => clearTimeout(timer))
+    socket.once('connect', () => {
+      clearTimeout(timer)
+      socket.off('error', this.onConnectFailure)
+      this.send(socket)
+    })
+  }
+
+  private readonly onConnectFailure = (): void => this.fail('upstreamRefused', AttemptResult.refused)
+
+  private send (socket: Socket | undefined): void {
+    if (!this.request.mayWrite()) {
+      this.fail('claimExpired', AttemptResult.cancelled)
+      return this.destroy()
+    }
+    this.mayHaveLeft = true
+    const { method, path } = this.request
+    const options: RequestOptions = { host: this.destination.host, port: this.destination.port, method, path, headers: this.buildHeaders() }
+    const outgoing = httpRequest(this.addConnection(options, socket))
+    this.outgoing = outgoing
+    outgoing.on('response', this.onResponse)
+    outgoing.on('error', this.onError)
+    this.writeBody(outgoing)
+  }
+
+  private addConnection (options: RequestOptions, socket: Socket | undefined): RequestOptions {
+    if (socket !== undefined) return { ...options, createConnection: () => socket }
+    options.agent = this.retriedStale ? false : this.agent
+    return options
+  }
+
+  // A flat array of headers is written as it is, without Node's table of single headers.
+  private buildHeaders (): string[] {
+    const { headers, body, method } = this.request
+    const all = [...headers, 'Host', `${this.destination.host}:${this.destination.port}`]
+    if (body.length === undefined) all.push('Transfer-Encoding', 'chunked')
+    else if (body.length > 0 || (method !== 'GET' && method !== 'HEAD')) all.push('Content-Length', String(body.length))
+    return all
+  }
+
+  private writeBody (outgoing: ClientRequest): void {
+    const { body } = this.request
+    if (body.rest === undefined) {
+      outgoing.end(body.length === 0 ? undefined : body.bytes)
+      return
+    }
+    body.started = true
+    if (body.bytes.length > 0) outgoing.write(body.bytes)
+    this.pump = new UploadPump({
+      body,
+      rest: body.rest,
+      target: outgoing,
+      reserveBytes: this.request.reserveBytes,
+      onFailure: (failure) => {
+        this.failWith(failure, AttemptResult.cancelled)
+        this.destroy()
+      }
+    })
+    this.pump.start()
+  }
+
+  private readonly onError = (error: Error & { syscall?: string, code?: string }): void => {
+    if (error.syscall === 'connect') {
+      this.mayHaveLeft = false
+      return this.fail('upstreamRefused', AttemptResult.refused)
+    }
+    if (this.isStale()) return this.retryStale()
+    this.fail(this.incoming === undefined ? 'upstreamReset' : 'upstreamTruncated', AttemptResult.broken)
+  }
+
+  /** A kept connection that the other side closed while idle says nothing about the endpoint. */
+  private isStale (): boolean {
+    return this.outgoing?.reusedSocket === true && this.incoming === undefined && !this.settled &&
+      !this.retriedStale && this.request.body.isReplayable && !this.request.fresh
+  }
+
+  private retryStale (): void {
+    this.retriedStale = true
+    this.send(undefined)
+  }
+
+  private readonly onResponse = (incoming: IncomingMessage): void => {
+    if (this.settled) return this.destroy()
+    this.incoming = incoming
+    incoming.on('error', () => this.fail('upstreamTruncated', AttemptResult.broken))
+    if (this.hasNoBody(incoming)) {
+      incoming.resume()
+      return this.succeed(noBytes, undefined)
+    }
+    const length = incoming.headers['content-length']
+    // The end of a body without length or chunks cannot be told from a broken connection.
+    if (length === undefined && incoming.headers['transfer-encoding'] === undefined) {
+      this.fail('upstreamTruncated', AttemptResult.broken)
+      return this.destroy()
+    }
+    if (Number(length) > entryLimits.maxHeldBytes) {
+      incoming.pause()
+      return this.succeed(noBytes, incoming)
+    }
+    incoming.on('data', this.onData)
+    incoming.on('end', this.onEnd)
+  }
+
+  private hasNoBody (incoming: IncomingMessage): boolean {
+    return this.request.method === 'HEAD' || bodylessStatuses.has(incoming.statusCode!) || incoming.headers['content-length'] === '0'
+  }
+
+  private readonly onData = (chunk: Buffer): void => {
+    this.chunks.push(chunk)
+    this.bytes += chunk.length
+    if (this.bytes <= entryLimits.maxHeldBytes) return
+    const incoming = this.incoming!
+    incoming.off('data', this.onData)
+    incoming.off('end', this.onEnd)
+    incoming.pause()
+    this.succeed(Buffer.concat(this.chunks), incoming)
+  }
+
+  private readonly onEnd = (): void => {
+    if (!this.incoming!.complete) return this.fail('upstreamTruncated', AttemptResult.broken)
+    this.succeed(this.chunks.length === 1 ? this.chunks[0]! : Buffer.concat(this.chunks), undefined)
+  }
+
+  private succeed (body: Buffer, rest: IncomingMessage | undefined): void {
+    if (this.settled) return
+    this.settled = true
+    this.chunks = []
+    if (rest === undefined) this.stopUpload()
+    const { statusCode, rawHeaders } = this.incoming!
+    this.resolve(ok({ status: statusCode!, headers: rawHeaders, body, rest }))
+  }
+
+  // An endpoint may answer before it has read the whole body; such a connection cannot be used again.
+  private stopUpload (): void {
+    if (this.pump === undefined) return
+    this.pump.stop()
+    if (this.outgoing?.writableEnded !== true) this.destroy()
+  }
+
+  private fail (name: ResultName, result: AttemptResult): void {
+    this.failWith(createFailure(name, { outcome: this.mayHaveLeft ? Outcome.unknown : Outcome.notRun }), result)
+  }
+
+  private failWith (failure: Failure, result: AttemptResult): void {
+    if (this.settled) return
+    this.settled = true
+    this.chunks = []
+    this.pump?.stop()
+    this.resolve(err({ failure, result }))
+  }
+
+  private destroy (): void {
+    this.outgoing?.on('error', () => {})
+    this.outgoing?.destroy()
+    this.socket?.on('error', () => {})
+    this.socket?.destroy()
+  }
+}
--- /dev/null
+++ b/src/entry/InternalAuth.ts
@@ -0,0 +1,36 @@
+import { createHmac, timingSafeEqual } from 'node:crypto'
+import type { Clock } from '../common/Clock.js'
+import { entryLimits } from './entryLimits.js'
+
+/** What a signature covers. */
+interface SignedRequest {
+  readonly method: string
+  readonly path: string
+  readonly requestId: string
+}
+
+/** Signs and checks `Shunt-Internal: <host>.<time>.<mac>` under the cluster key. */
+export class InternalAuth {
+  constructor (private readonly clusterKey: string, private readonly clock: Clock) {}
+
+  sign (host: string, request: SignedRequest): string {
+    const timeMs = Math.round(this.clock.wallMs())
+    return `${host}.${timeMs}.${this.createMac(host, timeMs, request).toString('hex')}`
+  }
+
+  /** Returns the sending host, or undefined when the signature is wrong or too old. */
+  verify (header: string | undefined, request: SignedRequest): string | undefined {
+    const match = /^(.+)\.(\d{1,15})\.([0-9a-f]{64})$/.exec(header ?? '')
+    if (match === null) return undefined
+    const [, host, time, mac] = match
+    const timeMs = Number(time)
+    if (Math.abs(this.clock.wallMs() - timeMs) > entryLimits.internalWindowMs) return undefined
+    const expected = this.createMac(host!, timeMs, request)
+    return timingSafeEqual(Buffer.from(mac!, 'hex'), expected) ? host : undefined
+  }
+
+  private createMac (host: string, timeMs: number, request: SignedRequest): Buffer {
+    const text = `${host}\n${timeMs}\n${request.method}\n${request.path}\n${request.requestId}`
+    return createHmac('sha256', this.clusterKey).update(text).digest()
+  }
+}
--- /dev/null
+++ b/src/entry/InternalHandler.ts
@@ -0,0 +1,168 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { createFailure } from '../common/createFailure.js'
+import type { Failure } from '../common/Failure.js'
+import type { Logger } from '../common/Logger.js'
+import { Outcome } from '../common/Outcome.js'
+import type { RouteSpec } from '../model/RouteSpec.js'
+import { AnswerWriter } from './AnswerWriter.js'
+import type { AttemptContext } from './AttemptContext.js'
+import { AttemptLoop } from './AttemptLoop.js'
+import type { AttemptPlan } from './AttemptPlan.js'
+import type { EntryRequest } from './EntryRequest.js'
+import type { EntryState } from './EntryState.js'
+import { parseDeadline } from './parseDeadline.js'
+import { parsePath } from './parsePath.js'
+import { readRequestBody } from './readRequestBody.js'
+import { readRequestHeaders } from './readRequestHeaders.js'
+import { RequestBody } from './RequestBody.js'
+import type { RequestHeaders } from './RequestHeaders.js'
+import { RequestScope } from './RequestScope.js'
+import { writeRefusal } from './writeRefusal.js'
+
+/** What the handler needs. */
+interface InternalHandlerOptions {
+  readonly context: AttemptContext
+  readonly state: EntryState
+  readonly logger: Logger
+}
+
+/** A forwarded request whose sender has proved the cluster key. */
+interface ForwardedRequest {
+  readonly sender: string
+  readonly route: RouteSpec
+  readonly service: string
+  readonly headers: RequestHeaders
+  readonly leftMs: number
+  readonly writeWithinMs: number
+}
+
+const noBytes = Buffer.alloc(0)
+
+/** Serves requests that other hosts forward to endpoints of this host; they were admitted where they arrived. */
+export class InternalHandler {
+  constructor (private readonly options: InternalHandlerOptions) {}
+
+  handle (req: IncomingMessage, res: ServerResponse): void {
+    req.on('error', () => {})
+    res.on('error', () => {})
+    const forwarded = this.read(req)
+    if (forwarded.isErr()) return this.refuse(req, res, '', forwarded.error, undefined)
+    this.serve(req, res, forwarded.value).catch((error: unknown) => {
+      this.options.logger.error('forwarded-request-failed', { error: error instanceof Error ? error.stack ?? error.message : String(error) })
+      this.refuse(req, res, '', createFailure('internal', { outcome: Outcome.unknown }), undefined)
+    })
+  }
+
+  private read (req: IncomingMessage): Result<ForwardedRequest, Failure> {
+    const { context, state } = this.options
+    const read = readRequestHeaders(req)
+    if (read.isErr()) return err(read.error)
+    const { shunt } = read.value
+    const signed = { method: req.method!, path: req.url!, requestId: shunt.get('shunt-request-id') ?? '' }
+    const sender = context.auth.verify(shunt.get('shunt-internal'), signed)
+    if (sender === undefined) return err(createFailure('frameAuth', { message: 'The request is not signed by an entry host.' }))
+    const path = parsePath(req.url!)
+    if (path.isErr()) return err(path.error)
+    const service = state.routes?.findService(path.value.first)
+    const route = state.routes?.findRoute(path.value.first, path.value.rest, req.method!)
+    if (service === undefined || route === undefined) return err(createFailure('unknownService'))
+    const leftMs = parseDeadline(shunt.get('shunt-deadline-ms'), route.defaultDeadlineMs)
+    if (leftMs.isErr()) return err(leftMs.error)
+    const writeWithinMs = Number(shunt.get('shunt-claim-ms') ?? Infinity)
+    return ok({ sender, route, service: service.name, headers: read.value, leftMs: leftMs.value, writeWithinMs })
+  }
+
+  private async serve (req: IncomingMessage, res: ServerResponse, forwarded: ForwardedRequest): Promise<void> {
+    const { context } = this.options
+    const { headers, leftMs } = forwarded
+    const scope = new RequestScope(context.clock, context.clock.nowMs() + leftMs)
+    res.once('close', () => {
+      if (!res.writableFinished) scope.cancel('caller')
+      scope.close()
+    })
+    scope.addHook(() => { if (res.writableEnded) res.destroy() })
+    const request = this.createRequest(req, forwarded, scope)
+    const attempted: string[] = []
+    const result = await this.attempt(req, res, request, forwarded, attempted)
+    if (result.isErr()) this.refuse(req, res, headers.shunt.get('shunt-request-id') ?? '', result.error, attempted[0])
+  }
+
+  private async attempt (
+    req: IncomingMessage, res: ServerResponse, request: EntryRequest, forwarded: ForwardedRequest, attempted: string[]
+  ): Promise<Result<void, Failure>> {
+    const body = await readRequestBody(req, { length: request.body.length, maxBytes: forwarded.route.maxBodyBytes, scope: request.scope, begin: () => {} })
+    if (body.isErr()) return err(body.error)
+    request.body = body.value
+    const answered = await new AttemptLoop(this.options.context, request, this.createPlan(request, forwarded, attempted)).run()
+    if (answered.isErr()) return err(answered.error)
+    const region = this.findRegion(forwarded.sender)
+    const { steering } = this.options.context
+    await new AnswerWriter(res, answered.value, {
+      headers: ['Shunt-Request-Id', request.id, ...this.options.state.answerHeaders],
+      isHead: request.method === 'HEAD',
+      reserveBytes: region === undefined ? undefined : (bytes) => steering.reserveLinkBytes(region, request.workClass, bytes)
+    }).write()
+    return ok()
+  }
+
+  private createPlan (request: EntryRequest, forwarded: ForwardedRequest, attempted: string[]): AttemptPlan {
+    const { steering, clock } = this.options.context
+    const writeUntilMs = clock.nowMs() + forwarded.writeWithinMs
+    const excluded = (forwarded.headers.shunt.get('shunt-excluded') ?? '').split(',')
+    return {
+      choose: async (steerRequest) => {
+        const target = await steering.chooseOwned(steerRequest)
+        if (target.isOk() && target.value.kind === 'endpoint') attempted.push(target.value.endpoint.name)
+        return target
+      },
+      allowsRegion: () => true,
+      enterRegion: () => true,
+      leaveRegion: () => {},
+      prepareAttempt: async () => ok(),
+      mayWrite: () => clock.nowMs() < writeUntilMs && request.scope.reason === undefined,
+      writeUntilMs: () => writeUntilMs,
+      waitUntilMs: Math.min(request.scope.deadlineAtMs, writeUntilMs),
+      takeRetry: () => false,
+      reserveUploadBytes: () => 0,
+      excluded: new Set(excluded),
+      // The sender decides about retries, since it knows the customer's budget.
+      maxAttempts: 1,
+      mayHedge: false
+    }
+  }
+
+  private createRequest (req: IncomingMessage, forwarded: ForwardedRequest, scope: RequestScope): EntryRequest {
+    const { route, service, headers } = forwarded
+    const customer = headers.shunt.get('shunt-customer') ?? ''
+    const contract = this.options.state.config?.contracts.find((candidate) => candidate.customer === customer)
+    return {
+      id: headers.shunt.get('shunt-request-id') ?? '',
+      customer,
+      priority: contract?.priority ?? 1,
+      moveStep: contract?.moveStep ?? 0,
+      service,
+      workClass: route.workClass,
+      // The sender's word holds when the two hosts have different versions of the rule.
+      idempotent: route.idempotent && headers.shunt.get('shunt-once') !== '1',
+      method: req.method!,
+      path: req.url!,
+      key: headers.idempotencyKey,
+      headers: headers.passed,
+      scope,
+      body: new RequestBody(noBytes, headers.contentLength, undefined, route.maxBodyBytes)
+    }
+  }
+
+  private findRegion (host: string): string | undefined {
+    const doc = this.options.state.config
+    const zone = doc?.hosts.find((candidate) => candidate.name === host)?.zone
+    return doc?.zones.find((candidate) => candidate.name === zone)?.region
+  }
+
+  private refuse (req: IncomingMessage, res: ServerResponse, requestId: string, failure: Failure, endpoint: string | undefined): void {
+    const headers = endpoint === undefined ? [] : ['Shunt-Endpoint', endpoint]
+    writeRefusal(req, res, failure, { requestId, close: this.options.state.isLeaving, headers })
+  }
+}
--- /dev/null
+++ b/src/entry/LookupProxy.ts
@@ -0,0 +1,66 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import type { Failure } from '../common/Failure.js'
+import { createFailure } from '../common/createFailure.js'
+import { copyAnswerHeaders } from './copyAnswerHeaders.js'
+import type { EntryState } from './EntryState.js'
+import { RequestBody } from './RequestBody.js'
+import type { UpstreamClient } from './UpstreamClient.js'
+
+/** What the proxy needs. */
+interface LookupProxyOptions {
+  readonly client: UpstreamClient
+  /** The host's own lookup port, as `a.b.c.d:port`. */
+  readonly address: string
+  readonly state: EntryState
+}
+
+const timeoutMs = 1_000
+const noBody = new RequestBody(Buffer.alloc(0), 0, undefined, 0)
+
+/** Passes lookups that come to the callers' port on to the host's own lookup process. */
+export class LookupProxy {
+  constructor (private readonly options: LookupProxyOptions) {}
+
+  /** Writes the answer, or returns `notReady` when the lookup process does not answer. */
+  async pass (req: IncomingMessage, res: ServerResponse, requestId: string): Promise<Result<void, Failure>> {
+    const call = this.options.client.start({
+      address: this.options.address,
+      method: 'GET',
+      path: addClient(req.url!, req.socket.remoteAddress),
+      headers: ['Authorization', req.headers.authorization ?? '', 'Shunt-Request-Id', requestId],
+      body: noBody,
+      fresh: false,
+      mayWrite: () => true,
+      reserveBytes: () => 0
+    })
+    const timer = setTimeout(() => call.cancel('timeout'), timeoutMs)
+    const reply = await call.reply
+    clearTimeout(timer)
+    if (reply.isErr()) return err(createFailure('notReady', { message: 'The lookup process does not answer.' }))
+    if (reply.value.rest !== undefined) {
+      call.cancel('cancelled')
+      return err(createFailure('internal', { message: 'The lookup answer is too long.' }))
+    }
+    const { status, headers, body } = reply.value
+    res.writeHead(status, [...copyLookupHeaders(headers), 'Shunt-Request-Id', requestId, ...this.options.state.answerHeaders])
+    res.end(body)
+    return ok()
+  }
+}
+
+// The lookup process sees this process as the client, so the caller's own address is named.
+function addClient (path: string, address: string | undefined): string {
+  if (address === undefined || /[?&]client=/.test(path)) return path
+  return `${path}${path.includes('?') ? '&' : '?'}client=${encodeURIComponent(address.replace(/^::ffff:/, ''))}`
+}
+
+// Refusals of the lookup process keep their code and outcome.
+function copyLookupHeaders (headers: readonly string[]): string[] {
+  const copy = copyAnswerHeaders(headers)
+  for (let index = 0; index < headers.length; index += 2) {
+    if (/^shunt-(code|outcome)$/i.test(headers[index]!)) copy.push(headers[index]!, headers[index + 1]!)
+  }
+  return copy
+}
--- /dev/null
+++ b/src/entry/RequestPipeline.ts
@@ -0,0 +1,156 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import type { Claims } from '../claim/Claims.js'
+import type { KeptAnswer } from '../claim/KeptAnswer.js'
+import type { Failure } from '../common/Failure.js'
+import { WorkClass } from '../model/WorkClass.js'
+import type { Admission } from '../share/Admission.js'
+import type { Permit } from '../share/Permit.js'
+import { AnswerWriter } from './AnswerWriter.js'
+import type { AttemptContext } from './AttemptContext.js'
+import { AttemptLoop } from './AttemptLoop.js'
+import type { AttemptPlan } from './AttemptPlan.js'
+import { ClaimStep } from './ClaimStep.js'
+import type { EntryRequest } from './EntryRequest.js'
+import { entryLimits } from './entryLimits.js'
+import type { OpenAnswer } from './OpenAnswer.js'
+import { readRequestBody } from './readRequestBody.js'
+
+/** What the pipeline needs. */
+interface PipelineOptions {
+  readonly context: AttemptContext
+  readonly admission: Admission
+  readonly claims: Claims
+  /** Headers for every answer of this moment, names and values in turn. */
+  readonly answerHeaders: () => readonly string[]
+}
+
+/** A request with its two ends on the caller's connection. */
+interface Exchange {
+  readonly request: EntryRequest
+  readonly req: IncomingMessage
+  readonly res: ServerResponse
+  readonly maxBodyBytes: number
+  readonly expectsContinue: boolean
+}
+
+const noHeaders: readonly string[] = []
+const noExclusions: ReadonlySet<string> = new Set()
+/** Time in ms kept of a claim for the way from a slot to the write. */
+const claimMarginMs = 300
+
+/** Takes a checked request of a caller to its answer: admission, body, claim, attempts, answer. */
+export class RequestPipeline {
+  constructor (private readonly options: PipelineOptions) {}
+
+  /** Writes the answer, or returns the failure to refuse with. */
+  async run (exchange: Exchange): Promise<Result<void, Failure>> {
+    const { request, res } = exchange
+    const claim = new ClaimStep(this.options.claims, this.options.context.clock, request)
+    const admitted = await this.options.admission.admit({
+      customer: request.customer,
+      workClass: request.workClass,
+      deadlineAtMs: request.scope.deadlineAtMs,
+      get signal () { return request.scope.signal }
+    })
+    if (admitted.isErr()) return err(claim.settleFailure(admitted.error))
+    const permit = admitted.value
+    if (res.closed) permit.release()
+    else res.once('close', () => permit.release())
+    const result = await this.serve(exchange, claim, permit)
+    return result.mapErr((failure) => claim.settleFailure(failure))
+  }
+
+  private async serve (exchange: Exchange, claim: ClaimStep, permit: Permit): Promise<Result<void, Failure>> {
+    const body = await this.readBody(exchange)
+    if (body.isErr()) return err(body.error)
+    const { request } = exchange
+    // Bulk work may wait long for a slot, so it takes its claim only when it has one.
+    const claimsFirst = request.workClass !== WorkClass.bulk
+    const claimed = claimsFirst ? await claim.ensure() : ok()
+    if (claimed.isErr()) return this.replayOrFail(exchange, claim, claimed.error)
+    const loop = new AttemptLoop(this.options.context, request, this.createPlan(request, claim, permit, claimsFirst))
+    const answered = await loop.run()
+    if (answered.isErr()) return this.replayOrFail(exchange, claim, answered.error)
+    await this.writeAnswer(exchange, claim, answered.value)
+    return ok()
+  }
+
+  private async readBody (exchange: Exchange): Promise<Result<void, Failure>> {
+    const { request, req, res, expectsContinue, maxBodyBytes } = exchange
+    if (request.body.length === 0) return ok()
+    const body = await readRequestBody(req, {
+      length: request.body.length,
+      maxBytes: maxBodyBytes,
+      scope: request.scope,
+      begin: () => { if (expectsContinue) res.writeContinue() }
+    })
+    if (body.isErr()) return err(body.error)
+    request.body = body.value
+    return ok()
+  }
+
+  private createPlan (request: EntryRequest, claim: ClaimStep, permit: Permit, claimsFirst: boolean): AttemptPlan {
+    const { steering, times } = this.options.context
+    const { scope, customer, service } = request
+    const latestStartMs = scope.deadlineAtMs - times.typicalMs(service)
+    const isBulk = request.workClass === WorkClass.bulk
+    return {
+      choose: async (steerRequest) => await steering.choose(steerRequest),
+      allowsRegion: (region) => allowsRegion(permit, region),
+      enterRegion: (region) => permit.enterRegion(region),
+      leaveRegion: (region) => permit.leaveRegion(region),
+      prepareAttempt: async () => await claim.ensure(),
+      mayWrite: () => claim.isUsable() && scope.reason === undefined,
+      writeUntilMs: () => claim.writeUntilMs,
+      waitUntilMs: claimsFirst ? Math.min(latestStartMs, claim.writeUntilMs - claimMarginMs) : latestStartMs,
+      takeRetry: () => this.options.admission.takeRetry(customer),
+      reserveUploadBytes: isBulk ? (bytes) => permit.reserveUploadBytes(bytes) : () => 0,
+      excluded: noExclusions,
+      maxAttempts: entryLimits.maxAttempts,
+      mayHedge: request.idempotent && request.workClass === WorkClass.interactive
+    }
+  }
+
+  private replayOrFail (exchange: Exchange, claim: ClaimStep, failure: Failure): Result<void, Failure> {
+    if (claim.replay === undefined) return err(failure)
+    writeKept(exchange, claim.replay, this.listAnswerHeaders(exchange))
+    return ok()
+  }
+
+  private async writeAnswer (exchange: Exchange, claim: ClaimStep, open: OpenAnswer): Promise<void> {
+    const { request, res } = exchange
+    claim.settleAnswer(open.answer)
+    const isWhole = await new AnswerWriter(res, open, {
+      headers: this.listAnswerHeaders(exchange),
+      isHead: request.method === 'HEAD'
+    }).write()
+    claim.settleStreamed(isWhole)
+  }
+
+  private listAnswerHeaders (exchange: Exchange): readonly string[] {
+    const state = exchange.req.complete ? this.options.answerHeaders() : closeHeaders
+    return ['Shunt-Request-Id', exchange.request.id, ...(state.length === 0 ? noHeaders : state)]
+  }
+}
+
+/** An answer that came before the whole body was read ends the connection, since the rest of the body follows. */
+const closeHeaders: readonly string[] = ['Connection', 'close']
+
+function allowsRegion (permit: Permit, region: string): boolean {
+  if (!permit.enterRegion(region)) return false
+  permit.leaveRegion(region)
+  return true
+}
+
+function writeKept (exchange: Exchange, answer: KeptAnswer, extra: readonly string[]): void {
+  const headers: string[] = []
+  for (const [name, value] of Object.entries(answer.headers)) {
+    if (name === 'content-length') continue
+    for (const single of typeof value === 'string' ? [value] : value) headers.push(name, single)
+  }
+  if (answer.status !== 204 && answer.status !== 304) headers.push('Content-Length', String(answer.body.length))
+  exchange.res.writeHead(answer.status, [...headers, ...extra])
+  exchange.res.end(answer.body.length === 0 ? undefined : answer.body)
+}
--- /dev/null
+++ b/src/entry/RouteTable.ts
@@ -0,0 +1,48 @@
+import type { ConfigDoc } from '../model/ConfigDoc.js'
+import type { RouteSpec } from '../model/RouteSpec.js'
+import type { ServiceSpec } from '../model/ServiceSpec.js'
+
+/** A service with its rules, the longest prefix first. */
+interface ServiceRoutes {
+  readonly service: ServiceSpec
+  readonly routes: ReadonlyArray<{ readonly spec: RouteSpec, readonly prefix: string }>
+}
+
+/** Finds services by path and the rule for a method. */
+export class RouteTable {
+  private readonly services: ReadonlyMap<string, ServiceRoutes>
+
+  constructor (doc: ConfigDoc) {
+    this.services = new Map(doc.services.map((service) => [service.path, sortRoutes(service)]))
+  }
+
+  findService (path: string): ServiceSpec | undefined {
+    return this.services.get(path)?.service
+  }
+
+  /** `rest` is the path below the service's path. */
+  findRoute (path: string, rest: string, method: string): RouteSpec | undefined {
+    const routes = this.services.get(path)?.routes ?? []
+    for (const { spec, prefix } of routes) {
+      if (!matchesPrefix(rest, prefix)) continue
+      if (spec.methods.length === 0 || spec.methods.includes(method)) return spec
+    }
+    return undefined
+  }
+}
+
+// Rules with methods come before rules for all methods with the same prefix.
+function sortRoutes (service: ServiceSpec): ServiceRoutes {
+  const routes = service.routes.map((spec) => ({ spec, prefix: trimSlashes(spec.prefix) }))
+  routes.sort((a, b) => b.prefix.length - a.prefix.length || Number(a.spec.methods.length === 0) - Number(b.spec.methods.length === 0))
+  return { service, routes }
+}
+
+function trimSlashes (prefix: string): string {
+  const trimmed = prefix.replace(/^\/+|\/+$/g, '')
+  return trimmed === '' ? '' : `/${trimmed}`
+}
+
+function matchesPrefix (rest: string, prefix: string): boolean {
+  return rest.startsWith(prefix) && (rest.length === prefix.length || prefix === '' || rest[prefix.length] === '/')
+}
--- /dev/null
+++ b/src/entry/copyAnswerHeaders.ts
@@ -0,0 +1,18 @@
+const withheld = new Set([
+  'connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate', 'te', 'trailer', 'transfer-encoding', 'upgrade',
+  'upstream-load', 'upstream-not-run'
+])
+
+/**
+ * Copies the headers that are passed on with an answer, names and values in turn. Headers of one connection and of
+ * this system are left out; `Content-Length` is kept.
+ */
+export function copyAnswerHeaders (rawHeaders: readonly string[]): string[] {
+  const copy: string[] = []
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    const name = rawHeaders[index]!.toLowerCase()
+    if (withheld.has(name) || name.startsWith('shunt-')) continue
+    copy.push(rawHeaders[index]!, rawHeaders[index + 1]!)
+  }
+  return copy
+}
--- /dev/null
+++ b/src/entry/parseDeadline.ts
@@ -0,0 +1,16 @@
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { createFailure } from '../common/createFailure.js'
+import type { Failure } from '../common/Failure.js'
+import { entryLimits } from './entryLimits.js'
+
+/**
+ * Reads `Shunt-Deadline-Ms`: remaining time in ms, at most 15 minutes.
+ * Failures: `badDeadline`, `deadlineExceeded` when nothing remains.
+ */
+export function parseDeadline (text: string | undefined, defaultMs: number): Result<number, Failure> {
+  if (text === undefined) return ok(Math.min(defaultMs, entryLimits.maxRequestMs))
+  if (!/^-?\d{1,12}$/.test(text)) return err(createFailure('badDeadline'))
+  const leftMs = Number(text)
+  return leftMs <= 0 ? err(createFailure('deadlineExceeded')) : ok(Math.min(leftMs, entryLimits.maxRequestMs))
+}
--- /dev/null
+++ b/src/entry/parsePath.ts
@@ -0,0 +1,62 @@
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { createFailure } from '../common/createFailure.js'
+import type { Failure } from '../common/Failure.js'
+
+/** A request target split at the service's path. */
+interface ParsedPath {
+  /** First segment, without slashes. */
+  readonly first: string
+  /** What follows the first segment, without the query; empty or starting with a slash. */
+  readonly rest: string
+  /** Query with its question mark, or empty. */
+  readonly query: string
+}
+
+const maxPathLength = 8_192
+const plain = /^\/(?:[\w\-~:@!$&'()*+,;=]+(?:\/[\w\-~:@!$&'()*+,;=]+)*\/?)?$/
+const printable = /^[\x21-\x7e]*$/
+// Programs differ in when they decode these, so a path with them could mean two things.
+const ambiguousEscape = /%(?:2f|5c|00|25)/i
+const badEscape = /%(?![0-9a-f]{2})/i
+
+/** Checks and splits a request target. Failure: `badRequest`. */
+export function parsePath (target: string): Result<ParsedPath, Failure> {
+  if (target.length > maxPathLength) return refuse('the path is too long')
+  const mark = target.indexOf('?')
+  const path = mark < 0 ? target : target.slice(0, mark)
+  const query = mark < 0 ? '' : target.slice(mark)
+  if (!plain.test(path)) {
+    const problem = findProblem(path)
+    if (problem !== undefined) return refuse(problem)
+  }
+  if (!printable.test(query) || query.includes('#')) return refuse('the query has characters that are not allowed')
+  const slash = path.indexOf('/', 1)
+  return ok(slash < 0
+    ? { first: path.slice(1), rest: '', query }
+    : { first: path.slice(1, slash), rest: path.slice(slash), query })
+}
+
+function findProblem (path: string): string | undefined {
+  if (!path.startsWith('/')) return 'the request target is not a path'
+  if (!printable.test(path) || /[\\#]/.test(path)) return 'the path has characters that are not allowed'
+  if (badEscape.test(path)) return 'the path has a malformed escape'
+  if (ambiguousEscape.test(path)) return 'the path has an escape that is not allowed'
+  const decoded = decode(path)
+  if (decoded === undefined) return 'the path is not valid UTF-8'
+  if (decoded.split('/').some((segment) => segment === '.' || segment === '..')) return 'the path has dot segments'
+  if (decoded.includes('//')) return 'the path has an empty segment'
+  return undefined
+}
+
+function decode (path: string): string | undefined {
+  try {
+    return decodeURIComponent(path)
+  } catch {
+    return undefined
+  }
+}
+
+function refuse (message: string): Result<never, Failure> {
+  return err(createFailure('badRequest', { message }))
+}
--- /dev/null
+++ b/src/entry/readRefusal.ts
@@ -0,0 +1,19 @@
+import { createFailure } from '../common/createFailure.js'
+import type { Failure } from '../common/Failure.js'
+import { Outcome } from '../common/Outcome.js'
+import { resultCodes } from '../common/resultCodes.js'
+import type { ResultName } from '../common/ResultName.js'
+import { findHeader } from './findHeader.js'
+import type { UpstreamAnswer } from './UpstreamAnswer.js'
+
+const namesByCode = new Map(Object.entries(resultCodes).map(([name, row]) => [String(row.code), name as ResultName]))
+
+/** Reads a refusal of another entry host; undefined when the answer comes from an endpoint. */
+export function readRefusal (answer: UpstreamAnswer): Failure | undefined {
+  const code = findHeader(answer.headers, 'shunt-code')
+  if (code === undefined) return undefined
+  const outcome = findHeader(answer.headers, 'shunt-outcome') === Outcome.notRun ? Outcome.notRun : Outcome.unknown
+  const seconds = Number(findHeader(answer.headers, 'retry-after') ?? Number.NaN)
+  const options = Number.isFinite(seconds) ? { outcome, retryAfterMs: seconds * 1_000 } : { outcome }
+  return createFailure(namesByCode.get(code) ?? 'internal', options)
+}
--- /dev/null
+++ b/src/entry/readRequestBody.ts
@@ -0,0 +1,86 @@
+import type { IncomingMessage } from 'node:http'
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { createFailure } from '../common/createFailure.js'
+import type { Failure } from '../common/Failure.js'
+import { entryLimits } from './entryLimits.js'
+import { RequestBody } from './RequestBody.js'
+import type { RequestScope } from './RequestScope.js'
+
+/** What reading a body needs to know. */
+interface ReadOptions {
+  /** Declared length; undefined for a chunked body. */
+  readonly length: number | undefined
+  readonly maxBytes: number
+  readonly scope: RequestScope
+  /** Tells a caller that waits with `Expect: 100-continue` to send the body. */
+  readonly begin: () => void
+}
+
+const noBytes = Buffer.alloc(0)
+
+/**
+ * Reads a body of up to 64 KiB completely. A longer one is left on the connection, apart from what had to be read
+ * to learn its length. Failures: `bodyTooLarge`, `requestTimeout`, `deadlineExceeded`, `badRequest` when it broke off.
+ */
+export async function readRequestBody (req: IncomingMessage, options: ReadOptions): Promise<Result<RequestBody, Failure>> {
+  const { length, maxBytes } = options
+  if (length === 0) return ok(new RequestBody(noBytes, 0, undefined, maxBytes))
+  if (length !== undefined && length > maxBytes) return err(createFailure('bodyTooLarge'))
+  if (length !== undefined && length > entryLimits.maxHeldBytes) return ok(new RequestBody(noBytes, length, req, maxBytes, options.begin))
+  options.begin()
+  return await new Promise((resolve) => new BodyReader(req, options, resolve).start())
+}
+
+/** Collects chunks until the body ends or grows over the bytes that are held. */
+class BodyReader {
+  private readonly chunks: Buffer[] = []
+  private bytes = 0
+  private timer: NodeJS.Timeout | undefined
+
+  constructor (
+    private readonly req: IncomingMessage,
+    private readonly options: ReadOptions,
+    private readonly resolve: (result: Result<RequestBody, Failure>) => void
+  ) {}
+
+  start (): void {
+    this.timer = setTimeout(() => this.settle(err(createFailure('requestTimeout'))), entryLimits.bodyIdleMs)
+    this.req.on('data', this.onData)
+    this.req.on('end', this.onEnd)
+    this.req.on('close', this.onBroken)
+    this.req.on('error', this.onBroken)
+    this.options.scope.addHook(this.onBroken)
+  }
+
+  private readonly onData = (chunk: Buffer): void => {
+    this.timer?.refresh()
+    this.chunks.push(chunk)
+    this.bytes += chunk.length
+    if (this.bytes > this.options.maxBytes) return this.settle(err(createFailure('bodyTooLarge')))
+    if (this.bytes <= entryLimits.maxHeldBytes) return
+    this.req.pause()
+    this.settle(ok(new RequestBody(Buffer.concat(this.chunks), this.options.length, this.req, this.options.maxBytes)))
+  }
+
+  private readonly onEnd = (): void => {
+    const body = this.chunks.length === 1 ? this.chunks[0]! : Buffer.concat(this.chunks)
+    this.settle(ok(new RequestBody(body, body.length, undefined, this.options.maxBytes)))
+  }
+
+  private readonly onBroken = (): void => {
+    const name = this.options.scope.reason === 'deadline' ? 'deadlineExceeded' : 'badRequest'
+    this.settle(err(createFailure(name, { message: 'the request body did not arrive completely' })))
+  }
+
+  private settle (result: Result<RequestBody, Failure>): void {
+    clearTimeout(this.timer)
+    this.req.off('data', this.onData)
+    this.req.off('end', this.onEnd)
+    this.req.off('close', this.onBroken)
+    this.req.off('error', this.onBroken)
+    if (result.isErr()) this.req.on('error', () => {})
+    this.options.scope.removeHook(this.onBroken)
+    this.resolve(result)
+  }
+}
