Split placement from the steering service

Change: Placer finds and reserves room, EndpointTable keeps only endpoints that this host may own and computes the load of one service. Conclusion: work per tick grows with the region, not with all sites.

--- a/src/steer/EndpointTable.ts
+++ b/src/steer/EndpointTable.ts
@@ -21,10 +21,17 @@
   readonly isLeaving: boolean
 }
 
+/** An endpoint and the hosts that may own it, the primary first. */
+interface OwnableEndpoint {
+  readonly spec: EndpointSpec
+  readonly order: readonly string[]
+}
+
 /** The endpoints that this host owns, or still has requests in flight at. */
 export class EndpointTable {
   private readonly rows = new Table<EndpointRow>()
-  private ownerOrders = new Map<string, readonly string[]>()
+  /** Endpoints that this host may own, with the hosts that may own them. */
+  private ownable: OwnableEndpoint[] = []
   private ordersOf: ConfigDoc | undefined
 
   constructor (private readonly host: string) {}
@@ -43,15 +50,10 @@
     const members = new Map<string, Member>(input.view?.members.map((member) => [member.host, member]))
     const regionOf = new Map(input.doc.zones.map((zone) => [zone.name, zone.region]))
     const leaving = collectLeaving(input.doc, input.view)
-    const specs = new Map(input.doc.endpoints.map((endpoint) => [endpoint.name, endpoint]))
-    for (const spec of specs.values()) {
-      const order = this.ownerOrders.get(spec.name) ?? []
+    for (const { spec, order } of this.ownable) {
       const ownership = decideOwnership({ ...input, host: this.host, order, members })
       this.updateRow(spec, regionOf.get(spec.zone) ?? '', ownership, leaving.has(spec.name) || leaving.has(spec.zone))
     }
-    for (const row of this.rows) {
-      if (!specs.has(row.spec.name)) row.ownership = 'none'
-    }
     this.rows.deleteWhere((row) => row.ownership === 'none' && row.inFlight === 0)
   }
 
@@ -82,21 +84,31 @@
     return due
   }
 
-  /** Load of each service of which this host owns endpoints, without queues. */
-  listLoads (nowMs: number): ServiceLoad[] {
-    const loads = new Map<string, ServiceLoad>()
+  /** True when this host owns an endpoint of the service. */
+  ownsService (service: string): boolean {
+    return [...this.rows].some((row) => row.spec.service === service && row.ownership !== 'none')
+  }
+
+  /** Load of one service over the owned endpoints, without the queue. */
+  loadOf (service: string, nowMs: number): ServiceLoad {
+    let slots = 0
+    let used = 0
+    let serviceMs = 0
     for (const row of this.rows) {
-      if (row.ownership === 'none') continue
-      const before = loads.get(row.spec.service) ?? { service: row.spec.service, slots: 0, used: 0, queued: 0, serviceMs: 0 }
+      if (row.spec.service !== service || row.ownership === 'none') continue
       const usable = countUsableSlots(row, nowMs)
-      loads.set(row.spec.service, {
-        ...before,
-        slots: before.slots + usable,
-        used: before.used + usable - Math.min(usable, countFreeSlots(row, nowMs)),
-        serviceMs: Math.max(before.serviceMs, row.serviceMs)
-      })
+      slots += usable
+      used += usable - Math.min(usable, countFreeSlots(row, nowMs))
+      serviceMs = Math.max(serviceMs, row.serviceMs)
     }
-    return [...loads.values()]
+    return { service, slots, used, queued: 0, serviceMs }
+  }
+
+  /** Load of each service of which this host owns endpoints, without queues. */
+  listLoads (nowMs: number): ServiceLoad[] {
+    const owned = [...this.rows].filter((row) => row.ownership !== 'none')
+    const services = new Set(owned.map((row) => row.spec.service))
+    return [...services].map((service) => this.loadOf(service, nowMs))
   }
 
   private updateRow (spec: EndpointSpec, region: string, ownership: EndpointRow['ownership'], drained: boolean): void {
@@ -115,7 +127,14 @@
   private updateOrders (doc: ConfigDoc): void {
     if (this.ordersOf === doc) return
     this.ordersOf = doc
-    this.ownerOrders = new Map(doc.endpoints.map((endpoint) => [endpoint.name, listOwnerOrder(doc, endpoint)]))
+    // A host of another region is in no order, so the work per tick grows with the region and not with all sites.
+    this.ownable = doc.endpoints
+      .map((spec) => ({ spec, order: listOwnerOrder(doc, spec) }))
+      .filter(({ order }) => order.includes(this.host))
+    const names = new Set(this.ownable.map(({ spec }) => spec.name))
+    for (const row of this.rows) {
+      if (!names.has(row.spec.name)) row.ownership = 'none'
+    }
   }
 }
 
--- a/src/steer/MovePacer.ts
+++ b/src/steer/MovePacer.ts
@@ -1,4 +1,5 @@
 import { Table } from '../common/Table.js'
+import type { MoveInput } from './MoveInput.js'
 
 /** Work of one customer for one service in one other region. */
 interface MoveRow {
@@ -8,16 +9,6 @@
   updatedAtMs: number
 }
 
-/** What paces a move. */
-interface MoveInput {
-  readonly customer: string
-  readonly service: string
-  readonly region: string
-  /** Growth of the limit per second, in requests in flight. */
-  readonly growthPerSecond: number
-  readonly nowMs: number
-}
-
 const minLimit = 1
 const msPerSecond = 1_000
 
@@ -48,12 +39,11 @@
 
   private update (input: MoveInput): MoveRow {
     const id = `${input.customer}|${input.service}|${input.region}`
-    const row = this.rows.ensure(id, () => ({
-      inFlight: 0, limit: Math.max(minLimit, input.growthPerSecond), updatedAtMs: input.nowMs
-    }))
+    const start = Math.max(minLimit, input.growthPerSecond)
+    const row = this.rows.ensure(id, () => ({ inFlight: 0, limit: start, updatedAtMs: input.nowMs }))
     const change = input.growthPerSecond * (input.nowMs - row.updatedAtMs) / msPerSecond
     const isUsed = row.inFlight + 1 >= Math.floor(row.limit)
-    row.limit = isUsed ? Math.min(row.limit + change, row.inFlight + 1 + Math.max(minLimit, input.growthPerSecond)) : Math.max(minLimit, input.growthPerSecond, row.limit - change)
+    row.limit = isUsed ? Math.min(row.limit + change, row.inFlight + 1 + start) : Math.max(start, row.limit - change)
     row.updatedAtMs = input.nowMs
     return row
   }
--- a/src/steer/OwnerTable.ts
+++ b/src/steer/OwnerTable.ts
@@ -6,7 +6,7 @@
 import type { ServiceLoad } from '../model/ServiceLoad.js'
 import { AttemptResult } from './AttemptResult.js'
 import { hopDelays } from './hopDelays.js'
-import type { OwnerCandidate } from './OwnerCandidate.js'
+import type { RemoteCandidate } from './RemoteCandidate.js'
 import { steerLimits } from './steerLimits.js'
 
 /** Another host that owns endpoints. */
@@ -24,11 +24,6 @@
   forwardsAtDigest: Map<string, number>
 }
 
-/** A candidate with the host that it stands for. */
-interface RemoteCandidate extends OwnerCandidate {
-  readonly spec: HostSpec
-}
-
 /** Owning hosts as their digests describe them, less what this host has sent them since. */
 export class OwnerTable {
   private readonly rows = new Table<OwnerRow>()
--- a/src/steer/SteerService.ts
+++ b/src/steer/SteerService.ts
@@ -10,19 +10,14 @@
 import type { ServiceLoad } from '../model/ServiceLoad.js'
 import type { View } from '../model/View.js'
 import type { WorkClass } from '../model/WorkClass.js'
-import { applyAttempt } from './applyAttempt.js'
 import { applyReport } from './applyReport.js'
-import type { AttemptResult } from './AttemptResult.js'
 import type { EndpointReport } from './EndpointReport.js'
-import type { EndpointRow } from './EndpointRow.js'
 import { EndpointTable } from './EndpointTable.js'
 import { FairQueue } from './FairQueue.js'
-import { hopDelays } from './hopDelays.js'
 import { LinkTable } from './LinkTable.js'
 import { MovePacer } from './MovePacer.js'
-import type { OwnerCandidate } from './OwnerCandidate.js'
 import { OwnerTable } from './OwnerTable.js'
-import { scoreOwner } from './scoreOwner.js'
+import { Placer } from './Placer.js'
 import { steerLimits } from './steerLimits.js'
 import type { SteerRequest } from './SteerRequest.js'
 import { Steering } from './Steering.js'
@@ -45,11 +40,6 @@
   shed: number
 }
 
-/** A placed request, or why there is no room for it now. */
-type Placement = Result<SteerTarget, ResultName>
-
-/** Random part of a score; spreads hosts that see the same digests over equal owners. */
-const scoreJitter = 0.1
 const retryAfterMs = 1_000
 const idleMoveMs = 60_000
 
@@ -60,6 +50,7 @@
   private readonly owners: OwnerTable
   private readonly links: LinkTable
   private readonly pacer = new MovePacer()
+  private readonly placer: Placer
   private readonly queues = new Table<FairQueue>()
   private doc: ConfigDoc | undefined
   private view: View | undefined
@@ -72,6 +63,8 @@
     this.endpoints = new EndpointTable(options.host)
     this.owners = new OwnerTable(options.host)
     this.links = new LinkTable(options.host)
+    const { endpoints, owners, links, pacer } = this
+    this.placer = new Placer({ ...options, endpoints, owners, links, pacer, onRoom: (service) => this.dispatchService(service) })
   }
 
   setConfig (doc: ConfigDoc): void {
@@ -79,6 +72,7 @@
     const zone = doc.hosts.find((host) => host.name === this.options.host)?.zone
     this.region = doc.zones.find((candidate) => candidate.name === zone)?.region ?? ''
     this.links.update(doc)
+    this.placer.setConfig(doc, this.region)
     this.refresh()
   }
 
@@ -109,7 +103,7 @@
   }
 
   override async chooseOwned (request: SteerRequest): Promise<Result<SteerTarget, Failure>> {
-    if (!this.ownsService(request.service)) return err(this.refuse('notOwner'))
+    if (!this.endpoints.ownsService(request.service)) return err(this.refuse('notOwner'))
     const untilMs = Math.min(request.waitUntilMs, this.options.clock.nowMs() + steerLimits.forwardedWaitMs)
     return await this.place(request, true, untilMs)
   }
@@ -163,7 +157,7 @@
     const local = this.listLoads().find((load) => load.service === service)
     const own = local === undefined ? 'owns no endpoint' : `${local.used} of ${local.slots} slots used, ${local.queued} waiting`
     const remote = this.owners.listCandidates(service, none, nowMs)
-      .map((candidate) => ({ candidate, score: this.score(candidate) }))
+      .map((candidate) => ({ candidate, score: this.placer.score(candidate) }))
       .sort((a, b) => a.score - b.score)
       .map(({ candidate, score }) => ({
         step: 'owner',
@@ -176,7 +170,7 @@
     const nowMs = this.options.clock.nowMs()
     const queue = this.queues.ensure(request.service, () => new FairQueue())
     if (queue.size === 0) {
-      const placement = this.tryPlace(request, ownedOnly, nowMs)
+      const placement = this.placer.tryPlace(request, ownedOnly, nowMs)
       if (placement.isOk()) return ok(placement.value)
       if (placement.error === 'noEndpoint' || untilMs <= nowMs) return err(this.refuse(placement.error))
     }
@@ -205,7 +199,7 @@
   }
 
   private shedOverflow (queue: FairQueue, service: string): void {
-    const slots = this.endpoints.listLoads(this.options.clock.nowMs()).find((load) => load.service === service)?.slots ?? 0
+    const slots = this.endpoints.loadOf(service, this.options.clock.nowMs()).slots
     if (queue.size <= Math.max(steerLimits.minQueue, slots * steerLimits.queuePerSlot)) return
     const victim = queue.findVictim()
     if (victim === undefined) return
@@ -228,96 +222,13 @@
   }
 
   private tryDispatch (queue: FairQueue, waiting: WaitingRequest, nowMs: number): boolean {
-    const placement = this.tryPlace(waiting.request, waiting.ownedOnly, nowMs)
+    const placement = this.placer.tryPlace(waiting.request, waiting.ownedOnly, nowMs)
     if (placement.isErr()) return false
     queue.take(waiting)
     waiting.settle(ok(placement.value))
     return true
   }
 
-  private tryPlace (request: SteerRequest, ownedOnly: boolean, nowMs: number): Placement {
-    const row = request.allowsRegion(this.region) || ownedOnly
-      ? this.endpoints.findFree(request.service, request.excluded, nowMs)
-      : undefined
-    if (ownedOnly) return row === undefined ? err('noCapacity') : ok(this.reserveEndpoint(row))
-    const remote = this.findRemote(request, nowMs)
-    if (row === undefined && remote === undefined) return err(this.explainNoRoom(request, nowMs))
-    if (remote === undefined) return ok(this.reserveEndpoint(row!))
-    if (row !== undefined && this.scoreLocal(request.service, nowMs) <= remote.score) return ok(this.reserveEndpoint(row))
-    return ok(this.reserveOwner(remote.candidate, request, nowMs))
-  }
-
-  private findRemote (request: SteerRequest, nowMs: number) {
-    return this.owners.listCandidates(request.service, request.excluded, nowMs)
-      .filter((candidate) => this.allowsMove(candidate, request, nowMs))
-      .map((candidate) => ({ candidate, score: this.score(candidate) * (1 + scoreJitter * this.options.random()) }))
-      .reduce<{ candidate: ReturnType<OwnerTable['listCandidates']>[number], score: number } | undefined>(
-        (best, next) => best === undefined || next.score < best.score ? next : best, undefined)
-  }
-
-  private allowsMove (candidate: OwnerCandidate, request: SteerRequest, nowMs: number): boolean {
-    if (!request.allowsRegion(candidate.region)) return false
-    if (candidate.region === this.region) return true
-    if (this.links.delayMs(candidate.region, request.workClass, nowMs) > steerLimits.maxLinkDelayMs) return false
-    return this.pacer.allows(this.describeMove(candidate, request, nowMs))
-  }
-
-  private describeMove (candidate: OwnerCandidate, request: SteerRequest, nowMs: number) {
-    const slots = this.owners.countSlots(request.service, candidate.region)
-    const senders = Math.max(1, this.doc?.hosts.length ?? 1)
-    return {
-      customer: request.customer,
-      service: request.service,
-      region: candidate.region,
-      growthPerSecond: request.moveStep * slots / senders,
-      nowMs
-    }
-  }
-
-  private score (candidate: OwnerCandidate): number {
-    return scoreOwner(candidate, this.doc?.objective ?? { latency: 1, headroom: 0 })
-  }
-
-  private scoreLocal (service: string, nowMs: number): number {
-    const load = this.endpoints.listLoads(nowMs).find((candidate) => candidate.service === service)
-    if (load === undefined || load.slots === 0) return Infinity
-    return this.score({ ...load, host: this.options.host, region: this.region, delayMs: hopDelays.sameHost })
-  }
-
-  private reserveEndpoint (row: EndpointRow): SteerTarget {
-    row.inFlight += 1
-    let isReleased = false
-    return {
-      kind: 'endpoint',
-      endpoint: row.spec,
-      region: row.region,
-      release: (result, elapsedMs) => {
-        if (isReleased) return
-        isReleased = true
-        applyAttempt(row, result, elapsedMs, this.options.clock.nowMs())
-        this.dispatchService(row.spec.service)
-      }
-    }
-  }
-
-  private reserveOwner (candidate: ReturnType<OwnerTable['listCandidates']>[number], request: SteerRequest, nowMs: number): SteerTarget {
-    const leaveRegion = candidate.region === this.region ? () => {} : this.pacer.enter(this.describeMove(candidate, request, nowMs))
-    this.owners.noteForward(candidate.host, request.service)
-    let isReleased = false
-    return {
-      kind: 'host',
-      host: candidate.spec,
-      region: candidate.region,
-      release: (result: AttemptResult) => {
-        if (isReleased) return
-        isReleased = true
-        leaveRegion()
-        this.owners.noteResult(candidate.host, request.service, result, this.options.clock.nowMs())
-        this.dispatchService(request.service)
-      }
-    }
-  }
-
   private refresh (): void {
     const nowMs = this.options.clock.nowMs()
     if (this.doc !== undefined && this.view !== undefined) this.owners.update(this.doc, this.view.members)
@@ -331,20 +242,8 @@
     this.endpoints.update({ doc: this.doc, view: this.view, isViewFresh, isLeaving: this.isLeaving })
   }
 
-  private ownsService (service: string): boolean {
-    return [...this.endpoints].some((row) => row.spec.service === service && row.ownership !== 'none')
-  }
-
-  private explainNoRoom (request: SteerRequest, nowMs: number): ResultName {
-    const hasOwner = this.ownsService(request.service) || this.owners.hasOwner(request.service)
-    if (!hasOwner) return 'noEndpoint'
-    const candidates = this.owners.listCandidates(request.service, request.excluded, nowMs)
-    if (candidates.length === 0) return 'noCapacity'
-    return candidates.some((candidate) => request.allowsRegion(candidate.region)) ? 'pacingLimit' : 'regionShareCap'
-  }
-
   private explainWait (waiting: WaitingRequest): ResultName {
-    return waiting.ownedOnly ? 'noCapacity' : this.explainNoRoom(waiting.request, this.options.clock.nowMs())
+    return waiting.ownedOnly ? 'noCapacity' : this.placer.explainNoRoom(waiting.request, this.options.clock.nowMs())
   }
 
   private refuse (name: ResultName): Failure {
