Add the entry daemon: probes, digests, peers, admin port, planned stop

Cause: the data path had no process around it. Change: EntryDaemon connects the policy modules to the agent, to peers and to endpoints; PlannedStop takes a host out without cutting requests.

--- a/src/entry/CallerHandler.ts
+++ b/src/entry/CallerHandler.ts
@@ -119,7 +119,6 @@
     const leftMs = parseDeadline(headers.shunt.get('shunt-deadline-ms'), route.defaultDeadlineMs)
     if (leftMs.isErr()) return err(leftMs.error)
     if ((headers.contentLength ?? 0) > route.maxBodyBytes) return err(createFailure('bodyTooLarge'))
-    if (state.isRefusing) return err(createFailure('hostLeaving', { retryAfterMs: 0 }))
     return ok({ contract: contract.value, service: service.name, route, headers, leftMs: leftMs.value })
   }
 
--- /dev/null
+++ b/src/entry/DigestSystem.ts
@@ -0,0 +1,65 @@
+import { System } from '../common/System.js'
+import type { Digest } from '../model/Digest.js'
+import type { EntryModules } from './EntryModules.js'
+import type { EntryState } from './EntryState.js'
+
+/** What a digest is made from. */
+interface DigestOptions {
+  readonly host: string
+  readonly incarnation: number
+  readonly modules: EntryModules
+  readonly state: EntryState
+  readonly countInFlight: () => number
+  readonly isServing: () => boolean
+  readonly send: (digest: Digest) => void
+}
+
+const intervalMs = 250
+const maxUses = 64
+
+/** Tells the agent about this process every 250 ms, and at once when other hosts must act. */
+export class DigestSystem extends System {
+  override readonly name = 'digest'
+  private seq = 0
+  private sentAtMs = -Infinity
+  private lastUrgent = ''
+
+  constructor (private readonly options: DigestOptions) {
+    super()
+  }
+
+  override run (nowMs: number): void {
+    const urgent = this.describeUrgent()
+    if (urgent === this.lastUrgent && nowMs - this.sentAtMs < intervalMs) return
+    this.lastUrgent = urgent
+    this.sentAtMs = nowMs
+    this.options.send(this.build())
+  }
+
+  private build (): Digest {
+    const { host, incarnation, modules, state } = this.options
+    this.seq += 1
+    return {
+      host,
+      entryIncarnation: incarnation,
+      seq: this.seq,
+      appliedVersion: modules.share.appliedVersion,
+      serving: this.options.isServing(),
+      leaving: state.isLeaving,
+      inFlight: this.options.countInFlight(),
+      loads: modules.steer.listLoads(),
+      leavingEndpoints: modules.steer.listLeavingEndpoints(),
+      drainInFlight: modules.steer.drainInFlight(),
+      uses: modules.share.listUses().slice(0, maxUses)
+    }
+  }
+
+  /** What other hosts must learn without delay. */
+  private describeUrgent (): string {
+    const { modules, state } = this.options
+    const { steer, share } = modules
+    const drained = Object.entries(steer.drainInFlight()).filter(([, count]) => count === 0).map(([name]) => name)
+    const empty = steer.listLoads().filter((load) => load.slots === 0).map((load) => load.service)
+    return JSON.stringify([state.isLeaving, this.options.isServing(), share.appliedVersion, steer.listLeavingEndpoints(), drained, empty])
+  }
+}
--- /dev/null
+++ b/src/entry/EntryDaemon.ts
@@ -0,0 +1,216 @@
+import type { Clock } from '../common/Clock.js'
+import { DialMap } from '../common/DialMap.js'
+import type { Logger } from '../common/Logger.js'
+import { Scheduler } from '../common/Scheduler.js'
+import { System } from '../common/System.js'
+import type { Settings } from '../config/Settings.js'
+import { AgentLink } from '../control/AgentLink.js'
+import type { RequestMetrics } from '../metrics/RequestMetrics.js'
+import type { ConfigDoc } from '../model/ConfigDoc.js'
+import { DrainKind } from '../model/DrainKind.js'
+import type { View } from '../model/View.js'
+import { FrameServer } from '../wire/FrameServer.js'
+import type { Message } from '../wire/Message.js'
+import type { PeerIdentity } from '../wire/PeerIdentity.js'
+import { AdminServer } from './AdminServer.js'
+import { DigestSystem } from './DigestSystem.js'
+import { EntryGateway } from './EntryGateway.js'
+import type { CreateEntryModules, EntryModules } from './EntryModules.js'
+import { explainRequest } from './explainRequest.js'
+import { PeerLinks } from './PeerLinks.js'
+import { PlannedStop } from './PlannedStop.js'
+import { ProbeSystem } from './ProbeSystem.js'
+import { routePeerMessage } from './routePeerMessage.js'
+import { TlsReloader } from './TlsReloader.js'
+
+/** What the daemon is made of. */
+interface EntryDaemonOptions {
+  readonly settings: Settings
+  readonly clock: Clock
+  readonly createLog: (module: string) => Logger
+  readonly metrics: RequestMetrics
+  readonly renderMetrics: () => Promise<string>
+  readonly createModules: CreateEntryModules
+  /** The host is idle after a drain that was cancelled since; only a new process state may serve again. */
+  readonly onDrainCancelled: () => void
+}
+
+const tickMs = 10
+const lastDigestMs = 50
+
+/** The entry process of a host: data path, policy modules, and connections to the agent and to other hosts. */
+export class EntryDaemon {
+  private readonly log: Logger
+  private readonly self: PeerIdentity
+  private readonly link: AgentLink
+  private readonly peers: PeerLinks
+  private readonly peerServer: FrameServer
+  private readonly modules: EntryModules
+  private readonly gateway: EntryGateway
+  private readonly admin: AdminServer
+  private readonly tls: TlsReloader | undefined
+  private readonly digest: DigestSystem
+  private readonly scheduler: Scheduler
+  private readonly plannedStop: PlannedStop
+  private isStopping = false
+  private isListening = false
+
+  constructor (private readonly options: EntryDaemonOptions) {
+    const { settings, clock, createLog } = options
+    const dial = new DialMap(settings.dial)
+    this.log = createLog('entry')
+    this.self = { name: settings.host, role: 'entry', incarnation: Math.round(clock.wallMs()) }
+    const identity = { self: this.self, clusterKey: settings.clusterKey, dial, clock }
+    this.peers = new PeerLinks(identity)
+    this.modules = options.createModules({ host: settings.host, incarnation: this.self.incarnation, clock, messenger: this.peers })
+    this.tls = settings.tls === undefined ? undefined : new TlsReloader(settings.tls, this.log)
+    this.gateway = this.createGateway(dial)
+    this.link = new AgentLink({
+      ...identity,
+      address: `${settings.address}:${settings.ports.agent}`,
+      onRequest: (message) => this.answerAgent(message)
+    })
+    this.peerServer = new FrameServer({
+      self: this.self,
+      clusterKey: settings.clusterKey,
+      onMessage: (message, peer) => routePeerMessage(this.modules, message, peer)
+    })
+    this.admin = new AdminServer({ isReady: () => this.isReady, renderMetrics: options.renderMetrics })
+    this.digest = this.createDigest()
+    this.scheduler = this.createScheduler()
+    this.plannedStop = new PlannedStop({
+      gateway: this.gateway,
+      modules: this.modules,
+      logger: this.log,
+      announce: () => this.digest.run(clock.nowMs()),
+      stopTimeoutMs: settings.stopTimeoutMs
+    })
+  }
+
+  /** True while new requests are welcome. */
+  get isReady (): boolean {
+    return this.isListening && this.gateway.state.config !== undefined && !this.gateway.state.isLeaving
+  }
+
+  async start (): Promise<void> {
+    const { address, ports } = this.options.settings
+    this.link.on('config', (doc) => this.applyConfig(doc))
+    this.link.on('view', (view) => this.applyView(view))
+    await this.admin.listen(address, ports.entryAdmin)
+    await this.peerServer.listen(address, ports.peer)
+    await this.gateway.listen()
+    this.isListening = true
+    this.tls?.start((material) => this.gateway.callers.replaceCertificate(material))
+    this.link.start()
+    this.scheduler.start(tickMs)
+    this.log.info('started', { address, callerPort: ports.caller, incarnation: this.self.incarnation })
+  }
+
+  /** Leaves, waits for requests in flight, and closes everything. */
+  async stop (): Promise<void> {
+    this.isStopping = true
+    await this.plannedStop.run()
+    this.isListening = false
+    this.digest.run(this.options.clock.nowMs())
+    await new Promise((resolve) => setTimeout(resolve, lastDigestMs))
+    this.scheduler.stop()
+    this.tls?.stop()
+    this.link.stop()
+    this.peers.close()
+    this.admin.close()
+    this.gateway.close()
+    await this.peerServer.close()
+    this.log.info('stopped')
+  }
+
+  private applyConfig (doc: ConfigDoc): void {
+    this.peers.setConfig(doc)
+    this.modules.share.setConfig(doc)
+    this.modules.claim.setConfig(doc)
+    this.modules.steer.setConfig(doc)
+    this.gateway.setConfig(doc)
+    this.digest.run(this.options.clock.nowMs())
+    this.log.info('config-applied', { version: doc.version })
+    this.followDrain(doc)
+  }
+
+  private applyView (view: View): void {
+    this.modules.share.setView(view)
+    this.modules.claim.setView(view)
+    this.modules.steer.setView(view)
+  }
+
+  private followDrain (doc: ConfigDoc): void {
+    const { host, zone } = this.options.settings
+    const isDrained = doc.drains.some((drain) =>
+      (drain.kind === DrainKind.host && drain.name === host) || (drain.kind === DrainKind.zone && drain.name === zone))
+    if (this.isStopping) return
+    if (isDrained) {
+      this.plannedStop.run().catch((error: unknown) => this.log.error('drain-failed', { error: String(error) }))
+    } else if (this.plannedStop.isStarted) {
+      this.isStopping = true
+      this.options.onDrainCancelled()
+    }
+  }
+
+  private answerAgent (message: Message): Message | undefined {
+    if (message.t !== 'explain') return undefined
+    return { t: 'explained', steps: explainRequest(message, { modules: this.modules, state: this.gateway.state }) }
+  }
+
+  private createGateway (dial: DialMap): EntryGateway {
+    const { settings, clock, createLog, metrics } = this.options
+    return new EntryGateway({
+      host: settings.host,
+      address: settings.address,
+      ports: settings.ports,
+      clusterKey: settings.clusterKey,
+      limits: settings.limits,
+      tls: this.tls?.load(),
+      clock,
+      dial,
+      logger: createLog('request'),
+      metrics,
+      admission: this.modules.share,
+      claims: this.modules.claim,
+      steering: this.modules.steer
+    })
+  }
+
+  private createDigest (): DigestSystem {
+    return new DigestSystem({
+      host: this.options.settings.host,
+      incarnation: this.self.incarnation,
+      modules: this.modules,
+      state: this.gateway.state,
+      countInFlight: () => this.gateway.inFlight,
+      isServing: () => this.isListening && this.gateway.state.config !== undefined,
+      send: (digest) => this.link.sendDigest(digest)
+    })
+  }
+
+  private createScheduler (): Scheduler {
+    const { share, claim, steer } = this.modules
+    const systems = [
+      new ModuleSystem('share', share),
+      new ModuleSystem('claim', claim),
+      new ModuleSystem('steer', steer),
+      new ProbeSystem(steer, this.gateway.endpointClient),
+      this.digest
+    ]
+    return new Scheduler(this.options.clock, systems, (system, error) => {
+      this.log.error('tick-failed', { system: system.name, error: error instanceof Error ? error.message : String(error) })
+    })
+  }
+}
+
+/** Runs a policy module on each tick. */
+class ModuleSystem extends System {
+  constructor (override readonly name: string, private readonly module: { tick: (nowMs: number) => void }) {
+    super()
+  }
+
+  override run (nowMs: number): void {
+    this.module.tick(nowMs)
+  }
+}
--- /dev/null
+++ b/src/entry/EntryModules.ts
@@ -0,0 +1,51 @@
+import type { Claims } from '../claim/Claims.js'
+import type { Clock } from '../common/Clock.js'
+import type { PeerMessenger } from '../common/PeerMessenger.js'
+import type { ConfigDoc } from '../model/ConfigDoc.js'
+import type { EndpointSpec } from '../model/EndpointSpec.js'
+import type { ServiceLoad } from '../model/ServiceLoad.js'
+import type { View } from '../model/View.js'
+import type { Admission } from '../share/Admission.js'
+import type { Steering } from '../steer/Steering.js'
+import type { Message } from '../wire/Message.js'
+import type { PeerIdentity } from '../wire/PeerIdentity.js'
+
+/** What the daemon does with each of its policy modules. */
+interface PolicyModule {
+  setConfig: (doc: ConfigDoc) => void
+  setView: (view: View) => void
+  tick: (nowMs: number) => void
+  /** Hands over what others can take; requests in flight go on. */
+  prepareStop: () => Promise<void> | void
+}
+
+/** A module that talks to the same module of other hosts. */
+interface PeerModule extends PolicyModule {
+  handleMessage: (message: Message, peer: PeerIdentity) => Promise<Message | undefined> | Message | undefined
+}
+
+/** Parts of steering that the daemon uses besides the data path. */
+interface SteerModule extends PolicyModule {
+  listProbes: (nowMs: number) => EndpointSpec[]
+  probeFailed: (endpoint: string) => void
+  listLoads: () => ServiceLoad[]
+  listLeavingEndpoints: () => string[]
+  drainInFlight: () => Record<string, number>
+  explain: (service: string) => Array<{ step: string, detail: string }>
+}
+
+/** The policy modules of an entry process. */
+export interface EntryModules {
+  /** `appliedVersion` is the configuration version whose limits are in force. */
+  readonly share: Admission & PeerModule & { readonly appliedVersion: number }
+  readonly claim: Claims & PeerModule
+  readonly steer: Steering & SteerModule
+}
+
+/** Makes the modules of a process. */
+export type CreateEntryModules = (base: {
+  readonly host: string
+  readonly incarnation: number
+  readonly clock: Clock
+  readonly messenger: PeerMessenger
+}) => EntryModules
--- a/src/entry/EntryState.ts
+++ b/src/entry/EntryState.ts
@@ -10,8 +10,6 @@
   private table: RouteTable | undefined
   /** True once a planned stop or a drain of the host has begun. */
   isLeaving = false
-  /** True when callers' new requests are refused. */
-  isRefusing = false
 
   setConfig (doc: ConfigDoc): void {
     this.doc = doc
