Add platform adapter, configuration writer and thin agent

Cause: nothing reads or writes the configuration yet. Change: abstract TableService, ObjectStore and HostList with HTTP adapters that tell certain failures from unknown ones; configuration writer with compare-and-set, write ids and settlement; reader; view publisher; operators' interface; member table; shunt-agent binary. Member gains the optional field linkDown.

--- /dev/null
+++ b/src/control/ConfigArchive.ts
@@ -0,0 +1,70 @@
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { createFailure } from '../common/createFailure.js'
+import type { Failure } from '../common/Failure.js'
+import type { ConfigDoc } from '../model/ConfigDoc.js'
+import type { ObjectStore } from '../platform/ObjectStore.js'
+import type { TableService } from '../platform/TableService.js'
+import type { WriteReply } from '../platform/WriteReply.js'
+import { configDocSchema } from './configDocSchema.js'
+import type { ConfigHead } from './ConfigHead.js'
+import { headSchema } from './headSchema.js'
+import type { HeldConfig } from './HeldConfig.js'
+import type { PlatformHead } from './PlatformHead.js'
+
+const headRow = 'config/head'
+
+/** The configuration as the platform keeps it: an object per version and the head row. */
+export class ConfigArchive {
+  constructor (private readonly table: TableService, private readonly objects: ObjectStore) {}
+
+  /** Failures: `platformUnavailable`, `configRolledBack` when the row has a shape that no agent writes. */
+  async readHead (): Promise<Result<PlatformHead, Failure>> {
+    const row = await this.table.read(headRow)
+    if (row.isErr()) return err(row.error)
+    if (row.value === undefined) return ok({ rowVersion: 0, head: undefined })
+    return parseHead(row.value.version, row.value.value)
+  }
+
+  /** Reads the document that a head names. Failures: `platformUnavailable`, `configRolledBack`. */
+  async readDoc (head: ConfigHead): Promise<Result<HeldConfig, Failure>> {
+    const bytes = await this.objects.read(head.object)
+    if (bytes.isErr()) return err(bytes.error)
+    const doc = bytes.value === undefined ? undefined : parseDoc(bytes.value)
+    if (doc === undefined || doc.version !== head.version || doc.lineage !== head.lineage) {
+      return err(createFailure('configRolledBack', { message: `Object "${head.object}" is missing or is not the document that the head names.` }))
+    }
+    return ok({ doc, writeId: head.writeId })
+  }
+
+  async writeDoc (name: string, doc: ConfigDoc): Promise<Result<void, Failure>> {
+    return await this.objects.write(name, Buffer.from(JSON.stringify(doc)))
+  }
+
+  /** Moves the head when its row still has `rowVersion`; a conflict carries the head that is there. */
+  async moveHead (rowVersion: number, head: ConfigHead): Promise<Result<PlatformHead | 'moved', Failure>> {
+    const reply = await this.table.write({ row: headRow, ifVersion: rowVersion, value: head })
+    return reply.andThen((value) => readMove(value))
+  }
+}
+
+function readMove (reply: WriteReply): Result<PlatformHead | 'moved', Failure> {
+  if (reply.written) return ok('moved')
+  if (reply.version === 0) return ok({ rowVersion: 0, head: undefined })
+  return parseHead(reply.version, reply.value)
+}
+
+function parseHead (rowVersion: number, value: unknown): Result<PlatformHead, Failure> {
+  const head = headSchema.safeParse(value)
+  if (!head.success) return err(createFailure('configRolledBack', { message: 'Row "config/head" does not have the shape of a head.' }))
+  return ok({ rowVersion, head: head.data })
+}
+
+function parseDoc (bytes: Buffer): ConfigDoc | undefined {
+  try {
+    const parsed = configDocSchema.safeParse(JSON.parse(bytes.toString('utf8')))
+    return parsed.success ? parsed.data : undefined
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/src/control/ConfigWriter.ts
@@ -0,0 +1,203 @@
+import { randomBytes } from 'node:crypto'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import type { Clock } from '../common/Clock.js'
+import { createFailure } from '../common/createFailure.js'
+import type { Failure } from '../common/Failure.js'
+import type { Logger } from '../common/Logger.js'
+import { Outcome } from '../common/Outcome.js'
+import type { AppliedChange } from './AppliedChange.js'
+import { applyChange } from './applyChange.js'
+import type { ChangeContext } from './ChangeContext.js'
+import { checkHead } from './checkHead.js'
+import type { ConfigArchive } from './ConfigArchive.js'
+import type { ConfigHead } from './ConfigHead.js'
+import type { ConfigHolder } from './ConfigHolder.js'
+import type { HeldConfig } from './HeldConfig.js'
+import type { PlatformHead } from './PlatformHead.js'
+import { settleWrite } from './settleWrite.js'
+import type { WriteOutcome } from './WriteOutcome.js'
+import type { WriteReceipt } from './WriteReceipt.js'
+import type { WriteRequest } from './WriteRequest.js'
+
+/** What a writer works with. */
+interface ConfigWriterOptions {
+  readonly archive: ConfigArchive
+  readonly holder: ConfigHolder
+  readonly clock: Clock
+  readonly log: Logger
+  /** Facts about hosts and upstreams at the time of a change. */
+  readonly getContext: () => Omit<ChangeContext, 'by' | 'wallMs' | 'log'>
+  /** Called after the head moved and the document is in force here. */
+  readonly onAccepted: (held: HeldConfig) => void
+  /** Time in ms for a whole write, settlement included. Default: 5000. */
+  readonly budgetMs?: number
+}
+
+/** A head that was read together with the document that it names. */
+interface ReadBase {
+  readonly platformHead: PlatformHead
+  readonly held: HeldConfig | undefined
+}
+
+/** A move of the head that was sent. */
+interface SentMove {
+  readonly rowVersion: number
+  readonly head: ConfigHead
+}
+
+const maxLogEntries = 64
+const maxUnsettled = 256
+const maxWaiting = 64
+const defaultBudgetMs = 5_000
+const retryDelayMs = 150
+const suffixBytes = 4
+
+/**
+ * Makes accepted configurations: object first, then the head by compare-and-set. A lost response is settled by sending
+ * the same conditional move again, which can take effect at most once, and by the write ids in the head's log.
+ */
+export class ConfigWriter {
+  private queue: Promise<unknown> = Promise.resolve()
+  private waiting = 0
+  private readonly unsettled = new Map<string, SentMove>()
+
+  constructor (private readonly options: ConfigWriterOptions) {}
+
+  /**
+   * Applies a change; repeating it with the same write id gives the first outcome.
+   * Failures: those of `applyChange`, `platformUnavailable`, `writeUnknown`, `configRolledBack`.
+   */
+  async write (request: WriteRequest): Promise<Result<WriteReceipt, Failure>> {
+    if (this.waiting >= maxWaiting) {
+      return err(createFailure('platformUnavailable', { message: 'Too many changes wait at this host; repeat later or use another host.', retryAfterMs: 1_000 }))
+    }
+    this.waiting += 1
+    const result = this.queue.then(async () => await this.run(request))
+    this.queue = result.catch(() => undefined).finally(() => { this.waiting -= 1 })
+    return await result
+  }
+
+  /** Says what a change would do, without writing. */
+  async preview (request: WriteRequest): Promise<Result<AppliedChange, Failure>> {
+    const base = await this.readBase()
+    return base.andThen((value) => this.makeChange(value, request))
+  }
+
+  /** Reports what became of a write. Failures: `platformUnavailable`, `configRolledBack`. */
+  async findOutcome (writeId: string): Promise<Result<WriteOutcome, Failure>> {
+    const platformHead = await this.options.archive.readHead()
+    if (platformHead.isErr()) return err(platformHead.error)
+    const sent = this.unsettled.get(writeId)
+    // Without a record of the attempt, a write that is still on its way cannot be excluded.
+    const basis = sent === undefined
+      ? { writeId, rowVersion: Infinity, version: 0 }
+      : { writeId, rowVersion: sent.rowVersion, version: sent.head.version }
+    return ok(settleWrite(basis, platformHead.value))
+  }
+
+  private async run (request: WriteRequest): Promise<Result<WriteReceipt, Failure>> {
+    const { clock, budgetMs = defaultBudgetMs } = this.options
+    const endMs = clock.nowMs() + budgetMs
+    while (clock.nowMs() < endMs) {
+      const base = await this.readBase()
+      if (base.isErr()) return err(base.error)
+      const earlier = base.value.platformHead.head?.log.find(({ writeId }) => writeId === request.writeId)
+      if (earlier !== undefined) return ok(earlier)
+      const change = this.makeChange(base.value, request)
+      if (change.isErr()) return err(change.error)
+      const result = await this.commit(base.value.platformHead, request, change.value, endMs)
+      if (result !== 'overtaken') return result
+    }
+    return err(createFailure('platformUnavailable', { message: 'Other writes kept coming first; nothing was changed. Repeat the change.', retryAfterMs: 1_000 }))
+  }
+
+  private makeChange ({ platformHead, held }: ReadBase, request: WriteRequest): Result<AppliedChange, Failure> {
+    return applyChange(held?.doc, request.change, {
+      ...this.options.getContext(),
+      by: request.by,
+      wallMs: this.options.clock.wallMs(),
+      log: platformHead.head?.log ?? []
+    })
+  }
+
+  private async readBase (): Promise<Result<ReadBase, Failure>> {
+    const { archive, holder } = this.options
+    const heardVersion = holder.heardVersion
+    const platformHead = await archive.readHead()
+    if (platformHead.isErr()) return err(platformHead.error)
+    const checked = checkHead(platformHead.value, holder, heardVersion)
+    if (checked.isErr()) return err(checked.error)
+    const { head } = platformHead.value
+    if (head === undefined) return ok({ platformHead: platformHead.value, held: undefined })
+    if (holder.compare(head) !== 'same') {
+      const held = await archive.readDoc(head)
+      if (held.isErr()) return err(held.error)
+      holder.offer(held.value)
+    }
+    // The agent may have pulled a newer version while the head was on its way; the move would conflict anyway.
+    if (holder.compare(head) !== 'same') return await this.readBase()
+    return ok({ platformHead: platformHead.value, held: holder.held })
+  }
+
+  private async commit (base: PlatformHead, request: WriteRequest, { doc, change }: AppliedChange, endMs: number): Promise<Result<WriteReceipt, Failure> | 'overtaken'> {
+    const { archive } = this.options
+    const { writeId, by } = request
+    const object = `config/${doc.version}-${writeId}-${randomBytes(suffixBytes).toString('hex')}`
+    const stored = await archive.writeDoc(object, doc)
+    if (stored.isErr()) return err(createFailure('platformUnavailable', { message: `The document was not stored; nothing was changed. ${stored.error.message}` }))
+    const receipt = { version: doc.version, writeId, by, change }
+    const log = [...base.head?.log ?? [], receipt].slice(-maxLogEntries)
+    const sent = { rowVersion: base.rowVersion, head: { lineage: doc.lineage, version: doc.version, object, writeId, log } }
+    const result = await this.moveHead(sent, endMs)
+    if (result !== 'overtaken' && result.isOk()) this.accept({ doc, writeId }, receipt)
+    return result === 'overtaken' ? result : result.map(() => receipt)
+  }
+
+  /** Sends the same conditional move until its outcome is certain or the time is over. */
+  private async moveHead (sent: SentMove, endMs: number): Promise<Result<void, Failure> | 'overtaken'> {
+    const { archive, clock } = this.options
+    const { writeId, version } = sent.head
+    let mayBeWritten = false
+    for (;;) {
+      const reply = await archive.moveHead(sent.rowVersion, sent.head)
+      if (reply.isOk() && reply.value === 'moved') return this.settled(writeId, ok(undefined))
+      if (reply.isOk() && reply.value !== 'moved') {
+        const { outcome } = settleWrite({ writeId, rowVersion: sent.rowVersion, version }, reply.value)
+        if (outcome === 'accepted') return this.settled(writeId, ok(undefined))
+        if (outcome === 'not-run' || !mayBeWritten) return this.settled(writeId, 'overtaken')
+      }
+      if (reply.isErr() && reply.error.outcome === Outcome.notRun && !mayBeWritten) return err(reply.error)
+      mayBeWritten ||= reply.isErr() && reply.error.outcome === Outcome.unknown
+      if (mayBeWritten) this.remember(writeId, sent)
+      if (clock.nowMs() + retryDelayMs >= endMs) return err(describeUnknown(writeId))
+      await sleep(retryDelayMs)
+    }
+  }
+
+  private accept (held: HeldConfig, { version, writeId, by, change }: WriteReceipt): void {
+    const { holder, log, onAccepted } = this.options
+    log.info('config_accepted', { version, writeId, by, change })
+    holder.offer(held)
+    onAccepted(held)
+  }
+
+  private settled<T> (writeId: string, result: T): T {
+    this.unsettled.delete(writeId)
+    return result
+  }
+
+  private remember (writeId: string, sent: SentMove): void {
+    this.unsettled.set(writeId, sent)
+    const [oldest] = this.unsettled.keys()
+    if (this.unsettled.size > maxUnsettled && oldest !== undefined) this.unsettled.delete(oldest)
+  }
+}
+
+function describeUnknown (writeId: string): Failure {
+  return createFailure('writeUnknown', {
+    outcome: Outcome.unknown,
+    message: `The platform did not confirm write "${writeId}". Ask GET /admin/v1/writes/${writeId}, or repeat the change with the same write id; it takes effect at most once.`
+  })
+}
--- /dev/null
+++ b/src/control/ViewPublisher.ts
@@ -0,0 +1,87 @@
+import type { Clock } from '../common/Clock.js'
+import type { Logger } from '../common/Logger.js'
+import type { View } from '../model/View.js'
+import type { FrameConnection } from '../wire/FrameConnection.js'
+import type { Message } from '../wire/Message.js'
+import type { PeerIdentity } from '../wire/PeerIdentity.js'
+import type { ConfigHolder } from './ConfigHolder.js'
+
+/** What a publisher works with. */
+interface ViewPublisherOptions {
+  readonly holder: ConfigHolder
+  readonly clock: Clock
+  readonly log: Logger
+  readonly buildView: () => Omit<View, 'seq'>
+}
+
+/** A connected entry or lookup process. */
+interface Subscriber {
+  readonly role: PeerIdentity['role']
+  /** Configuration version that was last sent on this connection. */
+  sentVersion: number
+}
+
+/** Longest time in ms between two views; readers call a view stale after 2 s. */
+const viewIntervalMs = 500
+/** Delay in ms that gathers changes into one view. */
+const gatherMs = 10
+
+/** Sends views to the entry and lookup processes of the own host. */
+export class ViewPublisher {
+  private readonly subscribers = new Map<FrameConnection, Subscriber>()
+  private seq = 0
+  private lastMs = -Infinity
+  private gatherTimer: NodeJS.Timeout | undefined
+
+  constructor (private readonly options: ViewPublisherOptions) {}
+
+  add (connection: FrameConnection, role: PeerIdentity['role']): void {
+    this.subscribers.set(connection, { role, sentVersion: 0 })
+    this.publish()
+  }
+
+  remove (connection: FrameConnection): void {
+    this.subscribers.delete(connection)
+  }
+
+  /** Connection of the entry process; undefined when it is not there. */
+  findEntry (): FrameConnection | undefined {
+    return [...this.subscribers].find(([connection, { role }]) => role === 'entry' && connection.isReady)?.[0]
+  }
+
+  /** Publishes soon, together with other changes of the same moment. */
+  announce (): void {
+    this.gatherTimer ??= setTimeout(() => this.publish(), gatherMs)
+  }
+
+  /** Publishes when the last view is old enough. */
+  tick (): void {
+    if (this.options.clock.nowMs() - this.lastMs >= viewIntervalMs) this.publish()
+  }
+
+  stop (): void {
+    clearTimeout(this.gatherTimer)
+    this.gatherTimer = undefined
+  }
+
+  private publish (): void {
+    this.stop()
+    this.lastMs = this.options.clock.nowMs()
+    if (this.subscribers.size === 0) return
+    this.seq += 1
+    const view = { seq: this.seq, ...this.options.buildView() }
+    for (const [connection, subscriber] of this.subscribers) this.send(connection, subscriber, view)
+  }
+
+  private send (connection: FrameConnection, subscriber: Subscriber, view: View): void {
+    const { held } = this.options.holder
+    const config = held !== undefined && held.doc.version !== subscriber.sentVersion ? held.doc : undefined
+    const message: Message = config === undefined ? { t: 'view', view } : { t: 'view', view, config }
+    try {
+      if (connection.notify(message) && config !== undefined) subscriber.sentVersion = config.version
+    } catch (err) {
+      // encodeFrame throws when the view is over the frame's size limit.
+      this.options.log.error('view_not_sent', { role: subscriber.role, message: err instanceof Error ? err.message : 'unknown' })
+    }
+  }
+}
--- /dev/null
+++ b/src/control/WriteReceipt.ts
@@ -0,0 +1,8 @@
+/** An accepted write. */
+export interface WriteReceipt {
+  readonly writeId: string
+  /** Configuration version that the write made. */
+  readonly version: number
+  readonly by: string
+  readonly change: string
+}
--- /dev/null
+++ b/src/control/applyDeployment.ts
@@ -0,0 +1,62 @@
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { createFailure } from '../common/createFailure.js'
+import type { Failure } from '../common/Failure.js'
+import type { ConfigDoc } from '../model/ConfigDoc.js'
+import type { AppliedChange } from './AppliedChange.js'
+import type { ChangeContext } from './ChangeContext.js'
+import { checkReferences } from './checkReferences.js'
+import type { ConfigChange } from './ConfigChange.js'
+import type { Deployment } from './Deployment.js'
+import { describeConflict } from './describeConflict.js'
+import { keepPriorCaps } from './keepPriorCaps.js'
+
+type DeploymentChange = Extract<ConfigChange, { kind: 'deployment' }>
+
+/** Loads the first deployment or replaces zones, hosts, services, endpoints, links and objective. */
+export function applyDeployment (base: ConfigDoc | undefined, change: DeploymentChange, context: ChangeContext): Result<AppliedChange, Failure> {
+  const { deployment, expectVersion } = change
+  if (expectVersion !== undefined && expectVersion !== (base?.version ?? 0)) {
+    return err(describeConflict('deployment', { expected: expectVersion, actual: base?.version ?? 0 }, context.log))
+  }
+  const current = base ?? { ...deployment, version: 0, contracts: [], drains: [], priorCaps: [] }
+  return checkHosts(current, change, context).andThen((removed) => {
+    const doc = buildDocument(current, deployment, removed, context)
+    return checkReferences(doc).map(() => ({ doc, change: `deployment: ${doc.hosts.length} hosts, ${doc.endpoints.length} endpoints` }))
+  })
+}
+
+/** Returns the names of removed hosts. */
+function checkHosts (current: ConfigDoc, { deployment, force }: DeploymentChange, { reaches }: ChangeContext): Result<ReadonlySet<string>, Failure> {
+  if (current.lineage !== deployment.lineage) {
+    return err(createFailure('invalidDocument', { message: `The lineage is "${current.lineage}" and cannot become "${deployment.lineage}".` }))
+  }
+  const next = new Map(deployment.hosts.map((host) => [host.name, host]))
+  const moved = current.hosts.find(({ name, zone }) => next.has(name) && next.get(name)?.zone !== zone)
+  if (moved !== undefined) {
+    // Old portions are computed from host names and zones, so a name must keep its zone.
+    return err(createFailure('invalidDocument', { message: `Host "${moved.name}" cannot change its zone; remove it and add a host with another name.` }))
+  }
+  const removed = current.hosts.map(({ name }) => name).filter((name) => !next.has(name))
+  const away = removed.filter((name) => !reaches.some(({ host, reachable }) => host === name && reachable))
+  if (away.length > 0 && !force) {
+    return err(createFailure('capBelowUnreachable', {
+      message: `Removed hosts cannot be reached and may still admit work: ${away.join(', ')}. Make sure that they are stopped, then repeat with force.`
+    }))
+  }
+  return ok(new Set(away))
+}
+
+/** The operator vouches that hosts removed by force are stopped, so prior caps don't wait for them. */
+function buildDocument (current: ConfigDoc, deployment: Deployment, gone: ReadonlySet<string>, { reaches }: ChangeContext): ConfigDoc {
+  const hostsChanged = !hasSameNames(current, deployment)
+  const priorCaps = keepPriorCaps(current, hostsChanged ? current.contracts : [], reaches)
+    .map((prior) => ({ ...prior, hosts: prior.hosts.filter((host) => !gone.has(host)) }))
+    .filter(({ hosts }) => hosts.length > 0)
+  return { ...current, ...deployment, version: current.version + 1, priorCaps }
+}
+
+function hasSameNames (a: Deployment, b: Deployment): boolean {
+  const names = new Set(a.hosts.map(({ name }) => name))
+  return a.hosts.length === b.hosts.length && b.hosts.every(({ name }) => names.has(name))
+}
--- /dev/null
+++ b/src/control/describeConfig.ts
@@ -0,0 +1,32 @@
+import { ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import type { Failure } from '../common/Failure.js'
+import { MemberState } from '../model/MemberState.js'
+import type { AgentState } from './AgentState.js'
+
+/** Configuration versions of the agent, the platform's fault, and what each host has in force. */
+export function describeConfig (state: AgentState): Result<unknown, Failure> {
+  const { held, version, heardVersion } = state.holder
+  const members = new Map(state.listMembers().map((member) => [member.host, member]))
+  const hosts = (held?.doc.hosts ?? []).map(({ name, zone }) => {
+    const member = members.get(name)
+    return {
+      host: name,
+      zone,
+      reachable: member?.state === MemberState.alive,
+      agentVersion: member?.configVersion ?? 0,
+      appliedVersion: member?.digest?.appliedVersion ?? 0
+    }
+  })
+  return ok({
+    host: state.host,
+    lineage: held?.doc.lineage,
+    version,
+    heardVersion,
+    writeId: held?.writeId,
+    inForce: hosts.length > 0 && hosts.every(({ reachable, appliedVersion }) => !reachable || appliedVersion >= version),
+    fault: state.getFault(),
+    priorCaps: held?.doc.priorCaps.length ?? 0,
+    hosts
+  })
+}
--- /dev/null
+++ b/src/control/describeStatus.ts
@@ -0,0 +1,21 @@
+import { ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import type { Failure } from '../common/Failure.js'
+import type { AgentState } from './AgentState.js'
+
+/** All members as this agent sees them; with `compare`, also where other agents see them differently. */
+export async function describeStatus (state: AgentState, compare: boolean): Promise<Result<unknown, Failure>> {
+  const { endpoints, hosts } = state.getListed()
+  const status = {
+    host: state.host,
+    version: state.holder.version,
+    heardVersion: state.holder.heardVersion,
+    // Infinite before the first contact, which JSON cannot carry.
+    contactAgeMs: Number.isFinite(state.getContactAgeMs()) ? Math.round(state.getContactAgeMs()) : null,
+    fault: state.getFault(),
+    leavingEndpoints: endpoints,
+    leavingHosts: hosts,
+    members: state.listMembers()
+  }
+  return ok(compare ? { ...status, differences: await state.compareMembers() } : status)
+}
--- /dev/null
+++ b/src/membership/MemberReport.ts
@@ -0,0 +1,13 @@
+import type { Digest } from '../model/Digest.js'
+import type { Listing } from './Listing.js'
+
+/** What a host's agent spreads beyond its row; only that agent makes reports, so the highest one is the newest. */
+export interface MemberReport {
+  /** Incarnation of the agent that made the report. */
+  readonly incarnation: number
+  /** Grows by one with each report of an incarnation. */
+  readonly no: number
+  readonly digest?: Digest | undefined
+  /** What the platform's list says; only from agents that read it. */
+  readonly listing?: Listing | undefined
+}
--- /dev/null
+++ b/src/membership/MemberTable.ts
@@ -0,0 +1,287 @@
+import type { Member } from '../model/Member.js'
+import { MemberState } from '../model/MemberState.js'
+import { compareReports } from './compareReports.js'
+import { isUrgentDigest } from './isUrgentDigest.js'
+import type { MemberReport } from './MemberReport.js'
+import type { MemberRow } from './MemberRow.js'
+import { membershipTimes as times } from './membershipTimes.js'
+import { stateRanks } from './stateRanks.js'
+import type { WireRow } from './WireRow.js'
+
+/** Who the agent is. */
+interface SelfIdentity {
+  readonly host: string
+  readonly zone: string
+  /** Start of the agent in ms since the Unix epoch. */
+  readonly incarnation: number
+}
+
+/** What merging a row changed: `urgent` changes are passed on at once. */
+type MergeResult = 'none' | 'changed' | 'urgent'
+
+/** A page of rows for a peer. */
+interface ChangePage {
+  readonly rows: readonly WireRow[]
+  /** Number of the last change that the page covers. */
+  readonly upTo: number
+}
+
+/**
+ * All hosts as one agent sees them. Rows are linked in the order of their last change, so that finding the changes for
+ * a peer costs only as much as there are changes.
+ */
+export class MemberTable {
+  readonly self: MemberRow
+  private readonly rows = new Map<string, MemberRow>()
+  private readonly suspects = new Set<MemberRow>()
+  private newest: MemberRow | undefined
+  private lastChangeNo = 0
+
+  constructor (self: SelfIdentity) {
+    this.self = this.insert(self.host, self.zone)
+    this.self.incarnation = self.incarnation
+    this.self.state = MemberState.alive
+    this.touch(this.self, '')
+  }
+
+  get changeNo (): number {
+    return this.lastChangeNo
+  }
+
+  get size (): number {
+    return this.rows.size
+  }
+
+  get (host: string): MemberRow | undefined {
+    return this.rows.get(host)
+  }
+
+  list (): IterableIterator<MemberRow> {
+    return this.rows.values()
+  }
+
+  /** State that the agent acts on: a flapping host counts as suspect while its hold lasts. */
+  findState (host: string, nowMs: number): MemberState {
+    const row = this.rows.get(host)
+    if (row === undefined) return MemberState.dead
+    return row.state === MemberState.alive && nowMs < row.holdUntilMs ? MemberState.suspect : row.state
+  }
+
+  listMembers (nowMs: number): Member[] {
+    return [...this.rows.values()].map((row) => this.toMember(row, nowMs))
+  }
+
+  /** Raises the own sequence number, as each heartbeat does. */
+  beat (): void {
+    this.self.seq += 1
+  }
+
+  setVersion (configVersion: number): void {
+    this.self.configVersion = configVersion
+    this.self.seq += 1
+    this.touch(this.self, '')
+  }
+
+  /** Replaces the own report; returns true when it must be spread at once. */
+  setReport (report: Pick<MemberReport, 'digest' | 'listing'>): boolean {
+    const { self } = this
+    const before = self.report
+    const no = before?.incarnation === self.incarnation ? before.no + 1 : 1
+    self.report = { ...report, incarnation: self.incarnation, no }
+    self.seq += 1
+    this.touch(self, '', true)
+    return isUrgentDigest(before?.digest, report.digest) || JSON.stringify(before?.listing) !== JSON.stringify(report.listing)
+  }
+
+  /** Takes a row that a peer sent. */
+  merge (wire: WireRow, peer: string, nowMs: number): MergeResult {
+    const [host, zone, incarnation, seq, stateNo, configVersion, report] = wire
+    const state = stateRanks[stateNo]
+    if (state === undefined) return 'none'
+    if (host === this.self.host) return this.refute(incarnation, seq, state)
+    if (!this.rows.has(host) && this.rows.size >= times.maxRows) return 'none'
+    const row = this.rows.get(host) ?? this.insert(host, zone)
+    const order = compareRows(row, { incarnation, seq, state })
+    let result: MergeResult = this.mergeReport(row, report, peer)
+    if (order < 0) {
+      // The peer believes an outdated suspicion; sending the row again refutes it on the host's behalf.
+      if (state !== MemberState.alive && row.state === MemberState.alive) this.touch(row, '')
+      return result
+    }
+    if (incarnation > row.incarnation && row.incarnation > 0) this.markRestart(row, peer)
+    const changed = row.incarnation !== incarnation || row.state !== state || row.configVersion !== configVersion
+    Object.assign(row, { zone, incarnation, seq, configVersion })
+    this.changeState(row, state, nowMs)
+    if (changed) {
+      this.touch(row, peer)
+      result = 'urgent'
+    }
+    return result
+  }
+
+  /** Marks a host that is not heard any more; it can refute with a higher sequence number. */
+  suspect (host: string, nowMs: number): boolean {
+    const row = this.rows.get(host)
+    if (row === undefined || row.state !== MemberState.alive) return false
+    this.changeState(row, MemberState.suspect, nowMs)
+    this.touch(row, '')
+    return true
+  }
+
+  /** Declares suspects dead whose time is over; returns their names. */
+  expireSuspects (nowMs: number): string[] {
+    const expired = [...this.suspects].filter(({ deadAtMs }) => deadAtMs <= nowMs)
+    for (const row of expired) {
+      this.changeState(row, MemberState.dead, nowMs)
+      this.touch(row, '')
+    }
+    return expired.map(({ host }) => host)
+  }
+
+  /** Removes hosts that the configuration no longer names once they are dead. */
+  forget (isNamed: (host: string) => boolean): void {
+    for (const row of this.rows.values()) {
+      if (row === this.self || row.state !== MemberState.dead || isNamed(row.host)) continue
+      this.unlink(row)
+      this.rows.delete(row.host)
+    }
+  }
+
+  /** Rows that changed after `since` and pass `isWanted`, the oldest change first, as many as fit a frame. */
+  collectChanges (since: number, isWanted: (row: MemberRow) => boolean): ChangePage {
+    const changed: MemberRow[] = []
+    for (let row = this.newest; row !== undefined && row.changeNo > since; row = row.older) changed.push(row)
+    const rows: WireRow[] = []
+    let bytes = 0
+    for (const row of changed.reverse()) {
+      if (!isWanted(row)) continue
+      bytes += estimateBytes(row)
+      if (bytes > times.maxRowBytes && rows.length > 0) return { rows, upTo: row.changeNo - 1 }
+      rows.push(this.encode(row, row.reportNo > since))
+    }
+    return { rows, upTo: this.lastChangeNo }
+  }
+
+  encode (row: MemberRow, withReport: boolean): WireRow {
+    const base = [row.host, row.zone, row.incarnation, row.seq, stateRanks.indexOf(row.state), row.configVersion] as const
+    return withReport && row.report !== undefined ? [...base, row.report] : base
+  }
+
+  private toMember (row: MemberRow, nowMs: number): Member {
+    const { host, zone, incarnation, seq, configVersion, report, linkDown } = row
+    return {
+      host,
+      zone,
+      incarnation,
+      seq,
+      state: this.findState(host, nowMs),
+      configVersion,
+      ...(report?.digest === undefined ? {} : { digest: report.digest }),
+      ...(linkDown ? { linkDown } : {})
+    }
+  }
+
+  /** Answers what others say of the own host; a higher incarnation stems from an earlier process under this name. */
+  private refute (incarnation: number, seq: number, state: MemberState): MergeResult {
+    const { self } = this
+    const isOwnPast = incarnation < self.incarnation || (incarnation === self.incarnation && (seq < self.seq || state === MemberState.alive))
+    if (isOwnPast) return 'none'
+    if (incarnation > self.incarnation) {
+      self.incarnation = incarnation + 1
+      if (self.report !== undefined) self.report = { ...self.report, incarnation: self.incarnation }
+      self.seq = 0
+    }
+    self.seq = Math.max(self.seq, seq) + 1
+    this.touch(self, '', true)
+    return 'urgent'
+  }
+
+  private mergeReport (row: MemberRow, report: MemberReport | undefined, peer: string): MergeResult {
+    if (report === undefined || compareReports(report, row.report) <= 0) return 'none'
+    const urgent = isUrgentDigest(row.report?.digest, report.digest) || JSON.stringify(row.report?.listing) !== JSON.stringify(report.listing)
+    row.report = report
+    this.touch(row, peer, true)
+    return urgent ? 'urgent' : 'changed'
+  }
+
+  /** A restarted agent has not heard from its entry process yet; only what the entry has in force is kept. */
+  private markRestart (row: MemberRow, peer: string): void {
+    if (row.report === undefined || row.report.digest?.serving !== true) return
+    row.report = { ...row.report, digest: { ...row.report.digest, serving: false } }
+    this.touch(row, peer, true)
+  }
+
+  private changeState (row: MemberRow, state: MemberState, nowMs: number): void {
+    const before = row.state
+    row.state = state
+    if (state === MemberState.suspect) {
+      if (before !== MemberState.suspect) row.deadAtMs = nowMs + times.deadMs
+      this.suspects.add(row)
+    } else {
+      this.suspects.delete(row)
+    }
+    const wasKnown = row.changeNo > 0
+    if (wasKnown && state === MemberState.alive && before !== MemberState.alive) this.countFlap(row, nowMs)
+  }
+
+  private countFlap (row: MemberRow, nowMs: number): void {
+    row.flaps = nowMs - row.lastFlapMs > times.flapMemoryMs ? 1 : row.flaps + 1
+    row.lastFlapMs = nowMs
+    if (row.flaps < 2) return
+    row.holdUntilMs = nowMs + Math.min(times.maxFlapHoldMs, times.flapHoldMs * 2 ** (row.flaps - 2))
+  }
+
+  private insert (host: string, zone: string): MemberRow {
+    const row: MemberRow = {
+      host,
+      zone,
+      incarnation: 0,
+      seq: 0,
+      state: MemberState.dead,
+      configVersion: 0,
+      report: undefined,
+      changeNo: 0,
+      reportNo: 0,
+      source: '',
+      deadAtMs: Infinity,
+      flaps: 0,
+      lastFlapMs: -Infinity,
+      holdUntilMs: -Infinity,
+      linkDown: false,
+      older: undefined,
+      newer: undefined
+    }
+    this.rows.set(host, row)
+    return row
+  }
+
+  private touch (row: MemberRow, source: string, withReport: boolean = false): void {
+    this.unlink(row)
+    this.lastChangeNo += 1
+    row.changeNo = this.lastChangeNo
+    if (withReport) row.reportNo = row.changeNo
+    row.source = source
+    row.older = this.newest
+    if (this.newest !== undefined) this.newest.newer = row
+    this.newest = row
+  }
+
+  private unlink (row: MemberRow): void {
+    if (row.older !== undefined) row.older.newer = row.newer
+    if (row.newer !== undefined) row.newer.older = row.older
+    if (this.newest === row) this.newest = row.older
+    row.older = undefined
+    row.newer = undefined
+  }
+}
+
+/** Positive or 0 when `next` is at least as new as the row. */
+function compareRows (row: MemberRow, next: Pick<MemberRow, 'incarnation' | 'seq' | 'state'>): number {
+  return next.incarnation - row.incarnation || next.seq - row.seq || stateRanks.indexOf(next.state) - stateRanks.indexOf(row.state)
+}
+
+function estimateBytes ({ report }: MemberRow): number {
+  const digest = report?.digest
+  if (digest === undefined) return 100
+  return 300 + digest.uses.length * 100 + digest.loads.length * 80 + digest.leavingEndpoints.length * 40 + Object.keys(digest.drainInFlight).length * 40
+}
--- a/src/model/Member.ts
+++ b/src/model/Member.ts
@@ -14,4 +14,6 @@
   readonly configVersion: number
   /** Last digest of the host's entry process; undefined before the first. */
   readonly digest?: Digest
+  /** The host is alive, but the direct link from the own host to it does not work. */
+  readonly linkDown?: boolean
 }
