--- /dev/null
+++ b/src/share/Portion.ts
@@ -0,0 +1,13 @@
+/** One host's fixed part of a customer's cap. */
+export interface Portion {
+  /** Requests per second, in steps of 0.001. */
+  readonly rate: number
+  /** Requests that may come at once; integer. */
+  readonly burst: number
+  /** Requests in flight; integer. */
+  readonly permits: number
+  /** Requests in flight in any one region; integer. */
+  readonly regionPermits: number
+  /** Body bytes per second; integer. */
+  readonly upload: number
+}
--- /dev/null
+++ b/src/share/ShareService.ts
@@ -0,0 +1,320 @@
+import { err, ok, type Result } from 'neverthrow'
+import type { Clock } from '../common/Clock.js'
+import { createFailure } from '../common/createFailure.js'
+import type { Failure } from '../common/Failure.js'
+import type { PeerMessenger } from '../common/PeerMessenger.js'
+import type { ConfigDoc } from '../model/ConfigDoc.js'
+import type { CustomerUse } from '../model/CustomerUse.js'
+import type { View } from '../model/View.js'
+import type { Message } from '../wire/Message.js'
+import type { PeerIdentity } from '../wire/PeerIdentity.js'
+import { Admission } from './Admission.js'
+import { AdmissionQueue } from './AdmissionQueue.js'
+import type { AdmissionRequest } from './AdmissionRequest.js'
+import { describeLimit } from './describeLimit.js'
+import { HeldPermit } from './HeldPermit.js'
+import { loanMessages } from './loanMessages.js'
+import type { Permit } from './Permit.js'
+import type { PermitSource } from './PermitSource.js'
+import { shareLimits } from './shareLimits.js'
+import type { ShareRow } from './ShareRow.js'
+import { ShareTable } from './ShareTable.js'
+
+/** What the service needs from its process. */
+interface ShareServiceOptions {
+  /** Name of the own host. */
+  readonly host: string
+  /** Incarnation of the own process. */
+  readonly incarnation: number
+  readonly clock: Clock
+  readonly messenger: PeerMessenger
+}
+
+/** A request in the queue. */
+interface Waiting {
+  readonly deadlineAtMs: number
+  /** Latest time at which it may leave the queue. */
+  readonly waitUntilMs: number
+  readonly needsLong: boolean
+  readonly finish: (result: Result<Permit, Failure>) => void
+}
+
+/**
+ * Keeps every customer within its cap at this host, and moves parts of the cap between hosts by loans.
+ * Call `tick` about every 10 ms.
+ */
+export class ShareService extends Admission {
+  private readonly table: ShareTable
+  private readonly clock: Clock
+  private readonly queues = new Map<string, AdmissionQueue<Waiting>>()
+  /** Customers for which something has to be done on a tick. */
+  private readonly active = new Set<string>()
+  private readonly announcing = new Set<string>()
+  private sweptMs: number
+  private stopping = false
+
+  constructor (private readonly options: ShareServiceOptions) {
+    super()
+    this.clock = options.clock
+    this.sweptMs = this.clock.nowMs()
+    this.table = new ShareTable({ host: options.host, incarnation: options.incarnation, startedMs: this.sweptMs })
+  }
+
+  /** Version for the digest: in force, with no loan or request left over from larger portions. */
+  get appliedVersion (): number {
+    return this.table.appliedVersion
+  }
+
+  setConfig (doc: ConfigDoc): void {
+    this.table.setConfig(doc, this.clock.nowMs())
+  }
+
+  setView (view: View): void {
+    this.table.setView(view, this.clock.nowMs())
+    this.sendAnnouncements()
+  }
+
+  override async admit (request: AdmissionRequest): Promise<Result<Permit, Failure>> {
+    const nowMs = this.clock.nowMs()
+    const row = this.table.open(request.customer, nowMs)
+    if (row === undefined) return err(createFailure('unknownItem', { message: `no contract names customer "${request.customer}"` }))
+    if (request.signal.aborted || request.deadlineAtMs <= nowMs) return err(createFailure('deadlineExceeded'))
+    row.share.arrivals.add(nowMs)
+    row.share.lastUsedMs = nowMs
+    this.active.add(row.customer)
+    if (row.share.queued === 0) {
+      const taken = row.share.tryAdmit(nowMs, request.deadlineAtMs)
+      if (typeof taken !== 'string') return ok(this.createPermit(row, taken))
+      row.share.blocker = taken
+    }
+    const refusal = this.findRefusal(row, request, nowMs)
+    if (refusal !== undefined) return err(refusal)
+    return await this.enqueue(row, request, nowMs)
+  }
+
+  override takeRetry (customer: string): boolean {
+    const nowMs = this.clock.nowMs()
+    return this.table.open(customer, nowMs)?.share.retries.take(nowMs) ?? false
+  }
+
+  override listUses (): CustomerUse[] {
+    const nowMs = this.clock.nowMs()
+    const uses: CustomerUse[] = []
+    for (const { customer, share } of this.table.list()) {
+      const rate = share.admissions.rate(nowMs)
+      const { inFlight } = share
+      if (rate === 0 && inFlight === 0) continue
+      uses.push({ customer, inFlight, rate, rateHeld: share.rateHeld(nowMs), permitsHeld: share.permitsHeld(nowMs) })
+    }
+    return uses.sort((a, b) => b.rate - a.rate || b.inFlight - a.inFlight).slice(0, shareLimits.maxUses)
+  }
+
+  /** Answers a message from another host's entry process; a message that makes no sense is refused. */
+  handleMessage (message: Message, peer: PeerIdentity): Message | undefined {
+    const nowMs = this.clock.nowMs()
+    const request = loanMessages.request.safeParse(message)
+    if (request.success) {
+      const grant = this.table.lend(request.data, peer, nowMs)
+      this.active.add(request.data.customer)
+      return grant === undefined ? refuse('the loan request is out of date or names an unknown customer') : { ...grant }
+    }
+    const announcement = loanMessages.announcement.safeParse(message)
+    if (announcement.success) {
+      const taken = this.table.applyAnnouncement(announcement.data, peer, nowMs)
+      return taken ? { t: 'loan_noted' } : refuse('the announcement is for another process')
+    }
+    const recall = loanMessages.recall.safeParse(message)
+    if (recall.success) return this.applyRecall(recall.data.recall, peer)
+    const statement = loanMessages.statement.safeParse(message)
+    if (!statement.success) return refuse('the message is not a valid loan message')
+    if (this.table.takeBack(statement.data, peer, nowMs)) this.serve(statement.data.customer, nowMs)
+    return { t: 'loan_noted' }
+  }
+
+  /** Serves queues, renews and asks for loans, and drops what is idle. */
+  tick (nowMs: number): void {
+    for (const customer of this.active) {
+      const row = this.table.get(customer)
+      if (row === undefined || this.isQuiet(row, nowMs)) this.active.delete(customer)
+      else this.serve(customer, nowMs)
+    }
+    if (nowMs - this.sweptMs < shareLimits.sweepMs) return
+    this.sweptMs = nowMs
+    this.table.sweep(nowMs)
+    this.sendAnnouncements()
+  }
+
+  /** Returns loans that are free and borrows nothing more; requests in flight keep their permits. */
+  async prepareStop (): Promise<void> {
+    this.stopping = true
+    const { messenger } = this.options
+    const sent: Promise<unknown>[] = []
+    for (const [lender, statements] of this.table.planReturns()) {
+      for (const statement of statements) sent.push(messenger.request(lender, statement, shareLimits.askTimeoutMs))
+    }
+    await Promise.allSettled(sent)
+  }
+
+  /** Number of customers with a row; for metrics and tests. */
+  get rowCount (): number {
+    return this.table.size
+  }
+
+  private findRefusal (row: ShareRow, request: AdmissionRequest, nowMs: number): Failure | undefined {
+    const { share } = row
+    const limit = share.blocker ?? 'rate'
+    const exhausted = this.table.isExhausted(row, nowMs)
+    const rate = Math.max(0.001, exhausted ? share.rateHeld(nowMs) : share.contract.rate)
+    const waitMs = (share.queued + 1) * 1_000 / rate
+    if (share.queued >= Math.max(1, share.contract.concurrency)) {
+      return describeLimit({ limit, customer: row.customer, contract: share.contract, full: true, waitMs })
+    }
+    const endMs = findWaitEnd(request, nowMs)
+    if (limit !== 'rate' || !exhausted || nowMs + waitMs - 1_000 / rate <= endMs) return undefined
+    return describeLimit({ limit, customer: row.customer, contract: share.contract, full: false, waitMs })
+  }
+
+  private async enqueue (row: ShareRow, request: AdmissionRequest, nowMs: number): Promise<Result<Permit, Failure>> {
+    return await new Promise((resolve) => {
+      const queue = this.queues.get(row.customer) ?? new AdmissionQueue<Waiting>()
+      this.queues.set(row.customer, queue)
+      const leave = (): void => {
+        if (!queue.delete(waiting)) return
+        this.countQueue(row, queue)
+        resolve(err(createFailure('deadlineExceeded', { message: 'the caller has gone' })))
+      }
+      const waiting: Waiting = {
+        deadlineAtMs: request.deadlineAtMs,
+        waitUntilMs: findWaitEnd(request, nowMs),
+        needsLong: request.deadlineAtMs - nowMs > shareLimits.shortRequestMs,
+        finish: (result) => {
+          request.signal.removeEventListener('abort', leave)
+          resolve(result)
+        }
+      }
+      request.signal.addEventListener('abort', leave, { once: true })
+      queue.add(waiting)
+      this.countQueue(row, queue)
+      this.sendOrders(row, nowMs)
+    })
+  }
+
+  /** Admits what can be admitted, refuses what has waited too long, and sends what is due. */
+  private serve (customer: string, nowMs: number): void {
+    const row = this.table.get(customer)
+    if (row === undefined) return
+    this.serveQueue(row, nowMs)
+    this.sendOrders(row, nowMs)
+    for (const borrower of this.table.planRecalls(row, nowMs)) {
+      this.options.messenger.notify(borrower, { t: 'loan_return', recall: customer })
+    }
+  }
+
+  private serveQueue (row: ShareRow, nowMs: number): void {
+    const queue = this.queues.get(row.customer)
+    if (queue === undefined) return
+    let isBlocked = false
+    let isNearBlocked = false
+    for (const waiting of queue.list()) {
+      if (waiting.waitUntilMs <= nowMs) {
+        this.refuseWaiting(row, queue, waiting, nowMs)
+        continue
+      }
+      if (isBlocked || (isNearBlocked && !waiting.needsLong)) continue
+      const taken = row.share.tryAdmit(nowMs, waiting.deadlineAtMs)
+      if (typeof taken !== 'string') {
+        queue.delete(waiting)
+        waiting.finish(ok(this.createPermit(row, taken)))
+        continue
+      }
+      row.share.blocker = taken
+      isNearBlocked ||= !waiting.needsLong
+      isBlocked ||= taken === 'rate'
+    }
+    this.countQueue(row, queue)
+    if (queue.length === 0) this.queues.delete(row.customer)
+  }
+
+  private refuseWaiting (row: ShareRow, queue: AdmissionQueue<Waiting>, waiting: Waiting, nowMs: number): void {
+    queue.delete(waiting)
+    const { share } = row
+    const limit = share.blocker ?? 'rate'
+    const waitMs = limit === 'quarantine'
+      ? this.table.permitsFromMs - nowMs
+      : (queue.length + 1) * 1_000 / Math.max(0.1, share.rateHeld(nowMs))
+    waiting.finish(err(describeLimit({ limit, customer: row.customer, contract: share.contract, full: false, waitMs })))
+  }
+
+  private countQueue (row: ShareRow, queue: AdmissionQueue<Waiting>): void {
+    row.share.queued = queue.length
+    row.share.queuedLong = queue.length === 0 ? 0 : queue.list().filter(({ needsLong }) => needsLong).length
+  }
+
+  private sendOrders (row: ShareRow, nowMs: number): void {
+    for (const { lender, message } of this.table.planOrders(row, nowMs)) this.sendOrder(row, lender, message)
+  }
+
+  private async sendOrder (row: ShareRow, lender: string, message: Message & { readonly seq: number }): Promise<void> {
+    const answer = await this.options.messenger.request(lender, message, shareLimits.askTimeoutMs)
+    const nowMs = this.clock.nowMs()
+    const grant = loanMessages.grant.safeParse(answer.unwrapOr(undefined))
+    if (!grant.success) {
+      this.table.applyLoss(row, lender, message.seq, nowMs)
+      return
+    }
+    const statement = this.table.applyGrant(row, lender, message.seq, grant.data, nowMs)
+    if (statement !== undefined) this.options.messenger.notify(lender, statement)
+    if (!this.stopping) this.serve(row.customer, nowMs)
+  }
+
+  private applyRecall (customer: string, peer: PeerIdentity): Message {
+    const row = this.table.markDue(customer, peer.name)
+    if (row !== undefined) this.sendOrders(row, this.clock.nowMs())
+    return { t: 'loan_noted' }
+  }
+
+  private sendAnnouncements (): void {
+    for (const [host, frames] of this.table.listAnnouncements()) {
+      if (!this.announcing.has(host)) this.announce(host, frames)
+    }
+  }
+
+  /** Sends the frames in order, so that `complete` arrives after all rows; the next sweep tries again. */
+  private async announce (host: string, frames: readonly (Message & { readonly to: number })[]): Promise<void> {
+    this.announcing.add(host)
+    let to = 0
+    let isNoted = true
+    for (const frame of frames) {
+      const answer = await this.options.messenger.request(host, frame, shareLimits.askTimeoutMs)
+      isNoted &&= answer.isOk() && answer.value.t === 'loan_noted'
+      if (!isNoted) break
+      to = frame.to
+    }
+    this.announcing.delete(host)
+    if (isNoted) this.table.noteAnnounced(host, to)
+  }
+
+  private createPermit (row: ShareRow, source: PermitSource): Permit {
+    const onRelease = (): void => this.onRelease(row)
+    return new HeldPermit({ share: row.share, source, clock: this.clock, onRelease })
+  }
+
+  private onRelease (row: ShareRow): void {
+    if (row.share.queued > 0) this.serveQueue(row, this.clock.nowMs())
+  }
+
+  /** True when a tick has nothing to do for the row. */
+  private isQuiet (row: ShareRow, nowMs: number): boolean {
+    const { share } = row
+    return share.queued === 0 && share.held.size === 0 && row.owed.size === 0 && nowMs - share.lastUsedMs > shareLimits.renewAfterMs
+  }
+}
+
+function findWaitEnd (request: AdmissionRequest, nowMs: number): number {
+  const remainingMs = request.deadlineAtMs - nowMs
+  return nowMs + Math.min(shareLimits.maxQueueMs, remainingMs * shareLimits.queueFraction)
+}
+
+function refuse (message: string): Message {
+  return { t: 'refused', message }
+}
