--- /dev/null
+++ b/src/common/DaemonContext.ts
@@ -0,0 +1,11 @@
+import type { Settings } from '../config/Settings.js'
+import type { Clock } from './Clock.js'
+import type { Logger } from './Logger.js'
+
+/** What a daemon gets from `runDaemon`. */
+export interface DaemonContext {
+  readonly settings: Settings
+  readonly clock: Clock
+  /** Creates the logger of a module. */
+  readonly createModuleLogger: (module: string) => Logger
+}
