Keep the last chunk of a paced body, and test the request path

Cause: a stream announces its end while its last chunk still waits for bandwidth, so a paced upload or answer lost that chunk; a drain event could also let the next chunk overtake a waiting one. Change: the pumps remember that a chunk waits. ClaimStep asks again when a claim was granted after a long wait.

--- a/src/entry/AnswerWriter.ts
+++ b/src/entry/AnswerWriter.ts
@@ -17,6 +17,8 @@
   private resolve!: (isWhole: boolean) => void
   private timer: NodeJS.Timeout | undefined
   private ended = false
+  /** True while a chunk waits for its bandwidth; later ones must not overtake it. */
+  private isWaiting = false
 
   constructor (
     private readonly res: ServerResponse,
@@ -49,27 +51,39 @@
   }
 
   private stream (rest: IncomingMessage): void {
-    rest.on('data', (chunk: Buffer) => this.pass(rest, chunk))
-    rest.on('end', () => this.end(rest.complete))
-    rest.on('close', () => this.end(rest.complete && rest.readableEnded))
+    rest.on('data', (chunk: Buffer) => this.receive(rest, chunk))
+    rest.on('end', () => this.endSource(rest))
+    rest.on('close', () => this.endSource(rest))
     rest.on('error', () => this.end(false))
-    this.res.on('drain', () => rest.resume())
+    this.res.on('drain', () => { if (!this.isWaiting) rest.resume() })
     this.res.on('close', () => this.end(false))
     rest.resume()
   }
 
-  private pass (rest: IncomingMessage, chunk: Buffer): void {
+  private receive (rest: IncomingMessage, chunk: Buffer): void {
     const waitMs = this.options.reserveBytes?.(chunk.length) ?? 0
-    if (waitMs <= 0) {
-      if (!this.res.write(chunk)) rest.pause()
-      return
-    }
+    if (waitMs <= 0) return this.pass(rest, chunk)
     rest.pause()
+    this.isWaiting = true
     this.timer = setTimeout(() => {
-      if (this.res.write(chunk)) rest.resume()
+      this.isWaiting = false
+      this.pass(rest, chunk)
     }, waitMs)
   }
 
+  // The end is announced while the last chunk may still wait for its bandwidth.
+  private endSource (rest: IncomingMessage): void {
+    const isWhole = rest.complete && rest.readableEnded
+    if (!isWhole || !this.isWaiting) this.end(isWhole)
+  }
+
+  private pass (rest: IncomingMessage, chunk: Buffer): void {
+    const hasRoom = this.res.write(chunk)
+    if (rest.readableEnded) this.endSource(rest)
+    else if (!hasRoom) rest.pause()
+    else if (rest.isPaused()) rest.resume()
+  }
+
   private end (isWhole: boolean): void {
     if (this.ended) return
     this.ended = true
--- a/src/entry/ClaimStep.ts
+++ b/src/entry/ClaimStep.ts
@@ -18,7 +18,7 @@
   private handle: ClaimHandle | undefined
   private kept: KeptAnswer | undefined
   private validUntilMs = Infinity
-  private wasGranted = false
+  private isKeyKnown = false
 
   constructor (private readonly claims: Claims, private readonly clock: Clock, private readonly request: EntryRequest) {}
 
@@ -45,11 +45,10 @@
     if (!this.isNeeded || this.handle?.isUsable() === true) return ok()
     this.handle?.settleNotRun()
     this.handle = undefined
-    this.validUntilMs = this.clock.nowMs() + entryLimits.claimValidMs
-    const { customer, key, scope } = this.request
-    const decision = await this.claims.claim({ customer, key: key!, fingerprint: this.computeFingerprint(), deadlineAtMs: scope.deadlineAtMs })
+    const decision = await this.ask()
+    // What the home says holds for the key, whatever happens to this request.
+    this.isKeyKnown = true
     if (decision.isErr()) return err(decision.error)
-    this.wasGranted = true
     if (decision.value.kind === 'granted') {
       this.handle = decision.value.claim
       return ok()
@@ -58,6 +57,20 @@
     return err(createFailure('keyRunning', { outcome: Outcome.unknown }))
   }
 
+  /** Asks for the claim; once more when a running request was waited for, since most of the valid time may be over. */
+  private async ask (): ReturnType<Claims['claim']> {
+    const { customer, key, scope } = this.request
+    const request = { customer, key: key!, fingerprint: this.computeFingerprint(), deadlineAtMs: scope.deadlineAtMs }
+    const startMs = this.clock.nowMs()
+    this.validUntilMs = startMs + entryLimits.claimValidMs
+    const decision = await this.claims.claim(request)
+    const isLate = this.clock.nowMs() - startMs > entryLimits.claimValidMs / 2
+    if (!isLate || decision.isErr() || decision.value.kind !== 'granted') return decision
+    decision.value.claim.settleNotRun()
+    this.validUntilMs = this.clock.nowMs() + entryLimits.claimValidMs
+    return await this.claims.claim(request)
+  }
+
   isUsable (): boolean {
     return !this.isNeeded || this.handle?.isUsable() === true
   }
@@ -66,8 +79,8 @@
   settleFailure (failure: Failure): Failure {
     if (failure.outcome === Outcome.notRun) this.settle((handle) => handle.settleNotRun())
     else this.settle((handle) => handle.settleUnknown())
-    // Without a claim nothing is known about earlier requests with the key, unless the claim service itself said so.
-    const isCertain = this.request.key === undefined || this.wasGranted || failure.name.startsWith('key')
+    // Without a claim nothing is known about earlier requests with the key, unless its home said so.
+    const isCertain = this.request.key === undefined || this.isKeyKnown
     return isCertain ? failure : { ...failure, outcome: Outcome.unknown }
   }
 
--- a/src/entry/EntryModules.ts
+++ b/src/entry/EntryModules.ts
@@ -16,7 +16,7 @@
   setView: (view: View) => void
   tick: (nowMs: number) => void
   /** Hands over what others can take; requests in flight go on. */
-  prepareStop: () => Promise<void> | void
+  prepareStop: () => unknown
 }
 
 /** A module that talks to the same module of other hosts. */
--- a/src/entry/PlannedStop.ts
+++ b/src/entry/PlannedStop.ts
@@ -14,6 +14,8 @@
 
 /** Time in ms for callers to learn that the host is leaving before it takes no further connections. */
 const noticeMs = 1_500
+/** Time in ms for short requests to end before claims are handed over; uploads go on after it. */
+const graceMs = 1_000
 const pollMs = 20
 /** Time in ms for the ends of idle connections to reach their other sides. */
 const settleMs = 200
@@ -42,6 +44,8 @@
     await sleep(noticeMs)
     gateway.callers.closeListener()
     gateway.callers.closeIdle()
+    // A request that has no claim yet gets none once the claims are handed over.
+    await this.waitUntilEmpty(graceMs)
     await this.handOver(modules)
     const isEmpty = await this.waitUntilEmpty(stopTimeoutMs)
     if (!isEmpty) logger.warn('stop-timeout', { inFlight: gateway.inFlight })
--- a/src/entry/UploadPump.ts
+++ b/src/entry/UploadPump.ts
@@ -17,12 +17,14 @@
 /** Passes the rest of a body on with back-pressure; holds at most one chunk besides the sockets' buffers. */
 export class UploadPump {
   private bytes: number
-  private readonly timer: NodeJS.Timeout
+  /** Runs only while the sender has leave to send. */
+  private idleTimer: NodeJS.Timeout | undefined
   private waitTimer: NodeJS.Timeout | undefined
+  private isWaiting = false
+  private isEnded = false
 
   constructor (private readonly options: UploadPumpOptions) {
     this.bytes = options.body.bytes.length
-    this.timer = setTimeout(() => this.fail('requestTimeout'), entryLimits.bodyIdleMs)
   }
 
   start (): void {
@@ -31,13 +33,14 @@
     rest.on('end', this.onEnd)
     rest.on('close', this.onClose)
     target.on('drain', this.onDrain)
+    rest.pause()
     body.beginRest()
-    rest.resume()
+    this.resume()
   }
 
   stop (): void {
     const { rest, target } = this.options
-    clearTimeout(this.timer)
+    clearTimeout(this.idleTimer)
     clearTimeout(this.waitTimer)
     rest.off('data', this.onData)
     rest.off('end', this.onEnd)
@@ -47,30 +50,48 @@
   }
 
   private readonly onData = (chunk: Buffer): void => {
-    const { body, rest } = this.options
+    const { body } = this.options
     body.started = true
     this.bytes += chunk.length
     if (this.bytes > body.maxBytes) return this.fail('bodyTooLarge')
     const waitMs = this.options.reserveBytes(chunk.length)
     if (waitMs <= 0) return this.pass(chunk)
-    rest.pause()
+    this.pause()
+    this.isWaiting = true
     this.waitTimer = setTimeout(() => {
-      rest.resume()
+      this.isWaiting = false
       this.pass(chunk)
     }, waitMs)
   }
 
   private pass (chunk: Buffer): void {
-    this.timer.refresh()
-    if (!this.options.target.write(chunk)) this.options.rest.pause()
+    const hasRoom = this.options.target.write(chunk)
+    if (this.isEnded) return this.onEnd()
+    if (hasRoom) this.resume()
+    else this.pause()
   }
 
+  // The buffers may drain while a chunk waits for its bandwidth; the next chunk must not overtake it.
   private readonly onDrain = (): void => {
-    this.timer.refresh()
-    this.options.rest.resume()
+    if (!this.isWaiting) this.resume()
+  }
+
+  private resume (): void {
+    if (this.idleTimer === undefined) this.idleTimer = setTimeout(() => this.fail('requestTimeout'), entryLimits.bodyIdleMs)
+    else this.idleTimer.refresh()
+    if (this.options.rest.isPaused()) this.options.rest.resume()
+  }
+
+  private pause (): void {
+    clearTimeout(this.idleTimer)
+    this.idleTimer = undefined
+    this.options.rest.pause()
   }
 
+  // The end is announced while the last chunk may still wait for its bandwidth.
   private readonly onEnd = (): void => {
+    this.isEnded = true
+    if (this.isWaiting) return
     this.stop()
     this.options.target.end()
   }
--- a/test/entry/fakes.ts
+++ b/test/entry/fakes.ts
@@ -37,7 +37,7 @@
 
 export class FakePermit extends Permit {
   released = 0
-  uploadWaitMs = 0
+  constructor (private readonly uploadWaitMs: number) { super() }
   override enterRegion (): boolean { return true }
   override leaveRegion (): void {}
   override reserveUploadBytes (): number { return this.uploadWaitMs }
@@ -47,10 +47,11 @@
 export class FakeAdmission extends Admission {
   refuse: ResultName | undefined
   retries = Infinity
+  uploadWaitMs = 0
   readonly permits: FakePermit[] = []
   async admit (): Promise<Result<Permit, Failure>> {
     if (this.refuse !== undefined) return err(createFailure(this.refuse, { retryAfterMs: 1_500 }))
-    const permit = new FakePermit()
+    const permit = new FakePermit(this.uploadWaitMs)
     this.permits.push(permit)
     return ok(permit)
   }
