Connect agents by heartbeats, relays and configuration pull and push

Cause: agents knew only themselves. Change: pure membership policy (ring neighbours, zone relays, rows as changes, suspicion after indirect probes, refutation, flap hold), exchange over frames, digests spread by urgency, platform's host list spread with reports, status comparison.

--- a/src/control/Agent.ts
+++ b/src/control/Agent.ts
@@ -1,11 +1,18 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { err } from 'neverthrow'
 import type { Result } from 'neverthrow'
+import { z } from 'zod'
 import type { Clock } from '../common/Clock.js'
 import { createFailure } from '../common/createFailure.js'
+import { DialMap } from '../common/DialMap.js'
 import type { Failure } from '../common/Failure.js'
 import type { Logger } from '../common/Logger.js'
 import type { Settings } from '../config/Settings.js'
+import { digestSchema } from '../membership/digestSchema.js'
+import { isUrgentDigest } from '../membership/isUrgentDigest.js'
+import type { Listing } from '../membership/Listing.js'
+import { Membership } from '../membership/Membership.js'
+import { membershipTimes } from '../membership/membershipTimes.js'
 import { MemberTable } from '../membership/MemberTable.js'
 import type { Digest } from '../model/Digest.js'
 import type { Member } from '../model/Member.js'
@@ -25,11 +32,13 @@
 import { ConfigHolder } from './ConfigHolder.js'
 import { ConfigReader } from './ConfigReader.js'
 import { ConfigWriter } from './ConfigWriter.js'
+import type { HeldConfig } from './HeldConfig.js'
 import type { HostReach } from './HostReach.js'
 import type { MemberDifference } from './MemberDifference.js'
 import { OperatorApi } from './OperatorApi.js'
 import { OperatorAuth } from './OperatorAuth.js'
 import { OperatorServer } from './OperatorServer.js'
+import { PeerExchange } from './PeerExchange.js'
 import { ViewPublisher } from './ViewPublisher.js'
 
 /** What an agent is made of. */
@@ -48,6 +57,10 @@
 const tickMs = 50
 const explainTimeoutMs = 2_000
 const leaveDelayMs = 100
+const listPauseMs = 5_000
+const compareTimeoutMs = 1_000
+const maxCompared = 16
+const membersSchema = z.record(z.string(), z.string())
 
 /** The control plane of one host. */
 export class Agent implements AgentState {
@@ -56,12 +69,19 @@
   readonly metrics: AgentMetrics
   private readonly reader: ConfigReader
   private readonly members: MemberTable
+  private readonly membership: Membership
+  private readonly exchange: PeerExchange
   private readonly publisher: ViewPublisher
   private readonly frames: FrameServer
   private readonly operators: OperatorServer
   private readonly log: Logger
   private readonly timers: NodeJS.Timeout[] = []
   private leaving = false
+  /** Digest that waits because load-only changes are spread at a limited rate. */
+  private waitingDigest: Digest | undefined
+  private lastDigestMs = -Infinity
+  private listPausedUntilMs = -Infinity
+  private readingList = false
 
   constructor (private readonly options: AgentOptions) {
     const { settings, clock, createLog, table, objects } = options
@@ -70,15 +90,16 @@
     const archive = new ConfigArchive(table, objects)
     this.log = createLog('agent')
     this.members = new MemberTable({ host: name, zone, incarnation })
+    this.membership = new Membership(this.members, incarnation)
     this.reader = new ConfigReader({ archive, holder: this.holder, clock, log: createLog('config') })
     this.writer = new ConfigWriter({
-      archive, holder: this.holder, clock, log: createLog('config'), getContext: () => this.describeHosts(), onAccepted: () => {}
+      archive, holder: this.holder, clock, log: createLog('config'), getContext: () => this.describeHosts(), onAccepted: (held) => this.exchange.push(held)
     })
     this.publisher = new ViewPublisher({ holder: this.holder, clock, log: createLog('view'), buildView: () => this.buildView() })
     this.frames = new FrameServer({
       self: { name, role: 'agent', incarnation },
       clusterKey,
-      onMessage: (message, peer) => this.receive(message, peer),
+      onMessage: async (message, peer, connection) => await this.receive(message, peer, connection),
       onPeer: (peer, connection) => this.welcome(peer, connection),
       onClose: (peer, failure, connection) => this.release(peer, failure, connection)
     })
@@ -93,11 +114,22 @@
       onError: (error) => this.log.error('operator_request_failed', { message: error instanceof Error ? error.stack ?? error.message : 'unknown' }),
       tls: options.tls
     })
-    this.holder.on('applied', ({ doc }) => {
-      this.log.info('config_applied', { version: doc.version })
-      this.members.setVersion(doc.version)
-      this.publisher.announce()
+    this.exchange = new PeerExchange({
+      self: { name, role: 'agent', incarnation },
+      clusterKey,
+      dial: new DialMap(settings.dial),
+      clock,
+      log: createLog('exchange'),
+      membership: this.membership,
+      holder: this.holder,
+      seeds: settings.seeds.filter((seed) => seed !== `${settings.address}:${settings.ports.agent}`),
+      onChange: (urgent) => this.publisher.announce(urgent),
+      onSuspect: () => this.metrics.suspicions.inc(),
+      onProbe: (result) => this.metrics.indirectProbes.inc({ result }),
+      onRefusedConfig: (relation) => this.metrics.refusedConfigs.inc({ relation }),
+      onProtocolFailure: ({ name: reason }) => this.metrics.frameFailures.inc({ reason })
     })
+    this.holder.on('applied', (held) => this.applyConfig(held))
   }
 
   get host (): string {
@@ -108,7 +140,7 @@
     const { address, ports } = this.options.settings
     await this.frames.listen(address, ports.agent)
     await this.operators.listen(address, ports.operator)
-    this.timers.push(setInterval(() => this.publisher.tick(), tickMs))
+    this.timers.push(setInterval(() => this.tick(), tickMs))
     this.timers.push(setInterval(() => { this.poll().catch((error: unknown) => this.reportCrash(error)) }, readIntervalMs))
     await this.poll()
     this.log.info('started', { address, agentPort: ports.agent, operatorPort: ports.operator })
@@ -119,9 +151,11 @@
     this.leaving = true
     const digest = this.members.self.report?.digest
     if (digest !== undefined) this.setDigest({ ...digest, leaving: true })
+    this.exchange.flush()
     await sleep(leaveDelayMs)
     for (const timer of this.timers) clearInterval(timer)
     this.publisher.stop()
+    this.exchange.close()
     await this.operators.close()
     await this.frames.close()
     this.log.info('stopped')
@@ -131,20 +165,33 @@
     return this.members.listMembers(this.options.clock.nowMs())
   }
 
+  /** A host that is alone in the configuration has nobody to lose contact with. */
   getContactAgeMs (): number {
-    return 0
+    const alone = this.holder.held?.doc.hosts.every(({ name }) => name === this.host) === true
+    return alone ? 0 : this.options.clock.nowMs() - this.membership.contactMs
   }
 
   getFault (): Failure | undefined {
     return this.reader.fault
   }
 
-  getListed (): { readonly endpoints: readonly string[], readonly hosts: readonly string[] } {
-    return { endpoints: [], hosts: [] }
+  /** Every reader's list counts: one sign that something is leaving is enough. */
+  getListed (): Listing {
+    const listings = [...this.members.list()].filter(({ state }) => state === MemberState.alive).flatMap(({ report }) => report?.listing ?? [])
+    return {
+      endpoints: [...new Set(listings.flatMap(({ endpoints }) => endpoints))].sort(),
+      hosts: [...new Set(listings.flatMap(({ hosts }) => hosts))].sort()
+    }
   }
 
   async compareMembers (): Promise<readonly MemberDifference[]> {
-    return []
+    const here = summarizeMembers(this.listMembers())
+    const peers = this.membership.listPeers().slice(0, maxCompared)
+    const answers = await Promise.all(peers.map(async (by) => ({ by, answer: await this.exchange.ask(by, { t: 'members' }, compareTimeoutMs) })))
+    return answers.flatMap(({ by, answer }) => {
+      const parsed = membersSchema.safeParse(answer?.isOk() === true ? answer.value.members : undefined)
+      return parsed.success ? listDifferences(by, here, parsed.data) : [{ by, host: by, here: 'asked', there: 'no answer' }]
+    })
   }
 
   async askEntry (message: Message): Promise<Result<Message, Failure>> {
@@ -155,8 +202,64 @@
     return await connection.request(message, explainTimeoutMs)
   }
 
+  private tick (): void {
+    try {
+      this.exchange.tick()
+      this.publishWaitingDigest()
+      this.publisher.tick()
+    } catch (error) {
+      this.reportCrash(error)
+    }
+  }
+
+  /** The first live host of a zone reads for all of the zone. */
   private async poll (): Promise<void> {
-    await this.reader.poll()
+    if (!this.membership.isRelay(this.options.clock.nowMs())) return this.dropListing()
+    await Promise.all([this.reader.poll(), this.pollList()])
+  }
+
+  private async pollList (): Promise<void> {
+    const { clock, hosts } = this.options
+    if (this.readingList || clock.nowMs() < this.listPausedUntilMs) return
+    this.readingList = true
+    const list = await hosts.read()
+    this.readingList = false
+    if (list.isErr()) {
+      this.listPausedUntilMs = clock.nowMs() + listPauseMs
+      return
+    }
+    const leaving = list.value.filter(({ state }) => state === 'leaving')
+    this.setListing({
+      endpoints: leaving.filter(({ kind }) => kind === 'upstream').map(({ name }) => name).sort(),
+      hosts: leaving.filter(({ kind }) => kind === 'entry').map(({ name }) => name).sort()
+    })
+  }
+
+  private setListing (listing: Listing): void {
+    const { report } = this.members.self
+    if (JSON.stringify(report?.listing) === JSON.stringify(listing)) return
+    this.spreadReport(report?.digest, listing)
+  }
+
+  /** A host that no longer reads must not keep an outdated list in force. */
+  private dropListing (): void {
+    const { report } = this.members.self
+    if (report?.listing !== undefined) this.spreadReport(report.digest, undefined)
+  }
+
+  private spreadReport (digest: Digest | undefined, listing: Listing | undefined): void {
+    const urgent = this.members.setReport({ digest, listing })
+    if (urgent) this.exchange.flushSoon()
+    this.publisher.announce(urgent)
+  }
+
+  private applyConfig (held: HeldConfig): void {
+    const { doc, writeId } = held
+    this.log.info('config_applied', { version: doc.version, writeId })
+    this.exchange.setConfig(doc)
+    this.membership.setHeld({ lineage: doc.lineage, version: doc.version, writeId })
+    this.exchange.flushSoon()
+    this.publisher.announce(true)
   }
 
   private buildView (): Omit<View, 'seq'> {
@@ -194,21 +297,60 @@
     this.publisher.remove(connection)
     if (peer?.role !== 'entry' || peer.name !== this.host || this.publisher.findEntry() !== undefined) return
     this.log.warn('entry_disconnected')
-    const digest = this.members.self.report?.digest
+    const digest = this.waitingDigest ?? this.members.self.report?.digest
     if (digest !== undefined) this.setDigest({ ...digest, serving: false })
   }
 
-  private receive (message: Message, peer: PeerIdentity): Message | undefined {
-    if (message.t === 'digest' && peer.role === 'entry' && peer.name === this.host) this.setDigest(message.digest as Digest)
+  private async receive (message: Message, peer: PeerIdentity, connection: FrameConnection): Promise<Message | undefined> {
+    if (peer.role === 'agent') {
+      if (message.t === 'members') return { t: 'members', members: summarizeMembers(this.listMembers()) }
+      return await this.exchange.receive(message, peer, connection)
+    }
+    if (message.t === 'digest' && peer.role === 'entry' && peer.name === this.host) this.takeDigest(message.digest)
     return undefined
   }
 
+  private takeDigest (value: unknown): void {
+    const parsed = digestSchema.safeParse(value)
+    if (!parsed.success || parsed.data.host !== this.host) {
+      this.log.warn('digest_refused', { message: parsed.error?.issues[0]?.message ?? 'another host' })
+      return
+    }
+    this.setDigest(this.leaving ? { ...parsed.data, leaving: true } : parsed.data)
+  }
+
   private setDigest (digest: Digest): void {
-    this.members.setReport({ digest, listing: this.members.self.report?.listing })
-    this.publisher.announce()
+    this.waitingDigest = digest
+    if (isUrgentDigest(this.members.self.report?.digest, digest)) this.publishDigest(digest)
+    else this.publishWaitingDigest()
+  }
+
+  /** Load-only digests wait their turn, so that a large deployment does not flood its hosts. */
+  private publishWaitingDigest (): void {
+    const intervalMs = Math.max(membershipTimes.spreadMs, this.members.size * 1_000 / membershipTimes.loadDigestsPerSecond)
+    if (this.waitingDigest === undefined || this.options.clock.nowMs() - this.lastDigestMs < intervalMs) return
+    this.publishDigest(this.waitingDigest)
+  }
+
+  private publishDigest (digest: Digest): void {
+    this.waitingDigest = undefined
+    this.lastDigestMs = this.options.clock.nowMs()
+    this.spreadReport(digest, this.members.self.report?.listing)
   }
 
   private reportCrash (error: unknown): void {
     this.log.error('tick_failed', { message: error instanceof Error ? error.stack ?? error.message : 'unknown' })
   }
 }
+
+/** State and version of each member, in a form that agents compare. */
+function summarizeMembers (members: readonly Member[]): Record<string, string> {
+  return Object.fromEntries(members.map(({ host, state, configVersion }) => [host, `${state} ${configVersion}`]))
+}
+
+function listDifferences (by: string, here: Readonly<Record<string, string>>, there: Readonly<Record<string, string>>): MemberDifference[] {
+  const hosts = [...new Set([...Object.keys(here), ...Object.keys(there)])].sort()
+  return hosts
+    .filter((host) => here[host] !== there[host])
+    .map((host) => ({ by, host, here: here[host] ?? 'unknown', there: there[host] ?? 'unknown' }))
+}
--- /dev/null
+++ b/src/control/PeerExchange.ts
@@ -0,0 +1,252 @@
+import type { Result } from 'neverthrow'
+import { match } from 'ts-pattern'
+import type { Clock } from '../common/Clock.js'
+import type { DialMap } from '../common/DialMap.js'
+import type { Failure } from '../common/Failure.js'
+import type { Logger } from '../common/Logger.js'
+import type { Decision } from '../membership/Decision.js'
+import type { Exchange } from '../membership/Exchange.js'
+import { exchangeSchema } from '../membership/exchangeSchema.js'
+import type { Membership } from '../membership/Membership.js'
+import { membershipTimes as times } from '../membership/membershipTimes.js'
+import { Topology } from '../membership/Topology.js'
+import type { ConfigDoc } from '../model/ConfigDoc.js'
+import { FrameClient } from '../wire/FrameClient.js'
+import type { FrameConnection } from '../wire/FrameConnection.js'
+import type { Message } from '../wire/Message.js'
+import type { PeerIdentity } from '../wire/PeerIdentity.js'
+import type { ConfigHolder } from './ConfigHolder.js'
+import { decodeHeld } from './decodeHeld.js'
+import { encodeHeld } from './encodeHeld.js'
+import type { HeldConfig } from './HeldConfig.js'
+
+/** What the exchange with other agents works with. */
+interface PeerExchangeOptions {
+  readonly self: PeerIdentity
+  readonly clusterKey: string
+  readonly dial: DialMap
+  readonly clock: Clock
+  readonly log: Logger
+  readonly membership: Membership
+  readonly holder: ConfigHolder
+  /** Agents to contact while the configuration is not known. */
+  readonly seeds: readonly string[]
+  /** Members or links changed; `urgent` when readers must learn it at once. */
+  readonly onChange: (urgent: boolean) => void
+  /** This agent suspected a host by itself. */
+  readonly onSuspect: () => void
+  readonly onProbe: (result: 'alive' | 'silent') => void
+  readonly onRefusedConfig: (relation: string) => void
+  readonly onProtocolFailure: (failure: Failure) => void
+}
+
+/** Sends a request to one agent. */
+type Ask = (message: Message, timeoutMs: number) => Promise<Result<Message, Failure>>
+
+const answerTimeoutMs = 1_000
+const probeTimeoutMs = 450
+const pullTimeoutMs = 2_000
+const maxSeedsPerBeat = 8
+const isolatedMs = 2_000
+
+/** Carries out the decisions of the membership policy over frames, and relays configurations. */
+export class PeerExchange {
+  private readonly client: FrameClient
+  private urgentTimer: NodeJS.Timeout | undefined
+  private lastSeedMs = -Infinity
+  private seedCursor = 0
+  private pulling = false
+  private encoded: { readonly held: HeldConfig, readonly data: Buffer } | undefined
+  private topology = new Topology(undefined)
+
+  constructor (private readonly options: PeerExchangeOptions) {
+    this.client = new FrameClient({
+      ...options,
+      onMessage: async (message, peer) => await this.receive(message, peer, undefined),
+      onClose: (_, failure) => { if (failure !== undefined) options.onProtocolFailure(failure) }
+    })
+  }
+
+  setConfig (doc: ConfigDoc): void {
+    this.topology = new Topology(doc)
+    this.options.membership.setTopology(this.topology)
+    this.client.retain(new Set([...this.topology.addresses.values(), ...this.options.seeds]))
+  }
+
+  tick (): void {
+    const nowMs = this.options.clock.nowMs()
+    this.carryOut(this.options.membership.step(nowMs))
+    this.contactSeeds(nowMs)
+  }
+
+  /** Spreads urgent changes; changes of the same moment share a frame. */
+  flushSoon (): void {
+    this.urgentTimer ??= setTimeout(() => this.flush(), times.urgentMs)
+  }
+
+  flush (): void {
+    clearTimeout(this.urgentTimer)
+    this.urgentTimer = undefined
+    this.carryOut(this.options.membership.planUrgent(this.options.clock.nowMs()))
+  }
+
+  /** Sends a configuration to all peers without waiting for their heartbeats. */
+  push (held: HeldConfig): void {
+    const message = { t: 'config_push', data: this.encode(held) }
+    for (const host of this.options.membership.listPeers()) {
+      const address = this.topology.addresses.get(host)
+      if (address !== undefined) this.client.notify(address, message)
+    }
+  }
+
+  /** Sends a request to the agent of a host. */
+  async ask (host: string, message: Message, timeoutMs: number): Promise<Result<Message, Failure> | undefined> {
+    const address = this.topology.addresses.get(host)
+    return address === undefined ? undefined : await this.client.request(address, message, timeoutMs)
+  }
+
+  close (): void {
+    clearTimeout(this.urgentTimer)
+    this.client.close()
+  }
+
+  /** Handles a frame of another agent; `connection` is the one it came by when the other side opened it. */
+  async receive (message: Message, peer: PeerIdentity, connection: FrameConnection | undefined): Promise<Message | undefined> {
+    if (message.t === 'heartbeat') return this.answerHeartbeat(message, peer, connection)
+    if (message.t === 'indirect_probe') return { t: 'indirect_probe_result', alive: await this.ping(message.host) }
+    if (message.t === 'config_push') this.take(message.data)
+    if (message.t === 'config_pull') return this.answerPull()
+    return undefined
+  }
+
+  private answerHeartbeat (message: Message, peer: PeerIdentity, connection: FrameConnection | undefined): Message | undefined {
+    const exchange = parseExchange(message, peer.name)
+    if (exchange === undefined || peer.name === this.options.self.name) return undefined
+    this.apply(peer.name, exchange, false)
+    const ask: Ask | undefined = connection === undefined ? undefined : async (request, timeoutMs) => await connection.request(request, timeoutMs)
+    this.compareVersions(exchange, ask)
+    return { t: 'heartbeat_ack', ...this.options.membership.buildExchange(peer.name, this.options.clock.nowMs(), exchange.summary) }
+  }
+
+  private carryOut (decisions: readonly Decision[]): void {
+    for (const decision of decisions) {
+      match(decision)
+        .with({ kind: 'heartbeat' }, ({ address, host }) => { this.sendHeartbeat(address, host).catch((err: unknown) => this.reportCrash(err)) })
+        .with({ kind: 'probe' }, ({ host, helpers }) => { this.probe(host, helpers).catch((err: unknown) => this.reportCrash(err)) })
+        .with({ kind: 'state' }, ({ host, state }) => this.reportState(host, state))
+        .with({ kind: 'link' }, ({ host, down }) => this.reportLink(host, down))
+        .exhaustive()
+    }
+  }
+
+  private reportState (host: string, state: 'suspect' | 'dead'): void {
+    this.options.log.warn('member_state', { member: host, state })
+    if (state === 'suspect') this.options.onSuspect()
+    this.options.onChange(true)
+    this.flushSoon()
+  }
+
+  private reportLink (host: string, down: boolean): void {
+    this.options.log.warn('member_link', { member: host, down })
+    this.options.onChange(true)
+  }
+
+  private async sendHeartbeat (address: string, host: string | undefined): Promise<void> {
+    const { membership, clock, self } = this.options
+    const exchange = membership.buildExchange(host, clock.nowMs())
+    const answer = await this.client.request(address, { t: 'heartbeat', ...exchange }, answerTimeoutMs)
+    if (answer.isErr() || answer.value.t !== 'heartbeat_ack') return
+    const reply = parseExchange(answer.value, host)
+    if (reply === undefined || reply.row[0] === self.name) return
+    this.apply(reply.row[0], reply, true)
+    this.compareVersions(reply, async (message, timeoutMs) => await this.client.request(address, message, timeoutMs))
+  }
+
+  private apply (host: string, exchange: Exchange, isAnswer: boolean): void {
+    const effect = this.options.membership.receive(host, exchange, this.options.clock.nowMs(), isAnswer)
+    if (effect.urgent) this.flushSoon()
+    if (effect.changed) this.options.onChange(effect.urgent)
+  }
+
+  private async probe (host: string, helpers: readonly string[]): Promise<void> {
+    const { membership, clock, onProbe } = this.options
+    const results = await Promise.all(helpers.map(async (helper) => {
+      const answer = await this.ask(helper, { t: 'indirect_probe', host }, probeTimeoutMs)
+      const alive = answer?.isOk() === true && answer.value.alive === true
+      // The first success counts; waiting for slow helpers would use up the time before suspicion.
+      if (alive) membership.receiveProbe(host, true, clock.nowMs())
+      return alive
+    }))
+    onProbe(results.includes(true) ? 'alive' : 'silent')
+  }
+
+  /** Probes a host for another agent. */
+  private async ping (host: unknown): Promise<boolean> {
+    const address = typeof host === 'string' ? this.topology.addresses.get(host) : undefined
+    if (address === undefined) return false
+    const exchange = this.options.membership.buildExchange(undefined, this.options.clock.nowMs())
+    const answer = await this.client.request(address, { t: 'heartbeat', ...exchange }, probeTimeoutMs - 50)
+    return answer.isOk() && answer.value.t === 'heartbeat_ack'
+  }
+
+  private contactSeeds (nowMs: number): void {
+    const { membership, seeds, holder } = this.options
+    const isolated = nowMs - membership.contactMs > isolatedMs
+    if (seeds.length === 0 || nowMs - this.lastSeedMs < times.heartbeatMs || (holder.held !== undefined && !isolated)) return
+    this.lastSeedMs = nowMs
+    for (let i = 0; i < Math.min(maxSeedsPerBeat, seeds.length); i += 1) {
+      this.seedCursor = (this.seedCursor + 1) % seeds.length
+      this.sendHeartbeat(seeds[this.seedCursor]!, undefined).catch((err: unknown) => this.reportCrash(err))
+    }
+  }
+
+  /** Pulls a higher version from the agent that announced it; reports a foreign one. */
+  private compareVersions (exchange: Exchange, ask: Ask | undefined): void {
+    const { holder } = this.options
+    if (exchange.version === 0) return
+    const relation = holder.compare(exchange)
+    if (relation === 'foreign') return this.refuse(relation, exchange)
+    holder.hear(exchange.version)
+    if (relation !== 'applied' || ask === undefined || this.pulling) return
+    this.pulling = true
+    this.pull(ask).catch((err: unknown) => this.reportCrash(err)).finally(() => { this.pulling = false })
+  }
+
+  private async pull (ask: Ask): Promise<void> {
+    const answer = await ask({ t: 'config_pull' }, pullTimeoutMs)
+    if (answer.isOk()) this.take(answer.value.data)
+  }
+
+  private take (data: unknown): void {
+    const held = decodeHeld(data)
+    if (held === undefined) return
+    const relation = this.options.holder.offer(held)
+    if (relation === 'foreign') this.refuse(relation, { lineage: held.doc.lineage, version: held.doc.version, writeId: held.writeId })
+  }
+
+  private refuse (relation: string, { lineage, version, writeId }: Pick<Exchange, 'lineage' | 'version' | 'writeId'>): void {
+    this.options.onRefusedConfig(relation)
+    this.options.log.warn('config_refused', { relation, lineage, version, writeId })
+  }
+
+  private answerPull (): Message {
+    const { held } = this.options.holder
+    return held === undefined ? { t: 'config' } : { t: 'config', data: this.encode(held) }
+  }
+
+  private encode (held: HeldConfig): Buffer {
+    if (this.encoded?.held !== held) this.encoded = { held, data: encodeHeld(held) }
+    return this.encoded.data
+  }
+
+  private reportCrash (err: unknown): void {
+    this.options.log.error('exchange_failed', { message: err instanceof Error ? err.stack ?? err.message : 'unknown' })
+  }
+}
+
+/** Validates an exchange; undefined when it is malformed or its row is not the sender's. */
+function parseExchange (message: Message, host: string | undefined): Exchange | undefined {
+  const parsed = exchangeSchema.safeParse(message)
+  if (!parsed.success || (host !== undefined && parsed.data.row[0] !== host)) return undefined
+  return parsed.data as Exchange
+}
--- a/src/control/ViewPublisher.ts
+++ b/src/control/ViewPublisher.ts
@@ -23,8 +23,9 @@
 
 /** Longest time in ms between two views; readers call a view stale after 2 s. */
 const viewIntervalMs = 500
-/** Delay in ms that gathers changes into one view. */
-const gatherMs = 10
+/** Delays in ms that gather changes into one view. */
+const urgentGatherMs = 10
+const gatherMs = 100
 
 /** Sends views to the entry and lookup processes of the own host. */
 export class ViewPublisher {
@@ -32,6 +33,7 @@
   private seq = 0
   private lastMs = -Infinity
   private gatherTimer: NodeJS.Timeout | undefined
+  private isUrgent = false
 
   constructor (private readonly options: ViewPublisherOptions) {}
 
@@ -49,9 +51,12 @@
     return [...this.subscribers].find(([connection, { role }]) => role === 'entry' && connection.isReady)?.[0]
   }
 
-  /** Publishes soon, together with other changes of the same moment. */
-  announce (): void {
-    this.gatherTimer ??= setTimeout(() => this.publish(), gatherMs)
+  /** Publishes soon, together with other changes of the same moment; load changes wait a little longer. */
+  announce (urgent: boolean): void {
+    if (this.gatherTimer !== undefined && (this.isUrgent || !urgent)) return
+    this.stop()
+    this.isUrgent = urgent
+    this.gatherTimer = setTimeout(() => this.publish(), urgent ? urgentGatherMs : gatherMs)
   }
 
   /** Publishes when the last view is old enough. */
--- a/src/membership/MemberTable.ts
+++ b/src/membership/MemberTable.ts
@@ -147,6 +147,14 @@
     }
   }
 
+  /** Says whether a row that changed after `since` passes `isWanted`. */
+  hasChanges (since: number, isWanted: (row: MemberRow) => boolean): boolean {
+    for (let row = this.newest; row !== undefined && row.changeNo > since; row = row.older) {
+      if (isWanted(row)) return true
+    }
+    return false
+  }
+
   /** Rows that changed after `since` and pass `isWanted`, the oldest change first, as many as fit a frame. */
   collectChanges (since: number, isWanted: (row: MemberRow) => boolean): ChangePage {
     const changed: MemberRow[] = []
--- /dev/null
+++ b/test/control/MemoryPlatform.ts
@@ -0,0 +1,95 @@
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { createFailure } from '../../src/common/createFailure.js'
+import type { Failure } from '../../src/common/Failure.js'
+import { HostList } from '../../src/platform/HostList.js'
+import type { ListedHost } from '../../src/platform/ListedHost.js'
+import { ObjectStore } from '../../src/platform/ObjectStore.js'
+import type { TableRow } from '../../src/platform/TableRow.js'
+import { TableService } from '../../src/platform/TableService.js'
+import type { TableWrite } from '../../src/platform/TableWrite.js'
+import type { WriteReply } from '../../src/platform/WriteReply.js'
+
+const unavailable = createFailure('platformUnavailable')
+const unsettled = createFailure('writeUnknown', { outcome: 'unknown' })
+
+/** The platform in memory with faults that tests switch on. */
+export class MemoryPlatform {
+  readonly rows = new Map<string, TableRow>()
+  readonly bytes = new Map<string, Buffer>()
+  listed: ListedHost[] = []
+  down = false
+  reads = 0
+  /** Writes whose response is lost after they took effect. */
+  loseAfter = 0
+  /** Writes that are lost before they took effect, though the caller cannot know. */
+  loseBefore = 0
+  /** Runs before a write of the row, to let another writer come first. */
+  beforeWrite: () => Promise<void> = async () => {}
+
+  readonly table: TableService = new MemoryTable(this)
+  readonly objects: ObjectStore = new MemoryObjects(this)
+  readonly hosts: HostList = new MemoryHosts(this)
+
+  write ({ row, ifVersion, value }: TableWrite): Result<WriteReply, Failure> {
+    if (this.down) return err(unavailable)
+    if (this.loseBefore > 0) {
+      this.loseBefore -= 1
+      return err(unsettled)
+    }
+    const current = this.rows.get(row)
+    if ((current?.version ?? 0) !== ifVersion) return ok({ written: false, version: current?.version ?? 0, value: current?.value })
+    this.rows.set(row, { version: ifVersion + 1, value: JSON.parse(JSON.stringify(value)) as unknown })
+    if (this.loseAfter === 0) return ok({ written: true, version: ifVersion + 1 })
+    this.loseAfter -= 1
+    return err(unsettled)
+  }
+}
+
+class MemoryTable extends TableService {
+  constructor (private readonly platform: MemoryPlatform) {
+    super()
+  }
+
+  override async read (row: string): Promise<Result<TableRow | undefined, Failure>> {
+    this.platform.reads += 1
+    return this.platform.down ? err(unavailable) : ok(this.platform.rows.get(row))
+  }
+
+  override async write (write: TableWrite): Promise<Result<WriteReply, Failure>> {
+    const { beforeWrite } = this.platform
+    this.platform.beforeWrite = async () => {}
+    await beforeWrite()
+    return this.platform.write(write)
+  }
+
+  override async transact ([write]: readonly TableWrite[]): Promise<Result<WriteReply, Failure>> {
+    return this.platform.write(write!)
+  }
+}
+
+class MemoryObjects extends ObjectStore {
+  constructor (private readonly platform: MemoryPlatform) {
+    super()
+  }
+
+  override async read (name: string): Promise<Result<Buffer | undefined, Failure>> {
+    return this.platform.down ? err(unavailable) : ok(this.platform.bytes.get(name))
+  }
+
+  override async write (name: string, bytes: Buffer): Promise<Result<void, Failure>> {
+    if (this.platform.down) return err(unavailable)
+    this.platform.bytes.set(name, bytes)
+    return ok(undefined)
+  }
+}
+
+class MemoryHosts extends HostList {
+  constructor (private readonly platform: MemoryPlatform) {
+    super()
+  }
+
+  override async read (): Promise<Result<readonly ListedHost[], Failure>> {
+    return this.platform.down ? err(unavailable) : ok(this.platform.listed)
+  }
+}
--- /dev/null
+++ b/test/control/sampleContract.ts
@@ -0,0 +1,19 @@
+import type { Contract } from '../../src/model/Contract.js'
+
+/** A contract with the given changes. */
+export function sampleContract (changes: Partial<Contract> = {}): Contract {
+  return {
+    customer: 'gyms',
+    version: 0,
+    credentialHashes: [],
+    services: ['stock'],
+    rate: 70,
+    burst: 7,
+    concurrency: 14,
+    uploadBytesPerSecond: 7_000,
+    regionShare: 1,
+    moveStep: 0.5,
+    priority: 1,
+    ...changes
+  }
+}
