Add idempotency keys with homes, witnesses and handover

Change: src/claim/ decides about keys at their home, copies claims to a witness, replays kept answers, and hands the home's memory over at a planned stop. A change of the set of hosts makes moved keys unknown for the retention time.

--- a/src/claim/Claims.ts
+++ b/src/claim/Claims.ts
@@ -13,7 +13,8 @@
 export abstract class Claims {
   /**
    * Asks the key's home for a claim. A running request with the same key and fingerprint is waited for.
-   * Failures: `keyRunning`, `keyMismatch`, `keyUnknown`, `keyHomeGone`, `keyHomeUnreachable`, `badIdempotencyKey`;
+   * Failures: `keyRunning`, `keyMismatch`, `keyUnknown`, `keyHomeGone`, `keyHomeUnreachable`, `badIdempotencyKey`,
+   * `shed` (the home has no room for another key);
    * their outcome is `notRun` only where that is certain for the key.
    */
   abstract claim (request: ClaimRequest): Promise<Result<ClaimDecision, Failure>>
--- /dev/null
+++ b/src/claim/CopyTable.ts
@@ -0,0 +1,55 @@
+import { claimLimits } from './claimLimits.js'
+import type { KeptAnswer } from './KeptAnswer.js'
+
+/** A witness's copy of what a home knows of a key. */
+interface ClaimCopy {
+  readonly fingerprint: string
+  readonly state: 'running' | 'done' | 'unknown'
+  readonly answer?: KeptAnswer | undefined
+  readonly copiedMs: number
+}
+
+/**
+ * Copies that this host keeps for other homes. They serve replay and never let a key run, so the oldest ones
+ * may be dropped at any time.
+ */
+export class CopyTable {
+  private readonly copies = new Map<string, ClaimCopy>()
+  private bytes = 0
+
+  constructor (
+    private readonly maxCopies: number = claimLimits.maxClaims,
+    private readonly maxBytes: number = claimLimits.maxAnswerBytes
+  ) {}
+
+  get size (): number {
+    return this.copies.size
+  }
+
+  get (id: string): ClaimCopy | undefined {
+    return this.copies.get(id)
+  }
+
+  set (id: string, copy: ClaimCopy): void {
+    if (this.copies.get(id)?.state === 'done' && copy.state !== 'done') return
+    this.delete(id)
+    this.copies.set(id, copy)
+    this.bytes += copy.answer?.body.length ?? 0
+    for (const oldest of this.copies.keys()) {
+      if (this.copies.size <= this.maxCopies && this.bytes <= this.maxBytes) break
+      this.delete(oldest)
+    }
+  }
+
+  delete (id: string): void {
+    this.bytes -= this.copies.get(id)?.answer?.body.length ?? 0
+    this.copies.delete(id)
+  }
+
+  sweep (nowMs: number): void {
+    for (const [id, { copiedMs }] of this.copies) {
+      if (nowMs - copiedMs < claimLimits.retentionMs) break
+      this.delete(id)
+    }
+  }
+}
--- /dev/null
+++ b/src/claim/claimMessages.ts
@@ -0,0 +1,71 @@
+import { z } from 'zod'
+import { claimLimits } from './claimLimits.js'
+
+const text = z.string().max(256)
+const count = z.number().int().min(0).max(Number.MAX_SAFE_INTEGER)
+const durationMs = z.number().min(0).max(claimLimits.maxRequestMs * 2)
+const body = z.custom<Uint8Array>((value) => value instanceof Uint8Array && value.length <= claimLimits.maxAnswerBodyBytes)
+const headers = z.record(text, z.union([z.string().max(16_384), z.array(z.string().max(16_384)).max(64)]))
+const answer = z.object({ status: z.number().int().min(100).max(599), headers, body })
+const keyed = { customer: text.min(1), key: z.string().min(1).max(claimLimits.maxKeyLength) }
+const state = z.enum(['running', 'done', 'unknown'])
+const row = z.object({
+  ...keyed,
+  fingerprint: text,
+  executor: z.object({ host: text, incarnation: count }),
+  claimId: text,
+  state,
+  /** Time left until a running key counts as unknown, in ms. */
+  remainingMs: durationMs,
+  answer: answer.optional()
+})
+const memory = {
+  /** Sets of configured hosts under which the memory was made. */
+  hostSets: z.array(z.array(text).max(20_000)).max(16),
+  /** Time left in ms until the memory of hashed keys is complete; 0 when it is. */
+  incompleteMs: durationMs
+}
+
+/** Shapes of the messages about idempotency keys between entry processes. */
+export const claimMessages = {
+  /** Asks a home for a claim; for a running key the home waits up to `waitMs`. */
+  claim: z.object({ t: z.literal('claim'), ...keyed, fingerprint: text, claimId: text, remainingMs: durationMs, waitMs: durationMs }),
+  /** Answer to `claim`. */
+  decision: z.object({
+    t: z.literal('claim_answer'),
+    kind: z.enum(['granted', 'running', 'retry', 'done', 'mismatch', 'unknown', 'gone', 'incomplete', 'notHome', 'stopping', 'full']),
+    answer: answer.optional()
+  }),
+  /** Tells a home how a claim ended, or that it still runs. */
+  result: z.object({
+    t: z.literal('claim_result'),
+    ...keyed,
+    fingerprint: text,
+    claimId: text,
+    outcome: z.enum(['notRun', 'unknown', 'done', 'running']),
+    remainingMs: durationMs,
+    answer: answer.optional()
+  }),
+  /** Gives a witness a copy of a key's state; `absent` when the key may be claimed again. */
+  copy: z.object({ t: z.literal('claim_copy'), ...keyed, fingerprint: text, state: z.enum(['running', 'done', 'unknown', 'absent']), answer: answer.optional() }),
+  /** Asks a witness for its copy. */
+  read: z.object({ t: z.literal('claim_read'), ...keyed }),
+  /** Answer to `read`. */
+  copyAnswer: z.object({ t: z.literal('claim_copy'), found: z.boolean(), fingerprint: text, state, answer: answer.optional() }),
+  /** One frame of the memory of a home that stops; the last one is `complete` and counts all rows. */
+  handover: z.object({
+    t: z.literal('claim_handover'),
+    rows: z.array(row).max(4_000),
+    complete: z.object({ rows: count, ...memory }).optional()
+  }),
+  /** Asks for rows of a handover from the given one on; only the sender's predecessor's is given out. */
+  handoverRead: z.object({ t: z.literal('claim_read'), handoverFrom: count }),
+  /** Answer to `handoverRead`. */
+  handoverRows: z.object({
+    t: z.literal('claim_handover'),
+    found: z.boolean(),
+    total: count,
+    rows: z.array(row).max(4_000),
+    ...memory
+  })
+} as const
--- a/test/model/SimNet.ts
+++ b/test/model/SimNet.ts
@@ -79,20 +79,31 @@
     this.cuts.clear()
   }
 
-  /** Moves time forward ms by ms; `eachMs` runs after the events of each. */
-  async advance (ms: number, eachMs: () => void = () => {}): Promise<void> {
-    for (let step = 0; step < ms; step += 1) {
-      this.nowMs += 1
+  /** Moves time forward in steps of 1 ms, or of `stepMs`; `eachStep` runs after the events of each. */
+  async advance (ms: number, eachStep: () => void = () => {}, stepMs = 1): Promise<void> {
+    for (let passed = 0; passed < ms; passed += stepMs) {
+      this.nowMs += stepMs
       while (this.events.length > 0 && this.events[0]!.atMs <= this.nowMs) {
         this.events.shift()!.run()
         await flush()
       }
       if (this.nowMs % tickMs === 0) for (const host of this.hosts.values()) if (!host.paused) host.process.tick(this.nowMs)
-      eachMs()
+      eachStep()
       await flush()
     }
   }
 
+  /** Moves time forward until `promise` has settled, for at most `maxMs`. */
+  async waitFor<Value> (promise: Promise<Value>, maxMs: number): Promise<Value> {
+    const settled = new Set<Promise<Value>>()
+    promise.then(() => settled.add(promise), () => settled.add(promise))
+    for (let passed = 0; !settled.has(promise); passed += 1) {
+      if (passed > maxMs) throw new Error(`nothing happened within ${maxMs} ms`)
+      await this.advance(1)
+    }
+    return await promise
+  }
+
   request (from: PeerIdentity, to: string, message: Message, timeoutMs: number): Promise<Result<Message, Failure>> {
     return new Promise((resolve) => {
       const answer = (reply: Message | undefined): void => {
