--- /dev/null
+++ b/test/model/FaultRun.ts
@@ -0,0 +1,306 @@
+import type { ClaimHandle } from '../../src/claim/ClaimHandle.js'
+import { ClaimService } from '../../src/claim/ClaimService.js'
+import type { PeerMessenger } from '../../src/common/PeerMessenger.js'
+import type { ConfigDoc } from '../../src/model/ConfigDoc.js'
+import type { Member } from '../../src/model/Member.js'
+import type { Permit } from '../../src/share/Permit.js'
+import { ShareService } from '../../src/share/ShareService.js'
+import type { Message } from '../../src/wire/Message.js'
+import type { PeerIdentity } from '../../src/wire/PeerIdentity.js'
+import { CapLedger } from './CapLedger.js'
+import { findDelayMs } from './createDoc.js'
+import { createRandom } from './createRandom.js'
+import { SimNet } from './SimNet.js'
+
+/** Both services of one host's entry process. */
+class Node {
+  readonly share: ShareService
+  readonly claims: ClaimService
+  /** Version of the configuration that the host has received. */
+  version = 0
+  seq = 0
+
+  constructor (net: SimNet, readonly identity: PeerIdentity, messenger: PeerMessenger) {
+    const options = { host: identity.name, incarnation: identity.incarnation, clock: net.clock, messenger }
+    this.share = new ShareService(options)
+    this.claims = new ClaimService(options)
+  }
+
+  async handleMessage (message: Message, peer: PeerIdentity): Promise<Message | undefined> {
+    return message.t.startsWith('loan') ? this.share.handleMessage(message, peer) : await this.claims.handleMessage(message, peer)
+  }
+
+  tick (nowMs: number): void {
+    this.share.tick(nowMs)
+    this.claims.tick(nowMs)
+  }
+}
+
+/** A request that counts as in flight until its end, whether its host is paused or not. */
+interface Flight {
+  readonly node: Node
+  readonly permit: Permit
+  readonly endsAtMs: number
+  readonly region: string
+  released: boolean
+}
+
+interface KeyRecord {
+  runs: number
+  granted: number
+  /** A caller was told, when the key had run, that it had not. */
+  falseNotRun: boolean
+}
+
+/** How likely faults are; chances are per second. */
+export interface FaultRunOptions {
+  readonly seed: number
+  readonly doc: ConfigDoc
+  readonly seconds: number
+  readonly crash: number
+  readonly pause: number
+  readonly cut: number
+  readonly drop: number
+  /** Requests per second over all hosts. */
+  readonly load: number
+}
+
+const regions = ['region0', 'region1', 'region2']
+
+/** Runs the real services of several hosts under random faults and watches the invariants from outside. */
+export class FaultRun {
+  readonly net: SimNet
+  readonly ledger: CapLedger
+  readonly keys = new Map<string, KeyRecord>()
+  readonly counts = { refused: 0, granted: 0, replayed: 0, uncertain: 0, crashes: 0, pauses: 0, cuts: 0 }
+  worstRegion = 0
+  doc: ConfigDoc
+  private readonly random: () => number
+  private readonly nodes = new Map<string, Node>()
+  private readonly last = new Map<string, Member>()
+  private readonly timers: { atMs: number, node: Node, run: () => void }[] = []
+  private readonly ends: { atMs: number, run: () => void }[] = []
+  private flights = new Set<Flight>()
+
+  constructor (private readonly options: FaultRunOptions) {
+    this.random = createRandom(options.seed)
+    this.net = new SimNet(this.random, findDelayMs)
+    this.doc = options.doc
+    const contract = options.doc.contracts[0]!
+    this.ledger = new CapLedger(contract.rate, contract.burst)
+  }
+
+  get inFlight (): number {
+    return [...this.flights].filter(({ endsAtMs }) => endsAtMs > this.net.nowMs).length
+  }
+
+  /** Starts all hosts and lets quarantine and the retention time pass. */
+  async start (settleMs: number): Promise<void> {
+    for (const { name } of this.doc.hosts) this.startNode(name)
+    for (let passed = 0; passed < settleMs; passed += 500) {
+      this.sendViews()
+      await this.net.advance(500, undefined, 100)
+    }
+    this.net.faults.drop = this.options.drop
+    this.net.faults.duplicate = this.options.drop
+    this.net.faults.late = this.options.drop
+    this.net.faults.lateMs = 5_000
+  }
+
+  /** Runs under load and faults for some time. */
+  async run (seconds = this.options.seconds): Promise<void> {
+    const endMs = this.net.nowMs + seconds * 1_000
+    let hot = this.pickHost()
+    await this.net.advance(endMs - this.net.nowMs, () => {
+      const { nowMs } = this.net
+      if (nowMs % 2_000 === 0) hot = this.pickHost()
+      if (nowMs % 500 === 0) this.sendViews()
+      if (nowMs % 100 === 0) this.injectFaults()
+      if (this.random() < this.options.load / 1_000) this.sendRequest(this.random() < 0.7 ? hot : this.pickHost())
+      if (this.random() < 0.02) this.sendKeyed(this.pickHost())
+      this.runTimers(nowMs)
+    })
+  }
+
+  /** Gives the present configuration to every host within `maxDelayMs`. */
+  spread (doc: ConfigDoc, maxDelayMs: number): void {
+    this.doc = doc
+    for (const node of this.nodes.values()) this.after(this.random() * maxDelayMs, node, () => this.apply(node, doc))
+  }
+
+  /** True when every host that runs has given up what an older configuration allowed. */
+  isSettled (): boolean {
+    return [...this.nodes.values()].every(({ share }) => share.appliedVersion >= this.doc.version)
+  }
+
+  private apply (node: Node, doc: ConfigDoc): void {
+    node.version = Math.max(node.version, doc.version)
+    node.share.setConfig(doc)
+    node.claims.setConfig(doc)
+  }
+
+  private startNode (name: string): void {
+    const identity: PeerIdentity = { name, role: 'entry', incarnation: this.net.nowMs + 1 }
+    this.net.start(identity, (messenger) => {
+      const node = new Node(this.net, identity, messenger)
+      this.nodes.set(name, node)
+      this.apply(node, this.doc)
+      return node
+    })
+  }
+
+  /** Every host sees members as of the last view; a host that is paused or down shows its last state. */
+  private sendViews (): void {
+    for (const node of this.nodes.values()) {
+      if (!this.net.isRunning(node.identity.name) || this.random() < this.options.drop) continue
+      node.seq += 1
+      const members = [...this.last.values()]
+      const view = { seq: node.seq, contactAgeMs: 0, configVersion: node.version, members, leavingEndpoints: [], leavingHosts: [] }
+      node.share.setView(view)
+      node.claims.setView(view)
+    }
+    for (const node of this.nodes.values()) if (this.net.isRunning(node.identity.name)) this.last.set(node.identity.name, createMember(node))
+  }
+
+  private injectFaults (): void {
+    const { crash, pause, cut } = this.options
+    const name = this.pickHost()
+    if (this.random() < crash / 10) this.crash(name)
+    if (this.random() < pause / 10 && this.net.isRunning(name)) this.pause(name)
+    if (this.random() < cut / 10) {
+      this.counts.cuts += 1
+      const other = this.pickHost()
+      this.net.setCut(name, other, true)
+      if (this.random() < 0.7) this.net.setCut(other, name, true)
+    }
+    if (this.random() < 0.03) this.net.healCuts()
+  }
+
+  private crash (name: string): void {
+    const node = this.nodes.get(name)
+    if (node === undefined) return
+    this.counts.crashes += 1
+    this.net.crash(name)
+    this.nodes.delete(name)
+    this.flights = new Set([...this.flights].filter((flight) => flight.node !== node))
+    this.ends.push({ atMs: this.net.nowMs + 100 + this.random() * 4_000, run: () => this.startNode(name) })
+  }
+
+  private pause (name: string): void {
+    this.counts.pauses += 1
+    this.net.setPaused(name, true)
+    this.ends.push({ atMs: this.net.nowMs + this.random() ** 2 * 15_000, run: () => this.net.setPaused(name, false) })
+  }
+
+  private sendRequest (host: string): void {
+    const node = this.nodes.get(host)
+    if (node === undefined || !this.net.isRunning(host)) return
+    const { nowMs } = this.net
+    const isUpload = this.random() < 0.03
+    const deadlineAtMs = nowMs + (isUpload ? 60_000 : 500 + this.random() * 9_000)
+    const request = { customer: 'gyms', workClass: isUpload ? 'bulk' : 'interactive', deadlineAtMs, signal: new AbortController().signal } as const
+    node.share.admit(request).then((result) => {
+      if (result.isErr()) {
+        this.counts.refused += 1
+        return
+      }
+      this.ledger.admit(this.net.nowMs)
+      const lengthMs = isUpload ? this.random() * 60_000 : this.random() * 400
+      this.fly(node, result.value, Math.min(deadlineAtMs, this.net.nowMs + lengthMs))
+    })
+  }
+
+  private fly (node: Node, permit: Permit, endsAtMs: number): void {
+    const region = regions[Math.floor(this.random() * 1.3)]!
+    const isEntered = permit.enterRegion(region)
+    const flight = { node, permit, endsAtMs, region: isEntered ? region : '', released: false }
+    this.flights.add(flight)
+    this.ledger.worstInFlight = Math.max(this.ledger.worstInFlight, this.inFlight)
+    if (isEntered) this.worstRegion = Math.max(this.worstRegion, this.countRegion(region))
+    this.after(endsAtMs - this.net.nowMs, node, () => permit.release())
+  }
+
+  private countRegion (region: string): number {
+    return [...this.flights].filter((flight) => flight.region === region && flight.endsAtMs > this.net.nowMs).length
+  }
+
+  /** Sends a request with one of few keys, new or repeated, so that attempts collide. */
+  private sendKeyed (host: string): void {
+    const node = this.nodes.get(host)
+    if (node === undefined || !this.net.isRunning(host)) return
+    const key = this.pickKey(node)
+    const record = this.keys.get(key) ?? { runs: 0, granted: 0, falseNotRun: false }
+    this.keys.set(key, record)
+    const deadlineAtMs = this.net.nowMs + 1_000 + this.random() * 8_000
+    node.claims.claim({ customer: 'gyms', key, fingerprint: key, deadlineAtMs }).then((result) => {
+      if (result.isErr()) {
+        if (result.error.outcome === 'not-run') record.falseNotRun ||= record.runs > 0
+        else this.counts.uncertain += 1
+      } else if (result.value.kind === 'done') this.counts.replayed += 1
+      else this.use(node, record, result.value.claim)
+    })
+  }
+
+  private pickKey (node: Node): string {
+    const known = [...this.keys.keys()].slice(-8)
+    if (known.length > 0 && this.random() < 0.7) return known[Math.floor(this.random() * known.length)]!
+    const isBound = this.random() < 0.5
+    return `${isBound ? node.claims.keyPrefix : 'order-'}${this.keys.size}`
+  }
+
+  private use (node: Node, record: KeyRecord, claim: ClaimHandle): void {
+    record.granted += 1
+    this.counts.granted += 1
+    this.after(this.random() ** 3 * 3_000, node, () => {
+      if (!claim.isUsable() || this.random() < 0.2) {
+        record.falseNotRun ||= record.runs > 0
+        claim.settleNotRun()
+        return
+      }
+      record.runs += 1
+      this.after(this.random() * 3_000, node, () => {
+        if (this.random() < 0.3) claim.settleUnknown()
+        else claim.settleDone({ status: 200, headers: {}, body: new Uint8Array(8) })
+      })
+    })
+  }
+
+  /** Runs in a host's process, later when it is paused, never when it has crashed. */
+  private after (delayMs: number, node: Node, run: () => void): void {
+    this.timers.push({ atMs: this.net.nowMs + delayMs, node, run })
+  }
+
+  private runTimers (nowMs: number): void {
+    const due = this.timers.filter(({ atMs, node }) => atMs <= nowMs && (this.net.isRunning(node.identity.name) || this.nodes.get(node.identity.name) !== node))
+    for (const timer of due) {
+      this.timers.splice(this.timers.indexOf(timer), 1)
+      if (this.nodes.get(timer.node.identity.name) === timer.node) timer.run()
+    }
+    for (const end of this.ends.filter(({ atMs }) => atMs <= nowMs)) {
+      this.ends.splice(this.ends.indexOf(end), 1)
+      end.run()
+    }
+    for (const flight of this.flights) if (flight.endsAtMs <= nowMs) this.flights.delete(flight)
+  }
+
+  private pickHost (): string {
+    return this.doc.hosts[Math.floor(this.random() * this.doc.hosts.length)]!.name
+  }
+}
+
+function createMember ({ identity, share, seq }: Node): Member {
+  const digest = {
+    host: identity.name,
+    entryIncarnation: identity.incarnation,
+    seq,
+    appliedVersion: share.appliedVersion,
+    serving: true,
+    leaving: false,
+    inFlight: 0,
+    loads: [],
+    leavingEndpoints: [],
+    drainInFlight: {},
+    uses: []
+  }
+  return { host: identity.name, zone: identity.name.charAt(0), incarnation: identity.incarnation, seq, state: 'alive', configVersion: share.appliedVersion, digest }
+}
