Add the lookup process and its block table

Change: shunt-lookup answers GET /v1/lookup from the last configuration and view of its agent. The block table keeps sorted intervals of 4 bytes grouped by the first 16 address bits, is read on a thread of its own and replaced in one step. Wrong credentials are throttled by address.

--- /dev/null
+++ b/src/lookup/BlockFile.ts
@@ -0,0 +1,67 @@
+import { unwatchFile, watchFile } from 'node:fs'
+import { EventEmitter } from 'node:events'
+import type { BlockTable } from './BlockTable.js'
+import { loadBlockTable } from './loadBlockTable.js'
+import { parseAddress } from './parseAddress.js'
+
+/** Events: `loaded` after each swap, `failed` when a changed file was refused and the last table stays. */
+interface BlockFileEvents {
+  loaded: [table: BlockTable, elapsedMs: number]
+  failed: [message: string]
+}
+
+/** How often the file is checked for changes. */
+const defaultCheckIntervalMs = 1_000
+
+/** The block table of a file; a changed file is read beside the current table, which is then replaced in one step. */
+export class BlockFile extends EventEmitter<BlockFileEvents> {
+  private table: BlockTable | undefined
+  private loading = false
+  private changed = false
+
+  constructor (private readonly file: string, private readonly checkIntervalMs: number = defaultCheckIntervalMs) {
+    super()
+  }
+
+  get current (): BlockTable | undefined {
+    return this.table
+  }
+
+  /** Loads the file and again after every change. */
+  start (): void {
+    watchFile(this.file, { interval: this.checkIntervalMs }, this.reload)
+    this.reload()
+  }
+
+  stop (): void {
+    unwatchFile(this.file, this.reload)
+  }
+
+  /** Site of a client's address; undefined when no block covers it or no table is loaded. */
+  findSite (client: string): string | undefined {
+    const address = parseAddress(client)
+    return address === undefined ? undefined : this.table?.find(address)
+  }
+
+  private readonly reload = (): void => {
+    this.changed = true
+    if (this.loading) return
+    this.loading = true
+    this.loadChanges().finally(() => { this.loading = false }).catch((err: unknown) => this.emit('failed', String(err)))
+  }
+
+  /** Loads until the file has not changed during a load. */
+  private async loadChanges (): Promise<void> {
+    while (this.changed) {
+      this.changed = false
+      const startMs = performance.now()
+      const result = await loadBlockTable(this.file)
+      if (result.isErr()) {
+        this.emit('failed', result.error)
+        continue
+      }
+      this.table = result.value
+      this.emit('loaded', result.value, performance.now() - startMs)
+    }
+  }
+}
--- /dev/null
+++ b/src/lookup/Candidate.ts
@@ -0,0 +1,11 @@
+import type { Digest } from '../model/Digest.js'
+import type { HostSpec } from '../model/HostSpec.js'
+import type { MemberState } from '../model/MemberState.js'
+
+/** An entry host that could take a customer's requests. */
+export interface Candidate {
+  readonly host: HostSpec
+  readonly region: string
+  readonly state: MemberState
+  readonly digest: Digest
+}
--- /dev/null
+++ b/src/lookup/LookupMetrics.ts
@@ -0,0 +1,50 @@
+import { Counter, Gauge } from 'prom-client'
+import type { Registry } from 'prom-client'
+import type { Clock } from '../common/Clock.js'
+import { resultCodes } from '../common/resultCodes.js'
+import type { ResultName } from '../common/ResultName.js'
+import { QuantileGauge } from '../metrics/QuantileGauge.js'
+
+/** Sources of the gauges, read on each scrape. */
+interface LookupGauges {
+  readonly configVersion: () => number
+  readonly viewAgeMs: () => number
+  readonly blocks: () => number
+}
+
+/** Latencies are recorded in microseconds, since most are below a millisecond. */
+const latencyScale = 1_000
+
+/** Counters and gauges of look-ups. */
+export class LookupMetrics {
+  private readonly answers: Counter
+  private readonly refusals: Counter<'code' | 'name'>
+  private readonly latency: QuantileGauge
+
+  constructor (registry: Registry, clock: Clock) {
+    this.answers = new Counter({ name: 'shunt_lookups_total', help: 'Look-ups answered', registers: [registry] })
+    this.refusals = new Counter({ name: 'shunt_lookup_refused_total', help: 'Look-ups refused, by result code', labelNames: ['code', 'name'], registers: [registry] })
+    this.latency = new QuantileGauge({ name: 'shunt_lookup_ms', help: 'Time to answer a look-up, last 1 to 2 minutes', registry, clock, label: 'route', scale: latencyScale })
+  }
+
+  answered (elapsedMs: number): void {
+    this.answers.inc()
+    this.latency.record('lookup', elapsedMs)
+  }
+
+  refused (name: ResultName): void {
+    this.refusals.inc({ code: String(resultCodes[name].code), name })
+  }
+
+  /** Adds gauges for the state of a lookup process. */
+  exportGauges (registry: Registry, gauges: LookupGauges): void {
+    addGauge(registry, 'shunt_config_version', 'Version of the configuration in use', gauges.configVersion)
+    addGauge(registry, 'shunt_view_age_ms', 'Age of the last view from the agent', gauges.viewAgeMs)
+    addGauge(registry, 'shunt_blocks', 'Blocks of client addresses in the table', gauges.blocks)
+  }
+}
+
+function addGauge (registry: Registry, name: string, help: string, read: () => number): void {
+  // prom-client holds the gauge through the registry.
+  const gauge: Gauge = new Gauge({ name, help, registers: [registry], collect: () => gauge.set(read()) })
+}
--- /dev/null
+++ b/src/lookup/LookupRoutes.ts
@@ -0,0 +1,76 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { isIP } from 'node:net'
+import { err } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { createFailure } from '../common/createFailure.js'
+import type { CredentialThrottle } from '../common/CredentialThrottle.js'
+import type { Failure } from '../common/Failure.js'
+import { hashCredential } from '../common/hashCredential.js'
+import { readBearer } from '../common/readBearer.js'
+import { readRequestId } from '../common/readRequestId.js'
+import { sendFailure } from '../common/sendFailure.js'
+import { sendJson } from '../common/sendJson.js'
+import type { Contract } from '../model/Contract.js'
+import type { LookupAnswer } from './LookupAnswer.js'
+import type { LookupMetrics } from './LookupMetrics.js'
+import type { LookupService } from './LookupService.js'
+
+/** What the lookup route needs. */
+interface LookupRoutesOptions {
+  readonly service: LookupService
+  readonly throttle: CredentialThrottle
+  readonly metrics: LookupMetrics
+}
+
+/** `GET /v1/lookup`, for the lookup port and the callers' port. */
+export class LookupRoutes {
+  constructor (private readonly options: LookupRoutesOptions) {}
+
+  /** Answers the request and returns true when it is for the lookup path. */
+  handle (req: IncomingMessage, res: ServerResponse): boolean {
+    const url = parseUrl(req.url ?? '')
+    if (url?.pathname !== '/v1/lookup') return false
+    const startMs = performance.now()
+    const requestId = readRequestId(req)
+    const result = this.answer(req, url)
+    if (result.isErr()) {
+      this.options.metrics.refused(result.error.name)
+      sendFailure(res, result.error, requestId)
+      return true
+    }
+    sendJson(res, 200, result.value, { 'Shunt-Request-Id': requestId, 'Cache-Control': `private, max-age=${Math.floor(result.value.ttlMs / 1_000)}` })
+    this.options.metrics.answered(performance.now() - startMs)
+    return true
+  }
+
+  private answer (req: IncomingMessage, url: URL): Result<LookupAnswer, Failure> {
+    if (req.method !== 'GET' && req.method !== 'HEAD') return err(createFailure('badRequest', { message: 'Look-ups use GET.' }))
+    const address = req.socket.remoteAddress ?? ''
+    return this.authenticate(req, address).andThen((contract) => {
+      const client = url.searchParams.get('client') ?? address
+      const service = url.searchParams.get('service') ?? undefined
+      if (isIP(client) === 0) return err(createFailure('badRequest', { message: 'The parameter "client" is not an IP address.' }))
+      return this.options.service.answer(contract, { client, service })
+    })
+  }
+
+  private authenticate (req: IncomingMessage, address: string): Result<Contract, Failure> {
+    const { throttle, service } = this.options
+    const waitMs = throttle.waitMs(address)
+    if (waitMs > 0) return err(createFailure('credentialThrottled', { retryAfterMs: waitMs }))
+    const credential = readBearer(req)
+    if (credential === undefined) return err(createFailure('missingCredential'))
+    return service.findContract(hashCredential(credential)).orElse((failure) => {
+      if (failure.name === 'wrongCredential') throttle.noteWrong(address)
+      return err(failure)
+    })
+  }
+}
+
+function parseUrl (text: string): URL | undefined {
+  try {
+    return new URL(text, 'http://host')
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/src/lookup/LookupService.ts
@@ -0,0 +1,133 @@
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import type { Clock } from '../common/Clock.js'
+import { createFailure } from '../common/createFailure.js'
+import type { Failure } from '../common/Failure.js'
+import type { ConfigDoc } from '../model/ConfigDoc.js'
+import type { Contract } from '../model/Contract.js'
+import type { HostSpec } from '../model/HostSpec.js'
+import type { Member } from '../model/Member.js'
+import { MemberState } from '../model/MemberState.js'
+import type { View } from '../model/View.js'
+import type { Candidate } from './Candidate.js'
+import type { HostRanking } from './HostRanking.js'
+import { isChanging } from './isChanging.js'
+import type { LookupAnswer } from './LookupAnswer.js'
+import type { LookupEntry } from './LookupEntry.js'
+import { LookupIndex } from './LookupIndex.js'
+
+/** What a lookup service needs. */
+interface LookupServiceOptions {
+  readonly clock: Clock
+  readonly ranking: HostRanking
+  /** Zone of the own host; clients whose site is not known are taken to be near it. */
+  readonly zone: string
+  /** True when callers use TLS. */
+  readonly tls: boolean
+  /** Site (region or zone) of a client's address. */
+  readonly findSite: (client: string) => string | undefined
+}
+
+/** Parameters of a look-up. */
+interface LookupQuery {
+  readonly service?: string | undefined
+  /** IP address of the client. */
+  readonly client: string
+}
+
+const ttl = { settledMs: 2_000, changingMs: 500 } as const
+
+const notReadyRetryMs = 500
+
+/** Answers look-ups from the last configuration and view, however old they are. */
+export class LookupService {
+  private index: LookupIndex | undefined
+  private members: ReadonlyMap<string, Member> = new Map()
+  private leavingHosts: ReadonlySet<string> = new Set()
+  private view: View | undefined
+
+  constructor (private readonly options: LookupServiceOptions) {}
+
+  /** Version of the configuration in use; undefined before the first. */
+  get version (): number | undefined {
+    return this.index?.doc.version
+  }
+
+  applyConfig (doc: ConfigDoc): void {
+    this.index = new LookupIndex(doc)
+  }
+
+  applyView (view: View): void {
+    this.view = view
+    this.members = new Map(view.members.map((member) => [member.host, member]))
+    this.leavingHosts = new Set(view.leavingHosts)
+  }
+
+  /** Contract that accepts a credential, given by its hash; failures: `notReady`, `wrongCredential`. */
+  findContract (credentialHash: string): Result<Contract, Failure> {
+    if (this.index === undefined) return err(createFailure('notReady', { retryAfterMs: notReadyRetryMs }))
+    const contract = this.index.findContract(credentialHash)
+    return contract === undefined ? err(createFailure('wrongCredential')) : ok(contract)
+  }
+
+  /** Failures: `notReady`, `unknownService`, `serviceNotInContract`, `noCapacity` when no host can be named. */
+  answer (contract: Contract, query: LookupQuery): Result<LookupAnswer, Failure> {
+    const { index, view } = this
+    if (index === undefined || view === undefined) return err(createFailure('notReady', { retryAfterMs: notReadyRetryMs }))
+    const refusal = checkService(index, contract, query.service)
+    if (refusal !== undefined) return err(refusal)
+    const candidates = this.listCandidates(index, contract)
+    if (candidates.length === 0) return err(createFailure('noCapacity', { message: 'No entry host is serving.', retryAfterMs: notReadyRetryMs }))
+    const ranked = this.options.ranking.rank({
+      contract,
+      client: query.client,
+      ...this.locate(index, query.client),
+      serviceRegions: query.service === undefined ? undefined : index.listServiceRegions(query.service),
+      candidates,
+      linkBytesPerSecond: (from, to) => index.linkBytesPerSecond(from, to)
+    })
+    const changing = isChanging(index.doc, view, this.options.clock.wallMs())
+    return ok({ version: index.doc.version, ttlMs: changing ? ttl.changingMs : ttl.settledMs, entries: ranked.map((candidate) => this.describe(candidate)) })
+  }
+
+  /** Usable home hosts; all usable hosts when no home is usable, since they can borrow portions. */
+  private listCandidates (index: LookupIndex, contract: Contract): Candidate[] {
+    const homes = this.selectUsable(index, index.listHomes(contract))
+    return homes.length > 0 ? homes : this.selectUsable(index, index.doc.hosts)
+  }
+
+  private selectUsable (index: LookupIndex, hosts: readonly HostSpec[]): Candidate[] {
+    return hosts.flatMap((host) => {
+      const member = this.members.get(host.name)
+      const digest = member?.digest
+      if (member === undefined || digest === undefined) return []
+      const gone = member.state === MemberState.dead || this.leavingHosts.has(host.name) || index.isDrained(host)
+      if (gone || !digest.serving || digest.leaving) return []
+      return [{ host, region: index.zoneRegions.get(host.zone) ?? '', state: member.state, digest }]
+    })
+  }
+
+  private locate (index: LookupIndex, client: string): { zone: string | undefined, region: string | undefined } {
+    const site = this.options.findSite(client)
+    if (site !== undefined && index.regions.has(site) && !index.zoneRegions.has(site)) return { zone: undefined, region: site }
+    const zone = site !== undefined && index.zoneRegions.has(site) ? site : this.options.zone
+    return { zone, region: index.zoneRegions.get(zone) }
+  }
+
+  private describe ({ host, region, digest }: Candidate): LookupEntry {
+    const scheme = this.options.tls ? 'https' : 'http'
+    return {
+      host: host.name,
+      zone: host.zone,
+      region,
+      url: `${scheme}://${host.address}:${host.ports.caller}`,
+      keyPrefix: `${host.name}.${digest.entryIncarnation}.`
+    }
+  }
+}
+
+function checkService (index: LookupIndex, contract: Contract, service: string | undefined): Failure | undefined {
+  if (service === undefined || contract.services.includes(service)) return undefined
+  const known = index.doc.services.some(({ name }) => name === service)
+  return createFailure(known ? 'serviceNotInContract' : 'unknownService')
+}
--- /dev/null
+++ b/src/lookup/blockWorker.ts
@@ -0,0 +1,11 @@
+import { parentPort, workerData } from 'node:worker_threads'
+import { readBlockFile } from './readBlockFile.js'
+
+// Thread of `loadBlockTable`: reads the file named in `workerData` and sends the table's arrays without a copy.
+const result = await readBlockFile(workerData as string)
+if (result.isErr()) {
+  parentPort?.postMessage({ message: result.error })
+} else {
+  const { data } = result.value
+  parentPort?.postMessage({ data }, [data.firstOfHigh.buffer, data.lows.buffer, data.sites.buffer] as ArrayBuffer[])
+}
--- /dev/null
+++ b/src/lookup/parseBlockLine.ts
@@ -0,0 +1,34 @@
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { formatAddress } from './formatAddress.js'
+
+/** A block of client addresses and its site. */
+interface BlockLine {
+  readonly start: number
+  readonly prefixLength: number
+  readonly site: string
+}
+
+const linePattern = /^(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3})(?:\/(\d{1,2}))?[ \t]+([A-Za-z0-9][\w-]{0,62})$/
+
+/** Comments and empty lines share one result, which saves a million objects in a large file. */
+const nothing = ok(undefined)
+
+/**
+ * Parses a line `a.b.c.d/length site`; an address without a length is a single one.
+ * Returns undefined for empty lines and comments (`#`), and a message for a line that is not valid.
+ */
+export function parseBlockLine (line: string): Result<BlockLine | undefined, string> {
+  const text = line.trim()
+  if (text === '' || text.startsWith('#')) return nothing
+  const match = linePattern.exec(text)
+  if (match === null) return err('is not of the form "a.b.c.d/length site"')
+  const [first, second, third, fourth] = [Number(match[1]), Number(match[2]), Number(match[3]), Number(match[4])]
+  if (first > 255 || second > 255 || third > 255 || fourth > 255) return err('a part of the address is more than 255')
+  const start = ((first * 256 + second) * 256 + third) * 256 + fourth
+  const prefixLength = Number(match[5] ?? '32')
+  if (prefixLength > 32) return err(`prefix length ${prefixLength} is more than 32`)
+  const size = 2 ** (32 - prefixLength)
+  if (start % size !== 0) return err(`the block should start at ${formatAddress(start - start % size)}`)
+  return ok({ start, prefixLength, site: match[6]! })
+}
