End the quarantine when no host holds anything

Cause: a fresh start of all hosts refused every request for 13 s, although nothing had been lent. Change: announcements say whether the sender holds anything from an earlier process; when all hosts say no, the portions are free at once. Conclusion: safe, since a host that holds or awaits a loan says so.

--- a/src/share/CustomerShare.ts
+++ b/src/share/CustomerShare.ts
@@ -51,8 +51,8 @@
   /** What kept the last request waiting. */
   blocker: Blocker | undefined
   lastUsedMs: number
-  private readonly rateFromMs: number
-  private readonly permitsFromMs: number
+  private rateFromMs: number
+  private permitsFromMs: number
   private tokens = 0
   private uploadTokens = 0
   private refilledMs: number
@@ -83,6 +83,13 @@
     this.lent.advance(nowMs)
   }
 
+  /** Ends the quarantine early; tokens of the own portion count from now. */
+  endQuarantine (nowMs: number): void {
+    this.advance(nowMs)
+    this.rateFromMs = Math.min(this.rateFromMs, nowMs)
+    this.permitsFromMs = Math.min(this.permitsFromMs, nowMs)
+  }
+
   /** Tries to take a token and a permit; tells what is missing otherwise. */
   tryAdmit (nowMs: number, deadlineAtMs: number): PermitSource | Blocker {
     this.advance(nowMs)
--- a/src/share/ShareTable.ts
+++ b/src/share/ShareTable.ts
@@ -53,16 +53,23 @@
   private readonly appliedVersions = new Map<string, number>()
   private readonly silent = new Set<string>()
   private readonly announced = new Set<string>()
+  /** Hosts that announced that they hold nothing from an earlier process of this host. */
+  private readonly unindebted = new Set<string>()
   private readonly announcedTo = new Map<string, number>()
   private customersWithPriorCaps = new Set<string>()
   private doc: ConfigDoc | undefined
   private settledVersion = 0
   private seq = 0
   private recovering = true
+  private rateStartMs: number
+  private permitStartMs: number
   /** Set by a planned stop: nothing more is borrowed or lent. */
   private stopping = false
 
-  constructor (private readonly options: ShareTableOptions) {}
+  constructor (private readonly options: ShareTableOptions) {
+    this.rateStartMs = options.startedMs + shareLimits.rateQuarantineMs
+    this.permitStartMs = options.startedMs + shareLimits.permitQuarantineMs
+  }
 
   /** Highest version that is in force with nothing left in use beyond its portions. */
   get appliedVersion (): number {
@@ -75,7 +82,7 @@
 
   /** End of the time in which the host uses neither its rate nor its permits. */
   get permitsFromMs (): number {
-    return this.options.startedMs + shareLimits.permitQuarantineMs
+    return this.permitStartMs
   }
 
   /** Puts a configuration in force; a document with a lower version or of another lineage changes nothing. */
@@ -214,7 +221,10 @@
       row.share.lent.grant(peer.name, peer.incarnation, seq, createAmount({ long }), nowMs)
     }
     if (announcement.complete) this.announced.add(peer.name)
-    if (this.listPeers().every((host) => this.announced.has(host))) this.endRecovery()
+    if (announcement.complete && announcement.holdsNothing) this.unindebted.add(peer.name)
+    const peers = this.listPeers()
+    if (peers.every((host) => this.unindebted.has(host))) this.endQuarantine(nowMs)
+    if (peers.every((host) => this.announced.has(host))) this.endRecovery()
     return true
   }
 
@@ -296,8 +306,8 @@
       contract,
       portion: emptyPortion,
       usable: emptyPortion,
-      rateFromMs: startedMs + shareLimits.rateQuarantineMs,
-      permitsFromMs: startedMs + shareLimits.permitQuarantineMs,
+      rateFromMs: this.rateStartMs,
+      permitsFromMs: this.permitStartMs,
       nowMs: startedMs
     })
     const row: ShareRow = {
@@ -377,6 +387,13 @@
     return [...names]
   }
 
+  /** Nothing that an earlier process lent is in use anywhere, so the portions are free at once. */
+  private endQuarantine (nowMs: number): void {
+    this.rateStartMs = Math.min(this.rateStartMs, nowMs)
+    this.permitStartMs = Math.min(this.permitStartMs, nowMs)
+    for (const { share } of this.rows) share.endQuarantine(nowMs)
+  }
+
   private endRecovery (): void {
     if (!this.recovering) return
     this.recovering = false
@@ -387,10 +404,11 @@
     const rows = [...this.rows].flatMap((row) => row.share.held.createStatement(host)
       .filter(({ long }) => long > 0)
       .map(({ seq, long }) => ({ customer: row.customer, seq, long })))
+    const holdsNothing = [...this.rows].every((row) => row.share.held.list(host).length === 0 && !row.pending.has(host))
     const frames: Announcement[] = []
     for (let start = 0; start === 0 || start < rows.length; start += shareLimits.announceRows) {
       const complete = start + shareLimits.announceRows >= rows.length
-      frames.push({ t: 'loan_return', to, rows: rows.slice(start, start + shareLimits.announceRows), complete })
+      frames.push({ t: 'loan_return', to, rows: rows.slice(start, start + shareLimits.announceRows), complete, holdsNothing })
     }
     return frames
   }
--- a/src/share/loanMessages.ts
+++ b/src/share/loanMessages.ts
@@ -35,7 +35,9 @@
     t: z.literal('loan_return'),
     to: seq,
     rows: z.array(z.object({ customer, seq, long: permits })).max(4_000),
-    complete: z.boolean()
+    complete: z.boolean(),
+    /** True when the sender holds nothing at all from the earlier process and waits for no answer from it. */
+    holdsNothing: z.boolean()
   }),
   /** Answer to a request. */
   grant: z.object({
--- /dev/null
+++ b/test/share/quarantine.test.ts
@@ -0,0 +1,35 @@
+import { test } from 'node:test'
+import { expect } from 'earl'
+import { createMember } from '../support/createMember.js'
+import { ShareTable } from '../../src/share/ShareTable.js'
+import { createContract, createDoc, hostNames } from '../model/createDoc.js'
+
+const incarnation = 5
+
+/** A restarted host to which all others have announced; `debtor` still holds something from the earlier process. */
+function restart (debtor?: string): ShareTable {
+  const table = new ShareTable({ host: 'a1', incarnation, startedMs: 0 })
+  table.setConfig(createDoc({ contracts: [createContract()] }), 0)
+  const members = hostNames.map((host) => createMember(host))
+  table.setView({ seq: 1, contactAgeMs: 0, configVersion: 1, members, leavingEndpoints: [], leavingHosts: [] }, 0)
+  for (const name of hostNames.filter((host) => host !== 'a1')) {
+    table.applyAnnouncement({ t: 'loan_return', to: incarnation, rows: [], complete: true, holdsNothing: name !== debtor }, { name, incarnation: 1 }, 100)
+  }
+  return table
+}
+
+function admit (table: ShareTable, nowMs: number): unknown {
+  return table.open('gyms', nowMs)!.share.tryAdmit(nowMs, nowMs + 1_000)
+}
+
+// Guards against a fresh start of all hosts that refuses every request for the whole quarantine.
+test('the quarantine ends when no host holds anything', () => {
+  expect(typeof admit(restart(), 2_000)).toEqual('object')
+})
+
+// Guards against a restarted lender that uses permits which a borrower still has in flight.
+test('the quarantine lasts while a host holds a loan', () => {
+  const table = restart('b1')
+  expect([admit(table, 2_000), admit(table, 12_900)]).toEqual(['quarantine', 'quarantine'])
+  expect(typeof admit(table, 13_100)).toEqual('object')
+})
