--- /dev/null
+++ b/test/membership/NetworkModel.ts
@@ -0,0 +1,120 @@
+import type { Decision } from '../../src/membership/Decision.js'
+import { Membership } from '../../src/membership/Membership.js'
+import { MemberTable } from '../../src/membership/MemberTable.js'
+import { Topology } from '../../src/membership/Topology.js'
+import type { Member } from '../../src/model/Member.js'
+import { sampleDeployment } from '../control/sampleDeployment.js'
+
+/** A message under way. */
+interface Flight {
+  readonly atMs: number
+  readonly run: () => void
+}
+
+const startWallMs = 1_000_000
+const stepMs = 50
+
+/** Agents' policies joined by a modelled network with its own time; no sockets, no clock. */
+export class NetworkModel {
+  nowMs = 0
+  frames = 0
+  rows = 0
+  /** Says whether a message from one host reaches another. */
+  passes: (from: string, to: string) => boolean = () => true
+  readonly paused = new Set<string>()
+  private readonly nodes = new Map<string, Membership>()
+  private readonly topology: Topology
+  private flights: Flight[] = []
+
+  constructor (readonly hosts: readonly string[], private readonly delayMs = 5) {
+    this.topology = new Topology(sampleDeployment(hosts))
+    for (const host of hosts) this.start(host)
+  }
+
+  /** Starts or restarts a host; it knows the configuration and nobody. */
+  start (host: string, incarnation = startWallMs + this.nowMs): Membership {
+    const node = new Membership(new MemberTable({ host, zone: host.slice(0, host.lastIndexOf('-')), incarnation }), incarnation)
+    node.setTopology(this.topology)
+    node.setHeld({ lineage: 'sample', version: 1, writeId: 'w' })
+    this.nodes.set(host, node)
+    this.paused.delete(host)
+    return node
+  }
+
+  get (host: string): Membership {
+    return this.nodes.get(host)!
+  }
+
+  see (host: string, other: string): Member | undefined {
+    return this.get(host).table.listMembers(this.nowMs).find((member) => member.host === other)
+  }
+
+  state (host: string, other: string): string {
+    return this.get(host).table.findState(other, this.nowMs)
+  }
+
+  /** Advances the time. */
+  run (ms: number): void {
+    const endMs = this.nowMs + ms
+    while (this.nowMs < endMs) {
+      this.nowMs += stepMs / 10
+      const due = this.flights.filter(({ atMs }) => atMs <= this.nowMs)
+      this.flights = this.flights.filter(({ atMs }) => atMs > this.nowMs)
+      for (const { run } of due) run()
+      if (Math.round(this.nowMs) % stepMs !== 0) continue
+      for (const [host, node] of this.nodes) {
+        if (!this.paused.has(host)) this.carryOut(host, node.step(this.nowMs))
+      }
+    }
+  }
+
+  /** Advances until the condition holds; returns the time that passed, or Infinity after `limitMs`. */
+  runUntil (test: () => boolean, limitMs: number): number {
+    const startMs = this.nowMs
+    while (!test()) {
+      if (this.nowMs - startMs >= limitMs) return Infinity
+      this.run(stepMs)
+    }
+    return this.nowMs - startMs
+  }
+
+  /** Lets urgent changes of a host leave at once, as its agent does. */
+  flush (host: string): void {
+    this.carryOut(host, this.get(host).planUrgent(this.nowMs))
+  }
+
+  private carryOut (from: string, decisions: readonly Decision[]): void {
+    for (const decision of decisions) {
+      if (decision.kind === 'heartbeat') this.heartbeat(from, decision.host)
+      else if (decision.kind === 'probe') for (const helper of decision.helpers) this.probe(from, helper, decision.host)
+      else if (decision.kind === 'state') this.flush(from)
+    }
+  }
+
+  private heartbeat (from: string, to: string): void {
+    const exchange = this.get(from).buildExchange(to, this.nowMs)
+    this.frames += 1
+    this.rows += exchange.rows.length
+    this.send(from, to, () => {
+      const effect = this.get(to).receive(from, exchange, this.nowMs, false)
+      const answer = this.get(to).buildExchange(from, this.nowMs, exchange.summary)
+      this.send(to, from, () => {
+        if (this.get(from).receive(to, answer, this.nowMs, true).urgent) this.flush(from)
+      })
+      if (effect.urgent) this.flush(to)
+    })
+  }
+
+  private probe (from: string, helper: string, target: string): void {
+    this.send(from, helper, () => this.send(helper, target, () => this.send(target, helper, () => this.send(helper, from, () =>
+      this.get(from).receiveProbe(target, true, this.nowMs)))))
+  }
+
+  private send (from: string, to: string, run: () => void): void {
+    if (!this.passes(from, to) || this.paused.has(from)) return
+    this.flights.push({
+      atMs: this.nowMs + this.delayMs,
+      run: () => { if (!this.paused.has(to)) run() }
+    })
+  }
+}
