Stress permits and bursts in the fault run

Cause: the first load never used all permits.

Change: longer service times and bursts of 60 requests at one host.

--- a/test/model/FaultRun.ts
+++ b/test/model/FaultRun.ts
@@ -63,6 +63,8 @@
   readonly drop: number
   /** Requests per second over all hosts. */
   readonly load: number
+  /** Longest service time of a short request, in ms. */
+  readonly serviceMs: number
 }
 
 const regions = ['region0', 'region1', 'region2']
@@ -117,6 +119,7 @@
       if (nowMs % 500 === 0) this.sendViews()
       if (nowMs % 100 === 0) this.injectFaults()
       if (this.random() < this.options.load / 1_000) this.sendRequest(this.random() < 0.7 ? hot : this.pickHost())
+      if (this.random() < 1 / 1_500) for (let count = 0; count < 60; count += 1) this.sendRequest(hot)
       if (this.random() < 0.02) this.sendKeyed(this.pickHost())
       this.runTimers(nowMs)
     })
@@ -205,7 +208,7 @@
         return
       }
       this.ledger.admit(this.net.nowMs)
-      const lengthMs = isUpload ? this.random() * 60_000 : this.random() * 400
+      const lengthMs = isUpload ? this.random() * 60_000 : this.random() * this.options.serviceMs
       this.fly(node, result.value, Math.min(deadlineAtMs, this.net.nowMs + lengthMs))
     })
   }
