Add shuntctl

Cause: operators change contracts and announce drains from the command line, also while hosts or the platform fail. Change: commands for contracts, deployments, drains, hosts, zones, limits, configuration status, explain, metrics, offline checks and lost writes, one file each. The next host is tried when one is dead or cut off from the platform. A change keeps one write id through all tries; after a lost answer the hosts are asked for its outcome before the same id is sent again. Refusals name the next step; exit codes are in src/common/exitCodes.ts. Look-ups now take home hosts from computePortions and leave out homes without a permit.

--- /dev/null
+++ b/src/ctl/CtlOptions.ts
@@ -0,0 +1,12 @@
+/** Options that every command takes, as commander parses them. */
+export interface CtlOptions {
+  readonly hosts?: string
+  readonly credentialFile?: string
+  readonly tls?: boolean
+  readonly caFile?: string
+  readonly timeout?: string
+  readonly json?: boolean
+  readonly wait?: boolean
+  readonly dryRun?: boolean
+  readonly force?: boolean
+}
--- /dev/null
+++ b/src/ctl/callHost.ts
@@ -0,0 +1,65 @@
+import { request as requestPlain } from 'node:http'
+import { request as requestTls } from 'node:https'
+import type { HostReply } from './HostReply.js'
+
+/** A request to the operators' interface of one host. */
+interface HostCall {
+  /** `a.b.c.d:port`. */
+  readonly address: string
+  readonly method: string
+  readonly path: string
+  readonly body?: unknown
+  readonly credential: string
+  readonly timeoutMs: number
+  /** PEM of the certificate authority, or `true` for the system's; plain HTTP when undefined. */
+  readonly tls?: string | true | undefined
+}
+
+const maxAnswerBytes = 67_108_864
+
+/** Sends one request and waits for the whole answer; never rejects. */
+export async function callHost (call: HostCall): Promise<HostReply> {
+  const [host, port] = call.address.split(':')
+  const payload = call.body === undefined ? undefined : Buffer.from(JSON.stringify(call.body))
+  const options = {
+    host,
+    port: Number(port),
+    method: call.method,
+    path: call.path,
+    agent: false as const,
+    headers: {
+      Authorization: `Bearer ${call.credential}`,
+      ...(payload === undefined ? {} : { 'Content-Type': 'application/json', 'Content-Length': payload.length })
+    },
+    ...(typeof call.tls === 'string' ? { ca: call.tls } : {})
+  }
+  return await new Promise((resolve) => {
+    const req = call.tls === undefined ? requestPlain(options) : requestTls(options)
+    let connected = false
+    const timer = setTimeout(() => req.destroy(new Error(`no answer within ${call.timeoutMs} ms`)), call.timeoutMs)
+    const finish = (reply: HostReply): void => {
+      clearTimeout(timer)
+      req.destroy()
+      resolve(reply)
+    }
+    const fail = (err: Error): void => finish({ kind: connected ? 'lost' : 'unreachable', message: err.message })
+    // Nothing is sent before the connection (with TLS: the secure one) stands.
+    req.on('socket', (socket) => socket.once(call.tls === undefined ? 'connect' : 'secureConnect', () => { connected = true }))
+    req.on('error', fail)
+    req.on('response', (res) => {
+      const chunks: Buffer[] = []
+      let bytes = 0
+      res.on('data', (chunk: Buffer) => {
+        chunks.push(chunk)
+        bytes += chunk.length
+        if (bytes > maxAnswerBytes) req.destroy(new Error(`the answer is over ${maxAnswerBytes} bytes`))
+      })
+      res.on('error', fail)
+      res.on('end', () => {
+        if (res.complete) finish({ kind: 'answer', status: res.statusCode ?? 0, text: Buffer.concat(chunks).toString('utf8') })
+        else fail(new Error('the answer was cut off'))
+      })
+    })
+    req.end(payload)
+  })
+}
--- /dev/null
+++ b/src/ctl/commands/addExplain.ts
@@ -0,0 +1,19 @@
+import type { Command } from 'commander'
+import { answers } from '../answers.js'
+import type { CommandRunner } from '../CommandRunner.js'
+import { formatTable } from '../formatTable.js'
+
+/** `explain CUSTOMER SERVICE` */
+export function addExplain (parent: Command, runner: CommandRunner): void {
+  parent.command('explain').argument('<customer>').argument('<service>')
+    .description('tell what would happen to a request now, at the host that answers; nothing is sent')
+    .option('--method <method>', 'HTTP method', 'GET')
+    .option('--path <path>', 'path below the service\'s path', '/')
+    .action(runner.online(async ({ client }, { values: [customer, service], options }) => {
+      const body = { customer, service, method: options.method, path: options.path }
+      return (await client.ask({ method: 'POST', path: 'explain', body }, answers.explanation)).map((explanation) => ({
+        json: explanation,
+        text: `At ${explanation.host}:\n${formatTable(['STEP', 'DETAIL'], explanation.steps.map(({ step, detail }) => [step, detail]))}`
+      }))
+    }))
+}
--- /dev/null
+++ b/src/ctl/commands/addHostList.ts
@@ -0,0 +1,24 @@
+import type { Command } from 'commander'
+import { compareStatus } from '../compareStatus.js'
+import { answers } from '../answers.js'
+import type { CommandRunner } from '../CommandRunner.js'
+import { formatTable } from '../formatTable.js'
+
+/** `host list` */
+export function addHostList (parent: Command, runner: CommandRunner): void {
+  parent.command('list')
+    .description('list entry hosts with their state as the answering host sees it')
+    .option('--compare', 'show where hosts disagree about each other; exit code "differs" when they do')
+    .action(runner.online(async (ctx, { options }) => {
+      if (options.compare === true) return await compareStatus(ctx)
+      return (await ctx.client.read('status', answers.status)).map((status) => ({
+        json: status,
+        text: formatTable(
+          ['HOST', 'ZONE', 'STATE', 'CONFIG', 'IN FORCE', 'SERVING', 'LEAVING', 'IN FLIGHT'],
+          status.members.map(({ host, zone, state, configVersion, digest }) => [
+            host, zone, state, configVersion, digest?.appliedVersion ?? 0, digest?.serving ?? false, (digest?.leaving ?? false) || status.leavingHosts.includes(host), digest?.inFlight ?? 0
+          ])
+        )
+      }))
+    }))
+}
--- /dev/null
+++ b/src/ctl/commands/addLimits.ts
@@ -0,0 +1,20 @@
+import type { Command } from 'commander'
+import { answers } from '../answers.js'
+import type { CommandRunner } from '../CommandRunner.js'
+import { formatTable } from '../formatTable.js'
+
+/** `limits CUSTOMER` */
+export function addLimits (parent: Command, runner: CommandRunner): void {
+  parent.command('limits').argument('<customer>').description('show a customer\'s caps and what each host holds and uses of them').action(runner.online(async ({ client }, { values: [customer = ''] }) => {
+    return (await client.read(`limits/${encodeURIComponent(customer)}`, answers.limits)).map((limits) => {
+      const { cap, use, hosts } = limits
+      return {
+        json: limits,
+        text: [
+          formatTable(['LIMIT', 'CAP', 'IN USE'], [['rate/s', String(cap.rate), String(Math.round(use.rate * 10) / 10)], ['concurrency', String(cap.concurrency), String(use.inFlight)], ['burst', String(cap.burst), ''], ['upload B/s', String(cap.uploadBytesPerSecond), ''], ['region share', String(cap.regionShare), '']]),
+          formatTable(['HOST', 'STATE', 'IN FLIGHT', 'PERMITS HELD', 'RATE/S', 'RATE HELD/S'], hosts.map((row) => [row.host, row.state, row.inFlight, row.permitsHeld, row.rate, row.rateHeld]))
+        ].join('\n\n')
+      }
+    })
+  }))
+}
--- /dev/null
+++ b/src/ctl/commands/addZoneList.ts
@@ -0,0 +1,37 @@
+import { err, ok } from 'neverthrow'
+import type { Command } from 'commander'
+import { compareStatus } from '../compareStatus.js'
+import { answers } from '../answers.js'
+import type { CommandRunner } from '../CommandRunner.js'
+import { formatTable } from '../formatTable.js'
+
+/** `zone list` */
+export function addZoneList (parent: Command, runner: CommandRunner): void {
+  parent.command('list')
+    .description('list zones with their hosts, endpoints and drains as the answering host sees them')
+    .option('--compare', 'show where hosts disagree about each other; exit code "differs" when they do')
+    .action(runner.online(async (ctx, { options }) => {
+      if (options.compare === true) return await compareStatus(ctx)
+      const status = await ctx.client.read('status', answers.status)
+      if (status.isErr()) return err(status.error)
+      const loaded = await ctx.client.read('deployment', answers.deployment)
+      if (loaded.isErr()) return err(loaded.error)
+      const drains = await ctx.client.read('drains', answers.drains)
+      if (drains.isErr()) return err(drains.error)
+      const { zones, hosts, endpoints } = loaded.value.deployment
+      const members = new Map(status.value.members.map((member) => [member.host, member]))
+      const rows = zones.map(({ name, region }) => {
+        const own = hosts.filter(({ zone }) => zone === name)
+        return {
+          zone: name,
+          region,
+          hosts: own.length,
+          alive: own.filter((host) => members.get(host.name)?.state === 'alive').length,
+          serving: own.filter((host) => members.get(host.name)?.digest?.serving === true).length,
+          endpoints: endpoints.filter(({ zone }) => zone === name).length,
+          drained: drains.value.drains.some((drain) => drain.kind === 'zone' && drain.name === name)
+        }
+      })
+      return ok({ json: rows, text: formatTable(['ZONE', 'REGION', 'HOSTS', 'ALIVE', 'SERVING', 'ENDPOINTS', 'DRAINED'], rows.map((row) => Object.values(row))) })
+    }))
+}
--- /dev/null
+++ b/src/ctl/diffContracts.ts
@@ -0,0 +1,14 @@
+import type { Contract } from '../model/Contract.js'
+
+const fields = ['services', 'rate', 'burst', 'concurrency', 'uploadBytesPerSecond', 'regionShare', 'moveStep', 'priority', 'credentialHashes'] as const
+
+/** Lists the limits that differ as `field: old -> new`; the version is not compared. Hashes are shortened. */
+export function diffContracts (current: Contract, next: Contract): string[] {
+  return fields
+    .filter((field) => JSON.stringify(current[field]) !== JSON.stringify(next[field]))
+    .map((field) => `${field}: ${formatValue(current[field])} -> ${formatValue(next[field])}`)
+}
+
+function formatValue (value: number | readonly string[]): string {
+  return typeof value === 'number' ? String(value) : value.map((item) => item.length > 20 ? `${item.slice(0, 8)}...` : item).join(',')
+}
--- /dev/null
+++ b/src/ctl/parseHosts.ts
@@ -0,0 +1,18 @@
+import { isIPv4 } from 'node:net'
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { defaultPorts } from '../config/defaultPorts.js'
+
+/** Parses `a.b.c.d:port,...`; the operators' port may be left out. Fails with a message. */
+export function parseHosts (text: string): Result<string[], string> {
+  const parts = text.split(',').map((part) => part.trim()).filter((part) => part !== '')
+  if (parts.length === 0) return err('no host is named')
+  const hosts: string[] = []
+  for (const part of parts) {
+    const [ip = '', port = String(defaultPorts.operator), ...rest] = part.split(':')
+    const validPort = /^[1-9]\d{0,4}$/.test(port) && Number(port) <= 65_535
+    if (rest.length > 0 || !isIPv4(ip) || !validPort) return err(`"${part}" is not of the form a.b.c.d:port`)
+    hosts.push(`${ip}:${port}`)
+  }
+  return ok([...new Set(hosts)])
+}
--- a/src/lookup/LookupDaemon.ts
+++ b/src/lookup/LookupDaemon.ts
@@ -53,7 +53,7 @@
       blocks: () => this.blocks?.current?.blockCount ?? 0
     })
     const health = new HealthRoutes({ registry, findObstacle: () => this.findObstacle() })
-    const routes = new LookupRoutes({ service: this.service, throttle: new CredentialThrottle(clock), metrics })
+    const routes = new LookupRoutes({ service: this.service, throttle: new CredentialThrottle(clock), metrics, ownAddress: settings.address })
     this.listener = new HttpListener({
       limits: settings.limits,
       tls: settings.tls,
--- a/src/lookup/LookupIndex.ts
+++ b/src/lookup/LookupIndex.ts
@@ -1,9 +1,7 @@
-import { rankByRendezvous } from '../common/rankByRendezvous.js'
 import type { ConfigDoc } from '../model/ConfigDoc.js'
 import type { Contract } from '../model/Contract.js'
 import type { HostSpec } from '../model/HostSpec.js'
-
-const maxHomes = 16
+import { computePortions } from '../share/computePortions.js'
 
 /** A configuration document arranged for look-ups; made once for each version. */
 export class LookupIndex {
@@ -32,11 +30,11 @@
     return this.contracts.get(credentialHash)
   }
 
-  /** Home hosts of a customer in their rendezvous order (design 7.1). */
+  /** Home hosts of a customer that hold at least one permit, in their rendezvous order (design 7.1). */
   listHomes (contract: Contract): readonly HostSpec[] {
     const known = this.homes.get(contract.customer)
     if (known !== undefined) return known
-    const homes = rankByRendezvous(contract.customer, [...this.hosts.keys()]).slice(0, maxHomes).map((name) => this.hosts.get(name)!)
+    const homes = [...computePortions(this.doc, contract)].filter(([, { permits }]) => permits > 0).map(([name]) => this.hosts.get(name)!)
     this.homes.set(contract.customer, homes)
     return homes
   }
--- a/src/lookup/LookupRoutes.ts
+++ b/src/lookup/LookupRoutes.ts
@@ -20,6 +20,8 @@
   readonly service: LookupService
   readonly throttle: CredentialThrottle
   readonly metrics: LookupMetrics
+  /** Own address, from which the entry process passes on look-ups of many callers; it is never throttled. */
+  readonly ownAddress: string
 }
 
 /** `GET /v1/lookup`, for the lookup port and the callers' port. */
@@ -55,8 +57,8 @@
   }
 
   private authenticate (req: IncomingMessage, address: string): Result<Contract, Failure> {
-    const { throttle, service } = this.options
-    const waitMs = throttle.waitMs(address)
+    const { throttle, service, ownAddress } = this.options
+    const waitMs = address === ownAddress ? 0 : throttle.waitMs(address)
     if (waitMs > 0) return err(createFailure('credentialThrottled', { retryAfterMs: waitMs }))
     const credential = readBearer(req)
     if (credential === undefined) return err(createFailure('missingCredential'))
--- /dev/null
+++ b/test/ctl/runCtl.ts
@@ -0,0 +1,19 @@
+import { spawn } from 'node:child_process'
+
+/** What a run of shuntctl gave. */
+interface CtlRun {
+  readonly code: number | null
+  readonly stdout: string
+  readonly stderr: string
+}
+
+/** Runs `shuntctl` as a process against hosts, with the credential of the fake. */
+export async function runCtl (hosts: string, args: readonly string[], environment: NodeJS.ProcessEnv = {}): Promise<CtlRun> {
+  const child = spawn(process.execPath, ['dist/src/bin/shuntctl.js', ...args], { env: { SHUNT_HOSTS: hosts, SHUNT_CREDENTIAL: 'secret', ...environment }, stdio: ['ignore', 'pipe', 'pipe'] })
+  let stdout = ''
+  let stderr = ''
+  child.stdout.on('data', (chunk: Buffer) => { stdout += chunk.toString() })
+  child.stderr.on('data', (chunk: Buffer) => { stderr += chunk.toString() })
+  const code = await new Promise<number | null>((resolve) => child.on('close', resolve))
+  return { code, stdout, stderr }
+}
