Wire the entry process with its real modules and test stop and forwards

Cause: the daemon had no binary and no tests. Change: shunt-entry builds EntryDaemon with the share, claim and steer services; the lookup pass-through checks the credential first, because the lookup process sees all callers under the address of this host. Conclusion: a planned stop under 40 keep-alive callers cuts nothing.

--- /dev/null
+++ b/src/bin/shuntEntry.ts
@@ -0,0 +1,13 @@
+#!/usr/bin/env node
+import { runDaemon } from '../common/runDaemon.js'
+import { EntryProcess } from '../entry/EntryProcess.js'
+
+await runDaemon({
+  name: 'shunt-entry',
+  description: 'Forwards callers\' requests to endpoints that can serve them now.',
+  start: async (context) => {
+    const daemon = new EntryProcess(context)
+    await daemon.start()
+    return daemon
+  }
+})
--- a/src/entry/AdminServer.ts
+++ b/src/entry/AdminServer.ts
@@ -1,11 +1,14 @@
 import { createServer } from 'node:http'
-import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Server } from 'node:http'
+import type { Registry } from 'prom-client'
+import { HealthRoutes } from '../common/HealthRoutes.js'
+import { sendJson } from '../common/sendJson.js'
 
 /** What the admin port shows. */
 interface AdminOptions {
-  readonly isReady: () => boolean
-  /** Metrics in Prometheus text format. */
-  readonly renderMetrics: () => Promise<string>
+  readonly registry: Registry
+  /** Returns why the process is not ready, or undefined when it is. */
+  readonly findObstacle: () => string | undefined
 }
 
 const maxConnections = 64
@@ -14,10 +17,11 @@
 export class AdminServer {
   private readonly server: Server
 
-  constructor (private readonly options: AdminOptions) {
+  constructor (options: AdminOptions) {
+    const routes = new HealthRoutes(options)
     this.server = createServer((req, res) => {
       req.resume()
-      this.answer(req, res).catch(() => send(res, 500, 'error\n'))
+      if (!routes.handle(req, res)) sendJson(res, 404, { message: 'not found' })
     })
     this.server.maxConnections = maxConnections
   }
@@ -33,17 +37,4 @@
     this.server.close()
     this.server.closeAllConnections()
   }
-
-  private async answer (req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const path = req.method === 'GET' ? req.url : undefined
-    if (path === '/health/alive') return send(res, 200, 'alive\n')
-    if (path === '/health/ready') return this.options.isReady() ? send(res, 200, 'ready\n') : send(res, 503, 'not ready\n')
-    if (path === '/metrics') return send(res, 200, await this.options.renderMetrics(), 'text/plain; version=0.0.4; charset=utf-8')
-    return send(res, 404, 'not found\n')
-  }
-}
-
-function send (res: ServerResponse, status: number, body: string, type = 'text/plain; charset=utf-8'): void {
-  res.writeHead(status, { 'Content-Type': type, 'Content-Length': Buffer.byteLength(body) })
-  res.end(body)
 }
--- a/src/entry/Authenticator.ts
+++ b/src/entry/Authenticator.ts
@@ -3,10 +3,10 @@
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import { createFailure } from '../common/createFailure.js'
+import type { CredentialThrottle } from '../common/CredentialThrottle.js'
 import type { Failure } from '../common/Failure.js'
 import type { ConfigDoc } from '../model/ConfigDoc.js'
 import type { Contract } from '../model/Contract.js'
-import type { CredentialThrottle } from './CredentialThrottle.js'
 
 /** A credential that the configuration accepts. */
 interface CredentialRow {
@@ -43,7 +43,7 @@
     if (waitMs > 0 && this.proven.get(req.socket) !== text) return err(createFailure('credentialThrottled', { retryAfterMs: waitMs }))
     const contract = this.find(text)
     if (contract === undefined) {
-      this.throttle.countWrong(address)
+      this.throttle.noteWrong(address)
       return err(createFailure('wrongCredential'))
     }
     if (this.proven.get(req.socket) !== text) this.proven.set(req.socket, text)
--- a/src/entry/CallerHandler.ts
+++ b/src/entry/CallerHandler.ts
@@ -65,19 +65,25 @@
     const names: RequestNames = { id: '', service: '', customer: '', hasKey: false }
     req.on('error', () => {})
     res.on('error', () => {})
-    if (isLookup(req)) {
-      names.id = this.options.ids.create()
-      this.options.lookup.pass(req, res, names.id)
-        .then((result) => result.mapErr((failure) => this.refuse(req, res, names, failure)))
-        .catch((error: unknown) => this.fail(req, res, names, error))
-      return
-    }
+    if (isLookup(req)) return this.lookUp(req, res, names)
     const routed = expectation === 'other' ? refuseExpectation() : this.route(req, names)
     if (names.id === '') names.id = this.options.ids.create()
     if (routed.isErr()) return this.refuse(req, res, names, applyKey(names, routed.error))
     this.serve(req, res, names, routed.value, startMs).catch((error: unknown) => this.fail(req, res, names, error))
   }
 
+  // The credential is checked here, since the lookup process sees all callers under the address of this host.
+  private lookUp (req: IncomingMessage, res: ServerResponse, names: RequestNames): void {
+    const { ids, state, authenticator, lookup } = this.options
+    names.id = ids.create()
+    const contract = state.config === undefined ? err(createFailure('notReady')) : authenticator.check(req, req.headers.authorization)
+    if (contract.isErr()) return this.refuse(req, res, names, contract.error)
+    names.customer = contract.value.customer
+    lookup.pass(req, res, names.id)
+      .then((result) => { if (result.isErr()) this.refuse(req, res, names, result.error) })
+      .catch((error: unknown) => this.fail(req, res, names, error))
+  }
+
   private async serve (req: IncomingMessage, res: ServerResponse, names: RequestNames, routed: RoutedRequest, startMs: number): Promise<void> {
     const { clock, pipeline, metrics, logger } = this.options
     const scope = new RequestScope(clock, startMs + routed.leftMs)
--- a/src/entry/EntryDaemon.ts
+++ b/src/entry/EntryDaemon.ts
@@ -1,3 +1,4 @@
+import type { Registry } from 'prom-client'
 import type { Clock } from '../common/Clock.js'
 import { DialMap } from '../common/DialMap.js'
 import type { Logger } from '../common/Logger.js'
@@ -29,7 +30,7 @@
   readonly clock: Clock
   readonly createLog: (module: string) => Logger
   readonly metrics: RequestMetrics
-  readonly renderMetrics: () => Promise<string>
+  readonly registry: Registry
   readonly createModules: CreateEntryModules
   /** The host is idle after a drain that was cancelled since; only a new process state may serve again. */
   readonly onDrainCancelled: () => void
@@ -75,7 +76,7 @@
       clusterKey: settings.clusterKey,
       onMessage: (message, peer) => routePeerMessage(this.modules, message, peer)
     })
-    this.admin = new AdminServer({ isReady: () => this.isReady, renderMetrics: options.renderMetrics })
+    this.admin = new AdminServer({ registry: options.registry, findObstacle: () => this.findObstacle() })
     this.digest = this.createDigest()
     this.scheduler = this.createScheduler()
     this.plannedStop = new PlannedStop({
@@ -87,9 +88,21 @@
     })
   }
 
-  /** True while new requests are welcome. */
-  get isReady (): boolean {
-    return this.isListening && this.gateway.state.config !== undefined && !this.gateway.state.isLeaving
+  /** Requests in flight, callers' and forwarded ones. */
+  get inFlight (): number {
+    return this.gateway.inFlight
+  }
+
+  /** Open connections of callers. */
+  get connections (): number {
+    return this.gateway.callers.connections
+  }
+
+  /** Why new requests should go elsewhere; undefined when they are welcome. */
+  private findObstacle (): string | undefined {
+    if (this.gateway.state.isLeaving) return 'the host is leaving'
+    if (this.gateway.state.config === undefined) return 'no configuration yet'
+    return this.isListening ? undefined : 'not listening'
   }
 
   async start (): Promise<void> {
@@ -103,7 +116,7 @@
     this.tls?.start((material) => this.gateway.callers.replaceCertificate(material))
     this.link.start()
     this.scheduler.start(tickMs)
-    this.log.info('started', { address, callerPort: ports.caller, incarnation: this.self.incarnation })
+    this.log.info('listening', { address, callerPort: ports.caller, incarnation: this.self.incarnation })
   }
 
   /** Leaves, waits for requests in flight, and closes everything. */
@@ -120,7 +133,6 @@
     this.admin.close()
     this.gateway.close()
     await this.peerServer.close()
-    this.log.info('stopped')
   }
 
   private applyConfig (doc: ConfigDoc): void {
--- /dev/null
+++ b/test/entry/EntryDaemon.test.ts
@@ -0,0 +1,148 @@
+import { Agent, request as httpRequest } from 'node:http'
+import { after, before, test } from 'node:test'
+import { expect } from 'earl'
+import { Registry } from 'prom-client'
+import { EntryDaemon } from '../../src/entry/EntryDaemon.js'
+import type { ConfigDoc } from '../../src/model/ConfigDoc.js'
+import type { Digest } from '../../src/model/Digest.js'
+import { FrameServer } from '../../src/wire/FrameServer.js'
+import type { FrameConnection } from '../../src/wire/FrameConnection.js'
+import { Bench, call, clock, clusterKey, createDoc, createHost, createModules, createSettings, credential, FakeMetrics, pause, QuietLogger } from './fakes.js'
+
+const address = '127.22.4.1'
+const modules = createModules()
+const upstreams = new Bench('127.22.4.2')
+const digests: Digest[] = []
+let daemon: EntryDaemon
+let agent: FrameServer
+let toEntry: FrameConnection
+let drainsCancelled = 0
+
+function createDaemon (): EntryDaemon {
+  return new EntryDaemon({
+    settings: createSettings(address),
+    clock,
+    createLog: () => new QuietLogger(),
+    metrics: new FakeMetrics(),
+    registry: new Registry(),
+    createModules: () => modules,
+    onDrainCancelled: () => { drainsCancelled += 1 }
+  })
+}
+
+function publish (version: number, drains: ConfigDoc['drains'] = []): void {
+  const view = { seq: 1, contactAgeMs: 0, configVersion: version, members: [], leavingEndpoints: [], leavingHosts: [] }
+  toEntry.notify({ t: 'view', view, config: { ...createDoc([createHost('h', address)]), version, drains } })
+}
+
+async function until (isTrue: () => boolean): Promise<void> {
+  for (let count = 0; count < 300 && !isTrue(); count++) await pause(10)
+  expect(isTrue()).toEqual(true)
+}
+
+before(async () => {
+  agent = new FrameServer({
+    self: { name: 'h', role: 'agent', incarnation: 1 },
+    clusterKey,
+    onPeer: (_peer, connection) => { toEntry = connection },
+    onMessage: (message) => { if (message.t === 'digest') digests.push(message.digest as Digest); return undefined }
+  })
+  await agent.listen(address, 8_084)
+  const endpoint = await upstreams.upstream(9_001, (req, res) => {
+    req.resume()
+    req.on('end', () => setTimeout(() => res.end(req.url === '/health' ? '{"state":"ready","used":2,"slots":4}' : 'whole'), 5))
+  })
+  modules.steer.targets = [endpoint]
+  daemon = createDaemon()
+  await daemon.start()
+})
+after(async () => {
+  await daemon.stop()
+  await agent.close()
+  await upstreams.stop()
+})
+
+async function health (): Promise<number> {
+  return (await call(address, '/health/ready', { port: 8_086 })).status
+}
+
+// Guards against a process that serves without a configuration, or does not tell its agent about itself.
+test('the daemon becomes ready, reports and explains', async () => {
+  expect([await health(), (await call(address, '/stock')).headers['shunt-code']]).toEqual([503, '3009'])
+  await until(() => toEntry !== undefined)
+  publish(3)
+  await until(() => digests.at(-1)?.serving === true)
+  expect([await health(), (await call(address, '/stock')).body, digests.at(-1)!.host]).toEqual([200, 'whole', 'h'])
+  const reply = await toEntry.request({ t: 'explain', customer: 'a', service: 'stock', method: 'GET' }, 1_000)
+  expect((reply._unsafeUnwrap().steps as Array<{ step: string }>).map(({ step }) => step)).toEqual(['config', 'contract', 'route', 'share', 'own-endpoints'])
+})
+
+// Guards against probes that are lost, and failed ones that look like a free endpoint.
+test('endpoints are probed', async () => {
+  modules.steer.reports.length = 0
+  modules.steer.probes = [modules.steer.targets[0]!, { ...modules.steer.targets[0]!, name: 'gone', address: '127.22.4.2:9099' }] as typeof modules.steer.probes
+  await until(() => modules.steer.reports.length === 2)
+  expect(modules.steer.reports.sort()).toEqual(['e9001 2 true', 'gone failed'])
+})
+
+/** Sends requests on one kept connection until an answer says that the host is leaving. */
+async function runCaller (thinkMs: number, errors: string[]): Promise<number> {
+  const keepAlive = new Agent({ keepAlive: true, maxSockets: 1 })
+  for (let count = 0; ; count++) {
+    const answer = await call(address, '/stock', { agent: keepAlive }).catch((err: Error) => { errors.push(err.message) })
+    if (answer?.body !== 'whole') errors.push('not whole')
+    if (answer === undefined || answer.headers['shunt-leaving'] === '1') {
+      keepAlive.destroy()
+      return count
+    }
+    await pause(thinkMs)
+  }
+}
+
+/** Sends an upload in pieces over `ms`. */
+async function upload (ms: number): Promise<string> {
+  return await new Promise((resolve, reject) => {
+    const req = httpRequest({ host: address, port: 8_080, method: 'POST', path: '/intake', agent: false, headers: { authorization: `Bearer ${credential}`, 'content-length': 1_000_000 } }, (res) => {
+      res.on('data', (chunk: Buffer) => resolve(chunk.toString()))
+    })
+    req.on('error', reject)
+    let pieces = 0
+    const step = setInterval(() => {
+      pieces += 1
+      req.write(Buffer.alloc(100_000))
+      if (pieces < 10) return
+      clearInterval(step)
+      req.end()
+    }, ms / 10)
+  })
+}
+
+// Guards against a planned stop that cuts a request or resets a kept connection.
+test('a planned stop under load cuts nothing', async () => {
+  const errors: string[] = []
+  const callers = Array.from({ length: 40 }, async (_, index) => await runCaller(index % 4 === 0 ? 400 : index, errors))
+  const uploaded = upload(3_500)
+  await pause(300)
+  const stopped = daemon.stop()
+  await until(() => digests.at(-1)!.leaving)
+  expect(await health()).toEqual(503)
+  const counts = await Promise.all(callers)
+  await pause(1_600)
+  const late = await call(address, '/stock').then(() => 'served', (err: Error & { code?: string }) => err.code)
+  expect([errors, counts.every((count) => count > 0), late, await uploaded]).toEqual([[], true, 'ECONNREFUSED', 'whole'])
+  await stopped
+  expect(modules.stops.sort()).toEqual(['claim', 'share', 'steer'])
+})
+
+// Guards against a drained host that exits or goes on serving, and a cancelled drain that is ignored.
+test('a drained host stays up and idle', async () => {
+  daemon = createDaemon()
+  await daemon.start()
+  await pause(300)
+  publish(4, [{ kind: 'host', name: 'h', by: 'o', atMs: 0 }])
+  await until(() => digests.at(-1)!.leaving)
+  await pause(1_900)
+  expect([await call(address, '/stock').catch((err: Error & { code?: string }) => err.code), await health()]).toEqual(['ECONNREFUSED', 503])
+  publish(5)
+  await until(() => drainsCancelled === 1)
+})
--- /dev/null
+++ b/test/entry/InternalHandler.test.ts
@@ -0,0 +1,116 @@
+import { createServer as createTcpServer } from 'node:net'
+import { after, before, beforeEach, test } from 'node:test'
+import { expect } from 'earl'
+import { InternalAuth } from '../../src/entry/InternalAuth.js'
+import { Bench, call, clock, clusterKey, createEndpoint, createHost, pause } from './fakes.js'
+
+const first = new Bench('127.22.3.1')
+const owner = new Bench('127.22.3.2', {}, 'g')
+const order = { method: 'POST', body: '{}', headers: { 'idempotency-key': 'k' } }
+let runs = 0
+
+before(async () => {
+  await first.start()
+  await owner.start()
+  first.steering.targets = [createHost('g', owner.address)]
+  await owner.upstream(9_001, (req, res) => { runs += 1; req.resume(); req.on('end', () => res.end(JSON.stringify(req.headers))) })
+  await owner.upstream(9_002, (req) => { runs += 1; req.socket.resetAndDestroy() })
+  await owner.upstream(9_003, (_req, res) => res.end(Buffer.alloc(1 << 20, 7)))
+  await owner.upstream(9_004, (_req, res) => { res.write(Buffer.alloc(200_000)); setTimeout(() => res.destroy(), 30) })
+})
+beforeEach(() => {
+  runs = 0
+  first.claims.settled.length = 0
+  first.claims.answer = undefined
+  first.steering.results.length = 0
+})
+after(async () => {
+  await first.stop()
+  await owner.stop()
+})
+
+function aim (port: number): void {
+  owner.steering.targets = [createEndpoint(`e${port}`, `${owner.address}:${port}`)]
+}
+
+// Guards against forwards that lose headers, show the signature to endpoints, or admit twice.
+test('a forwarded order reaches the owner\'s endpoint once', async () => {
+  aim(9_001)
+  const answer = await call(first.address, '/orders', order)
+  const seen = JSON.parse(answer.body)
+  expect([answer.status, runs, seen['idempotency-key'], seen['shunt-internal'], seen['shunt-once'], seen['shunt-customer']]).toEqual([200, 1, 'k', undefined, undefined, 'a'])
+  expect([first.claims.settled, owner.claims.settled, owner.admission.permits.length, first.steering.results]).toEqual([['done'], [], 0, ['ok']])
+})
+
+// Guards against an outcome that changes between the owner and the caller.
+test('the outcome at the owner reaches the caller', async () => {
+  aim(9_002)
+  const unknown = await call(first.address, '/orders', order)
+  expect([unknown.headers['shunt-code'], unknown.headers['shunt-outcome'], unknown.headers['shunt-endpoint'], runs]).toEqual(['5002', 'unknown', undefined, 1])
+  aim(9_099)
+  const notRun = await call(first.address, '/orders', order)
+  expect([notRun.headers['shunt-code'], notRun.headers['shunt-outcome'], first.claims.settled]).toEqual(['3001', 'not-run', ['unknown', 'not-run']])
+})
+
+// Guards against a broken way to the owner that counts as not run although the order may be under way.
+test('a broken connection to the owner is unknown for orders and a retry for reads', async () => {
+  const breaking = createTcpServer((socket) => { socket.on('error', () => {}); socket.once('data', () => socket.resetAndDestroy()) })
+  await new Promise<void>((resolve) => breaking.listen(8_081, '127.22.3.3', resolve))
+  aim(9_001)
+  first.steering.targets = [createHost('b', '127.22.3.3'), createHost('g', owner.address)]
+  const unknown = await call(first.address, '/orders', order)
+  const read = await call(first.address, '/stock')
+  first.steering.targets = [createHost('none', '127.22.3.4'), createHost('g', owner.address)]
+  const moved = await call(first.address, '/orders', order)
+  first.steering.targets.shift()
+  breaking.close()
+  expect([unknown.headers['shunt-code'], unknown.headers['shunt-outcome'], read.status, moved.status]).toEqual(['5007', 'unknown', 200, 200])
+})
+
+// Guards against long answers that lose bytes while they wait for the link, or look whole when they broke.
+test('a long answer crosses the link whole or not at all', async () => {
+  owner.steering.linkWaitMs = 2
+  first.steering.linkWaitMs = 2
+  aim(9_003)
+  const whole = await call(first.address, '/stock')
+  expect([whole.body.length, whole.body.replaceAll('\u0007', '')]).toEqual([1 << 20, ''])
+  aim(9_004)
+  expect(await call(first.address, '/stock').then(() => false, () => true)).toEqual(true)
+  owner.steering.linkWaitMs = 0
+  first.steering.linkWaitMs = 0
+})
+
+// Guards against an upload that loses bytes on two hops, and work that goes on after its caller has gone.
+test('an upload crosses the link whole', async () => {
+  let received = 0
+  await owner.upstream(9_005, (req, res) => { req.on('data', (chunk: Buffer) => { received += chunk.length }); req.on('end', () => res.end('done')) })
+  aim(9_005)
+  first.steering.linkWaitMs = 2
+  const answer = await call(first.address, '/intake', { method: 'POST', body: Buffer.alloc(3_000_000) })
+  first.steering.linkWaitMs = 0
+  expect([answer.body, received]).toEqual(['done', 3_000_000])
+})
+
+// Guards against callers who use the internal port to get around their contract.
+test('an unsigned, altered or old forward is refused', async () => {
+  aim(9_001)
+  const signed = { method: 'GET', path: '/stock', requestId: 'i' }
+  const good = new InternalAuth(clusterKey, clock).sign('h', signed)
+  const old = new InternalAuth(clusterKey, { nowMs: () => 0, wallMs: () => Date.now() - 31_000 }).sign('h', signed)
+  const foreign = new InternalAuth('x'.repeat(32), clock).sign('h', signed)
+  const send = async (path: string, value?: string): Promise<string | string[] | undefined> => (await call(owner.address, path, {
+    port: 8_081, headers: { 'shunt-request-id': 'i', ...(value === undefined ? {} : { 'shunt-internal': value }) }
+  })).headers['shunt-code']
+  expect([await send('/stock', good), await send('/stock/x', good), await send('/stock', old), await send('/stock', foreign), await send('/stock')])
+    .toEqual([undefined, '7004', '7004', '7004', '7004'])
+})
+
+// Guards against an order that is sent after the claim ran out while the request waited at the owner.
+test('the owner does not send under a claim that ran out', async () => {
+  aim(9_001)
+  const chooseOwned = owner.steering.chooseOwned.bind(owner.steering)
+  owner.steering.chooseOwned = async (request) => { await pause(2_100); return await chooseOwned(request) }
+  const answer = await call(first.address, '/orders', { ...order, headers: { ...order.headers, 'shunt-deadline-ms': '2500' } })
+  owner.steering.chooseOwned = chooseOwned
+  expect([answer.headers['shunt-code'], runs]).toEqual(['5003', 0])
+})
--- a/test/entry/fakes.ts
+++ b/test/entry/fakes.ts
@@ -13,6 +13,7 @@
 import { Logger } from '../../src/common/Logger.js'
 import type { ResultName } from '../../src/common/ResultName.js'
 import { SystemClock } from '../../src/common/SystemClock.js'
+import type { Settings } from '../../src/config/Settings.js'
 import { EntryGateway } from '../../src/entry/EntryGateway.js'
 import { RequestMetrics } from '../../src/metrics/RequestMetrics.js'
 import type { ConfigDoc } from '../../src/model/ConfigDoc.js'
@@ -26,9 +27,9 @@
 
 export const credential = 'demo-a'
 export const clock = new SystemClock()
-const clusterKey = 'k'.repeat(32)
+export const clusterKey = 'k'.repeat(32)
 
-class QuietLogger extends Logger {
+export class QuietLogger extends Logger {
   override debug (): void {}
   override info (): void {}
   override warn (): void {}
@@ -207,6 +208,44 @@
   }
 }
 
+/** Fakes with what the daemon needs besides the data path; `stops` lists the modules that were told to stop. */
+export function createModules () {
+  const stops: string[] = []
+  const base = (name: string) => ({ setConfig () {}, setView () {}, tick () {}, handleMessage: () => undefined, prepareStop () { stops.push(name) } })
+  const steer = Object.assign(new FakeSteering(), base('steer'), {
+    probes: [] as EndpointSpec[],
+    listProbes: () => steer.probes.splice(0),
+    probeFailed: (endpoint: string) => { steer.reports.push(`${endpoint} failed`) },
+    listLoads: () => [],
+    listLeavingEndpoints: () => [],
+    drainInFlight: () => ({}),
+    explain: () => [{ step: 'own-endpoints', detail: 'none' }]
+  })
+  return {
+    stops,
+    share: Object.assign(new FakeAdmission(), base('share'), { appliedVersion: 1 }),
+    claim: Object.assign(new FakeClaims(), base('claim')),
+    steer
+  }
+}
+
+export function createSettings (address: string): Settings {
+  return {
+    host: 'h',
+    zone: 'z',
+    address,
+    ports,
+    clusterKey,
+    operators: [],
+    platform: { url: 'http://127.22.0.1:1', timeoutMs: 1 },
+    seeds: [],
+    dial: {},
+    log: {},
+    stopTimeoutMs: 10_000,
+    limits: { maxConnections: 1_000, maxHeaderBytes: 16_384, headersTimeoutMs: 5_000, idleTimeoutMs: 5_000 }
+  }
+}
+
 interface Answer {
   readonly status: number
   readonly headers: IncomingMessage['headers']
