--- /dev/null
+++ b/dev/proxy/LinkSelection.ts
@@ -0,0 +1,11 @@
+/** Selects links; all given fields must match, an empty selection matches all. */
+export interface LinkSelection {
+  readonly source?: string
+  readonly sourceZone?: string
+  readonly sourceRegion?: string
+  readonly target?: string
+  readonly targetName?: string
+  readonly targetKind?: 'host' | 'endpoint' | 'platform'
+  readonly targetZone?: string
+  readonly targetRegion?: string
+}
--- /dev/null
+++ b/dev/proxy/ProxyServer.ts
@@ -0,0 +1,58 @@
+import { ControlServer } from '../common/ControlServer.js'
+import { BandwidthGroup } from './BandwidthGroup.js'
+import { Link } from './Link.js'
+import type { LinkFaults } from './LinkFaults.js'
+import type { LinkPlan } from './LinkPlan.js'
+import type { LinkSelection } from './LinkSelection.js'
+import type { ProxyPlan } from './ProxyPlan.js'
+
+/** Fault-injecting TCP proxy: all links of a cluster in one process. */
+export class ProxyServer {
+  private readonly groups: ReadonlyMap<string, BandwidthGroup>
+  private readonly links: Link[]
+  private readonly control: ControlServer
+
+  constructor (private readonly plan: ProxyPlan) {
+    this.groups = new Map(Object.entries(plan.groups).map(([name, rate]) => [name, new BandwidthGroup(rate)]))
+    this.links = plan.links.map((link) => new Link(link, this.groups))
+    this.control = new ControlServer({
+      fault: async (body) => await this.setFaults(body.selects as LinkSelection[], body.faults as Partial<LinkFaults>),
+      heal: async () => { await Promise.all(this.links.map(async (link) => await link.heal())) },
+      bandwidth: (body) => this.setBandwidth(String(body.group), Number(body.bytesPerSecond)),
+      counts: () => this.report()
+    })
+  }
+
+  async start (): Promise<void> {
+    await Promise.all(this.links.map(async (link) => await link.open()))
+    await this.control.listen(this.plan.address, this.plan.controlPort)
+  }
+
+  async close (): Promise<void> {
+    await Promise.all(this.links.map(async (link) => await link.close()))
+    await this.control.close()
+  }
+
+  private async setFaults (selects: readonly LinkSelection[], faults: Partial<LinkFaults>): Promise<{ links: number }> {
+    const chosen = this.links.filter(({ plan }) => selects.some((select) => matches(plan, select)))
+    await Promise.all(chosen.map(async (link) => await link.setFaults(faults)))
+    return { links: chosen.length }
+  }
+
+  private setBandwidth (name: string, bytesPerSecond: number): void {
+    const group = this.groups.get(name)
+    if (group === undefined) throw new Error(`no bandwidth group "${name}"`)
+    group.bytesPerSecond = bytesPerSecond
+  }
+
+  private report (): unknown {
+    return {
+      groups: Object.fromEntries([...this.groups].map(([name, { bytes }]) => [name, bytes])),
+      connections: this.links.reduce((sum, { connections }) => sum + connections, 0)
+    }
+  }
+}
+
+function matches (plan: LinkPlan, select: LinkSelection): boolean {
+  return Object.entries(select).every(([field, value]) => plan[field as keyof LinkSelection] === value)
+}
--- /dev/null
+++ b/test/dev/ProxyServer.test.ts
@@ -0,0 +1,115 @@
+import { createServer } from 'node:http'
+import type { AddressInfo, Socket } from 'node:net'
+import { connect } from 'node:net'
+import { after, before, test } from 'node:test'
+import { expect } from 'earl'
+import { callControl } from '../../dev/common/callControl.js'
+import { sendRequest } from '../../dev/common/sendRequest.js'
+import { ProxyServer } from '../../dev/proxy/ProxyServer.js'
+
+const address = '127.23.0.3'
+const control = `${address}:8073`
+let received = 0
+const server = createServer((req, res) => {
+  received += 1
+  const size = Number(new URL(req.url ?? '/', 'http://x').searchParams.get('bytes') ?? 2)
+  res.end(Buffer.alloc(size))
+})
+let proxy: ProxyServer
+
+function createLink (port: number, delayMs: number, group?: string): ConstructorParameters<typeof ProxyServer>[0]['links'][number] {
+  const target = `${address}:${(server.address() as AddressInfo).port}`
+  const link = {
+    listen: `${address}:${port}`,
+    target,
+    source: `s${port}`,
+    sourceZone: 'a',
+    sourceRegion: 'a',
+    targetName: 't',
+    targetKind: 'host' as const,
+    targetZone: 'b',
+    targetRegion: 'b',
+    delayMs
+  }
+  return group === undefined ? link : { ...link, forwardGroup: `${group}>`, backwardGroup: `<${group}` }
+}
+
+async function timeRequest (port: number, path = '/'): Promise<number> {
+  const startMs = performance.now()
+  await sendRequest(`http://${address}:${port}${path}`, { timeoutMs: 5_000 })
+  return performance.now() - startMs
+}
+
+async function setFaults (port: number, faults: Record<string, unknown>): Promise<void> {
+  await callControl(control, 'fault', { selects: [{ source: `s${port}` }], faults })
+}
+
+before(async () => {
+  await new Promise<void>((resolve) => server.listen(0, address, resolve))
+  proxy = new ProxyServer({
+    address,
+    controlPort: 8073,
+    links: [createLink(7_001, 0), createLink(7_002, 30), createLink(7_003, 0, 'g'), createLink(7_004, 0), createLink(7_005, 0)],
+    groups: { 'g>': 1_000_000, '<g': 1_000_000 }
+  })
+  await proxy.start()
+})
+after(async () => {
+  await proxy.close()
+  server.closeAllConnections()
+  server.close()
+})
+
+// Guards against links that are faster than the network they stand for: 2 x 30 ms to connect and 2 x 30 ms for the exchange.
+test('a link delays the handshake and both directions', async () => {
+  const durationMs = await timeRequest(7_002)
+  expect(durationMs).toBeGreaterThanOrEqual(118)
+  expect(durationMs).toBeLessThan(250)
+})
+
+// Guards against a bandwidth limit that holds for each connection instead of the group.
+test('connections share the bandwidth of their group', async () => {
+  const startMs = performance.now()
+  await Promise.all([1, 2].map(async () => await timeRequest(7_003, '/?bytes=200000')))
+  const durationMs = performance.now() - startMs
+  expect(durationMs).toBeGreaterThanOrEqual(390)
+  expect(durationMs).toBeLessThan(800)
+})
+
+// Guards against a lost answer whose request did not arrive.
+test('a lost answer still delivers the request', async () => {
+  await setFaults(7_001, { loseAnswers: 1 })
+  const before = received
+  await expect(timeRequest(7_001)).toBeRejected()
+  expect(received).toEqual(before + 1)
+  await timeRequest(7_001)
+})
+
+// Guards against silence that closes connections or loses data for good.
+test('silence holds data back until it ends', async () => {
+  await setFaults(7_004, { silentForward: true })
+  const request = timeRequest(7_004)
+  await new Promise((resolve) => setTimeout(resolve, 150))
+  await setFaults(7_004, { silentForward: false })
+  expect(await request).toBeGreaterThanOrEqual(145)
+})
+
+// Guards against a cut that leaves old connections alive.
+test('a cut resets old and new connections', async () => {
+  const socket: Socket = connect(7_005, address)
+  const broken = new Promise((resolve) => socket.on('error', resolve))
+  await new Promise((resolve) => socket.on('connect', resolve))
+  await setFaults(7_005, { cut: true })
+  await broken
+  await expect(timeRequest(7_005)).toBeRejected()
+  await setFaults(7_005, { cut: false })
+  await timeRequest(7_005)
+})
+
+// Guards against a dead target that still seems to accept connections.
+test('a refused link closes its port', async () => {
+  await setFaults(7_005, { refuse: true })
+  await expect(timeRequest(7_005)).toBeRejectedWith(Error, /ECONNREFUSED/)
+  await setFaults(7_005, { refuse: false })
+  await timeRequest(7_005)
+})
