--- a/src/common/CredentialThrottle.ts
+++ b/src/common/CredentialThrottle.ts
@@ -12,7 +12,7 @@
 /** Wrong credentials from one address in a window; a client with one outdated credential stays far below. */
 const maxWrong = 20
 
-/** Addresses remembered at once; above it the oldest windows are dropped. */
+/** Addresses remembered at once; above it the address that came first is dropped. */
 const maxRows = 10_000
 
 /** Slows down guessing: after many wrong credentials an address is refused for the rest of the window. */
@@ -30,15 +30,14 @@
 
   noteWrong (address: string): void {
     const nowMs = this.clock.nowMs()
-    if (this.rows.size >= maxRows) this.makeRoom(nowMs)
+    if (!this.rows.has(address) && this.rows.size >= maxRows) this.dropOldest()
     const row = this.rows.ensure(address, () => ({ startMs: nowMs, wrong: 0 }))
     if (nowMs - row.startMs >= windowMs) Object.assign(row, { startMs: nowMs, wrong: 0 })
     row.wrong += 1
   }
 
-  private makeRoom (nowMs: number): void {
-    this.rows.deleteWhere(({ startMs }) => nowMs - startMs >= windowMs)
-    if (this.rows.size < maxRows) return
+  /** Scanning for ended windows instead took 0.18 ms a call with 10,000 rows, which would help an attacker. */
+  private dropOldest (): void {
     const oldest = this.rows.ids().next()
     if (oldest.done !== true) this.rows.delete(oldest.value)
   }
--- a/src/ctl/adviseNext.ts
+++ b/src/ctl/adviseNext.ts
@@ -1,6 +1,6 @@
 import type { ResultName } from '../common/ResultName.js'
 
-const advice: Partial<Record<ResultName, string>> = {
+const advice = new Map<string, string>(Object.entries({
   badRequest: 'Check the names on the command line; use the same version of shuntctl as of the hosts.',
   credentialThrottled: 'Wait for a minute and use the right credential.',
   bodyTooLarge: 'Split the file into several smaller changes.',
@@ -17,9 +17,9 @@
   notReady: 'Wait until the host has received the configuration, or use another host.',
   peerUnreachable: 'Check that shunt-entry runs on that host, or ask another host with --hosts.',
   peerTimeout: 'Check that shunt-entry answers on that host, or ask another host with --hosts.'
-}
+} satisfies Partial<Record<ResultName, string>>))
 
 /** Says what an operator can do after a refusal with this result. */
 export function adviseNext (name: string): string {
-  return advice[name as ResultName] ?? 'Look the code up in docs/codes.md and in the logs of the host that answered.'
+  return advice.get(name) ?? 'Look the code up in docs/codes.md and in the logs of the host that answered.'
 }
