Know the first start of a deployment

Cause: in a new deployment every hashed key was answered 'unknown' for 10 min and portions waited out a quarantine, as after a restart. Change: the agent tells when the platform has never accepted a configuration and no agent knows of one; then no process can have served before, so memory is complete and nothing is lent. Conclusion: the rule needs no clock and no message of its own.

--- a/src/claim/ClaimHome.ts
+++ b/src/claim/ClaimHome.ts
@@ -108,6 +108,11 @@
     this.completeFromMs = Math.min(this.completeFromMs, nowMs + memory.incompleteMs)
   }
 
+  /** No earlier process of this host can have granted a key. */
+  markComplete (): void {
+    this.completeFromMs = Math.min(this.completeFromMs, this.options.clock.nowMs())
+  }
+
   /** Grants nothing from now on and returns the memory for the handover. */
   freeze (): { rows: HandoverRow[], memory: Memory } {
     this.frozen = true
--- a/src/claim/ClaimService.ts
+++ b/src/claim/ClaimService.ts
@@ -95,6 +95,7 @@
   }
 
   setView (view: View): void {
+    if (view.isFirstStart) this.home.markComplete()
     this.dead.clear()
     this.versions.clear()
     for (const { host, state, digest } of view.members) {
--- a/src/control/Agent.ts
+++ b/src/control/Agent.ts
@@ -212,10 +212,21 @@
     }
   }
 
-  /** The first live host of a zone reads for all of the zone. */
+  /** The first live host of a zone reads for all of the zone; a host without a configuration reads for itself. */
   private async poll (): Promise<void> {
-    if (!this.membership.isRelay(this.options.clock.nowMs())) return this.dropListing()
-    await Promise.all([this.reader.poll(), this.pollList()])
+    const isReader = this.membership.isRelay(this.options.clock.nowMs())
+    if (!isReader) this.dropListing()
+    const wasFirstStart = this.isFirstStart
+    await Promise.all([
+      isReader || this.holder.version === 0 ? this.reader.poll() : undefined,
+      isReader ? this.pollList() : undefined
+    ])
+    if (this.isFirstStart !== wasFirstStart) this.publisher.announce(true)
+  }
+
+  /** True when the platform holds no configuration and no agent has announced one. */
+  private get isFirstStart (): boolean {
+    return this.reader.isPlatformEmpty && this.holder.heardVersion === 0
   }
 
   private async pollList (): Promise<void> {
@@ -267,6 +278,7 @@
     return {
       contactAgeMs: this.getContactAgeMs(),
       configVersion: this.holder.version,
+      isFirstStart: this.isFirstStart,
       members: this.listMembers(),
       leavingEndpoints: endpoints,
       leavingHosts: hosts
--- a/src/control/ConfigReader.ts
+++ b/src/control/ConfigReader.ts
@@ -21,6 +21,7 @@
   private reading = false
   private pausedUntilMs = -Infinity
   private lastFault: Failure | undefined
+  private lastHeadAbsent = false
 
   constructor (private readonly options: ConfigReaderOptions) {}
 
@@ -29,6 +30,11 @@
     return this.lastFault
   }
 
+  /** True when the last read succeeded and found no head: no configuration was ever accepted. */
+  get isPlatformEmpty (): boolean {
+    return this.lastHeadAbsent
+  }
+
   /** Reads once unless a read is under way or a pause holds. */
   async poll (): Promise<void> {
     const { clock } = this.options
@@ -51,6 +57,7 @@
     const checked = checkHead(result.value, holder, heardVersion)
     if (checked.isErr()) return checked.error
     const { head } = result.value
+    this.lastHeadAbsent = head === undefined
     if (head === undefined || holder.compare(head) !== 'applied') return undefined
     const held = await archive.readDoc(head)
     if (held.isErr()) return held.error
--- a/src/model/View.ts
+++ b/src/model/View.ts
@@ -7,6 +7,11 @@
   /** Age in ms of the newest heartbeat exchange with any other host when the view was made. */
   readonly contactAgeMs: number
   readonly configVersion: number
+  /**
+   * True while the platform says that no configuration was ever accepted and no host knows of one. Then no process
+   * of any host can have served a request, so a process that starts now has lost nothing.
+   */
+  readonly isFirstStart: boolean
   readonly members: readonly Member[]
   /** Names of endpoints that the platform's list calls leaving. */
   readonly leavingEndpoints: readonly string[]
--- a/src/share/ShareTable.ts
+++ b/src/share/ShareTable.ts
@@ -99,6 +99,10 @@
 
   /** Takes over what the host's agent knows of the other hosts. */
   setView (view: View, nowMs: number): void {
+    if (view.isFirstStart) {
+      this.endQuarantine(nowMs)
+      this.endRecovery()
+    }
     this.silent.clear()
     this.appliedVersions.clear()
     for (const { host, state, digest } of view.members) {
--- a/test/claim/ClaimService.test.ts
+++ b/test/claim/ClaimService.test.ts
@@ -173,3 +173,14 @@
     if (cluster.services.get(home)!.isHomeOf('gyms', key) && cluster.services.get(home)!.isHomeOf('gyms', `${key}2`)) return key
   }
 }
+
+// Guards against a new deployment that refuses every hashed key for the retention time.
+test('a process of the first start knows that no key was granted', async () => {
+  const cluster = await startCluster()
+  const claimed = async (): Promise<string> => describe(await cluster.claim('a1', `k${cluster.net.nowMs}`))
+  const before = await claimed()
+  for (const service of cluster.services.values()) {
+    service.setView({ seq: 1, contactAgeMs: 0, configVersion: 0, isFirstStart: true, members: [], leavingEndpoints: [], leavingHosts: [] })
+  }
+  expect([before, await claimed()]).toEqual(['keyUnknown unknown', 'granted'])
+})
--- a/test/lookup/createView.ts
+++ b/test/lookup/createView.ts
@@ -14,5 +14,5 @@
     const change = changes[name] ?? {}
     return { host: name, zone, incarnation: 1, seq: 1, state: 'alive', configVersion: doc.version, ...change, digest: { ...digest, ...change.digest } }
   })
-  return { seq: 1, contactAgeMs: 0, configVersion: doc.version, members, leavingEndpoints: [], leavingHosts: [] }
+  return { seq: 1, contactAgeMs: 0, configVersion: doc.version, isFirstStart: false, members, leavingEndpoints: [], leavingHosts: [] }
 }
--- a/test/model/FaultRun.ts
+++ b/test/model/FaultRun.ts
@@ -158,7 +158,7 @@
       if (!this.net.isRunning(node.identity.name) || this.random() < this.options.drop) continue
       node.seq += 1
       const members = [...this.last.values()]
-      const view = { seq: node.seq, contactAgeMs: 0, configVersion: node.version, members, leavingEndpoints: [], leavingHosts: [] }
+      const view = { seq: node.seq, contactAgeMs: 0, configVersion: node.version, members, isFirstStart: false, leavingEndpoints: [], leavingHosts: [] }
       node.share.setView(view)
       node.claims.setView(view)
     }
--- a/test/share/quarantine.test.ts
+++ b/test/share/quarantine.test.ts
@@ -11,7 +11,7 @@
   const table = new ShareTable({ host: 'a1', incarnation, startedMs: 0 })
   table.setConfig(createDoc({ contracts: [createContract()] }), 0)
   const members = hostNames.map((host) => createMember(host))
-  table.setView({ seq: 1, contactAgeMs: 0, configVersion: 1, members, leavingEndpoints: [], leavingHosts: [] }, 0)
+  table.setView({ seq: 1, contactAgeMs: 0, configVersion: 1, isFirstStart: false, members, leavingEndpoints: [], leavingHosts: [] }, 0)
   for (const name of hostNames.filter((host) => host !== 'a1')) {
     table.applyAnnouncement({ t: 'loan_return', to: incarnation, rows: [], complete: true, holdsNothing: name !== debtor }, { name, incarnation: 1 }, 100)
   }
--- a/test/steer/SteerService.test.ts
+++ b/test/steer/SteerService.test.ts
@@ -18,7 +18,7 @@
   const clock = new ManualClock()
   const service = new SteerService({ host, clock, random: () => 0.5 })
   service.setConfig(doc)
-  service.setView({ seq: 1, contactAgeMs: 0, configVersion: 1, members, leavingEndpoints: [], leavingHosts: [] })
+  service.setView({ seq: 1, contactAgeMs: 0, configVersion: 1, isFirstStart: false, members, leavingEndpoints: [], leavingHosts: [] })
   return { clock, service }
 }
 
