--- a/src/control/ViewPublisher.ts
+++ b/src/control/ViewPublisher.ts
@@ -25,7 +25,7 @@
 const viewIntervalMs = 500
 /** Delays in ms that gather changes into one view. */
 const urgentGatherMs = 10
-const gatherMs = 100
+const gatherMs = 250
 
 /** Sends views to the entry and lookup processes of the own host. */
 export class ViewPublisher {
@@ -75,7 +75,8 @@
     if (this.subscribers.size === 0) return
     this.seq += 1
     const view = { seq: this.seq, ...this.options.buildView() }
-    for (const [connection, subscriber] of this.subscribers) this.send(connection, subscriber, view)
+    const lean = omitUses(view)
+    for (const [connection, subscriber] of this.subscribers) this.send(connection, subscriber, subscriber.role === 'lookup' ? lean : view)
   }
 
   private send (connection: FrameConnection, subscriber: Subscriber, view: View): void {
@@ -90,3 +91,8 @@
     }
   }
 }
+
+/** Look-ups don't read the use per customer, which is most of a view. */
+function omitUses (view: View): View {
+  return { ...view, members: view.members.map((member) => member.digest === undefined ? member : { ...member, digest: { ...member.digest, uses: [] } }) }
+}
--- a/src/membership/exchangeSchema.ts
+++ b/src/membership/exchangeSchema.ts
@@ -1,20 +1,13 @@
 import { z } from 'zod'
-import { digestSchema } from './digestSchema.js'
 import type { Exchange } from './Exchange.js'
+import { isWireRow } from './isWireRow.js'
+import type { WireRow } from './WireRow.js'
 
 const count = z.number().nonnegative()
 const name = z.string().min(1).max(128)
 const names = z.array(name).max(20_000)
 
-const reportSchema = z.object({
-  incarnation: count,
-  no: count,
-  digest: digestSchema.optional(),
-  listing: z.object({ endpoints: names, hosts: names }).optional()
-})
-
-const rowHead = [name, name, count, count, z.number().int().min(0).max(2), count] as const
-const rowSchema = z.union([z.tuple([...rowHead]), z.tuple([...rowHead, reportSchema])])
+const rowSchema = z.custom<WireRow>(isWireRow)
 
 /** Shape of an exchange as it arrives from another agent. */
 export const exchangeSchema = z.object({
