--- /dev/null
+++ b/src/entry/UploadPump.ts
@@ -0,0 +1,108 @@
+import type { ClientRequest, IncomingMessage } from 'node:http'
+import { createFailure } from '../common/createFailure.js'
+import type { Failure } from '../common/Failure.js'
+import { Outcome } from '../common/Outcome.js'
+import { entryLimits } from './entryLimits.js'
+import type { RequestBody } from './RequestBody.js'
+
+/** What a pump needs besides its two ends. */
+interface UploadPumpOptions {
+  readonly body: RequestBody
+  readonly rest: IncomingMessage
+  readonly target: ClientRequest
+  readonly reserveBytes: (bytes: number) => number
+  readonly onFailure: (failure: Failure) => void
+}
+
+/** Passes the rest of a body on with back-pressure; holds at most one chunk besides the sockets' buffers. */
+export class UploadPump {
+  private bytes: number
+  /** Runs only while the sender has leave to send. */
+  private idleTimer: NodeJS.Timeout | undefined
+  private waitTimer: NodeJS.Timeout | undefined
+  private isWaiting = false
+  private isEnded = false
+
+  constructor (private readonly options: UploadPumpOptions) {
+    this.bytes = options.body.bytes.length
+  }
+
+  start (): void {
+    const { body, rest, target } = this.options
+    rest.on('data', this.onData)
+    rest.on('end', this.onEnd)
+    rest.on('close', this.onClose)
+    target.on('drain', this.onDrain)
+    rest.pause()
+    body.beginRest()
+    this.resume()
+  }
+
+  stop (): void {
+    const { rest, target } = this.options
+    clearTimeout(this.idleTimer)
+    clearTimeout(this.waitTimer)
+    rest.off('data', this.onData)
+    rest.off('end', this.onEnd)
+    rest.off('close', this.onClose)
+    target.off('drain', this.onDrain)
+    rest.pause()
+  }
+
+  private readonly onData = (chunk: Buffer): void => {
+    const { body } = this.options
+    body.started = true
+    this.bytes += chunk.length
+    if (this.bytes > body.maxBytes) return this.fail('bodyTooLarge')
+    const waitMs = this.options.reserveBytes(chunk.length)
+    if (waitMs <= 0) return this.pass(chunk)
+    this.pause()
+    this.isWaiting = true
+    this.waitTimer = setTimeout(() => {
+      this.isWaiting = false
+      this.pass(chunk)
+    }, waitMs)
+  }
+
+  private pass (chunk: Buffer): void {
+    const hasRoom = this.options.target.write(chunk)
+    if (this.isEnded) return this.onEnd()
+    if (hasRoom) this.resume()
+    else this.pause()
+  }
+
+  // The buffers may drain while a chunk waits for its bandwidth; the next chunk must not overtake it.
+  private readonly onDrain = (): void => {
+    if (!this.isWaiting) this.resume()
+  }
+
+  private resume (): void {
+    if (this.idleTimer === undefined) this.idleTimer = setTimeout(() => this.fail('requestTimeout'), entryLimits.bodyIdleMs)
+    else this.idleTimer.refresh()
+    if (this.options.rest.isPaused()) this.options.rest.resume()
+  }
+
+  private pause (): void {
+    clearTimeout(this.idleTimer)
+    this.idleTimer = undefined
+    this.options.rest.pause()
+  }
+
+  // The end is announced while the last chunk may still wait for its bandwidth.
+  private readonly onEnd = (): void => {
+    this.isEnded = true
+    if (this.isWaiting) return
+    this.stop()
+    this.options.target.end()
+  }
+
+  private readonly onClose = (): void => {
+    if (!this.options.rest.complete) this.fail('badRequest')
+  }
+
+  // The body is partly sent, so the endpoint may act on what it has.
+  private fail (name: 'requestTimeout' | 'bodyTooLarge' | 'badRequest'): void {
+    this.stop()
+    this.options.onFailure(createFailure(name, { outcome: Outcome.unknown }))
+  }
+}
