--- a/src/control/Agent.ts
+++ b/src/control/Agent.ts
@@ -4,10 +4,11 @@
 import { z } from 'zod'
 import type { Clock } from '../common/Clock.js'
 import { createFailure } from '../common/createFailure.js'
+import { Daemon } from '../common/Daemon.js'
+import type { DaemonContext } from '../common/DaemonContext.js'
 import { DialMap } from '../common/DialMap.js'
 import type { Failure } from '../common/Failure.js'
 import type { Logger } from '../common/Logger.js'
-import type { Settings } from '../config/Settings.js'
 import { digestSchema } from '../membership/digestSchema.js'
 import { isUrgentDigest } from '../membership/isUrgentDigest.js'
 import type { Listing } from '../membership/Listing.js'
@@ -43,14 +44,11 @@
 
 /** What an agent is made of. */
 interface AgentOptions {
-  readonly settings: Settings
-  readonly clock: Clock
-  readonly createLog: (module: string) => Logger
+  readonly context: DaemonContext
   readonly table: TableService
   readonly objects: ObjectStore
   readonly hosts: HostList
   readonly computePortions: ComputePortions
-  readonly tls?: { readonly cert: string, readonly key: string } | undefined
 }
 
 const readIntervalMs = 1_000
@@ -63,7 +61,7 @@
 const membersSchema = z.record(z.string(), z.string())
 
 /** The control plane of one host. */
-export class Agent implements AgentState {
+export class Agent extends Daemon implements AgentState {
   readonly holder = new ConfigHolder()
   readonly writer: ConfigWriter
   readonly metrics: AgentMetrics
@@ -75,6 +73,7 @@
   private readonly frames: FrameServer
   private readonly operators: OperatorServer
   private readonly log: Logger
+  private readonly clock: Clock
   private readonly timers: NodeJS.Timeout[] = []
   private leaving = false
   /** Digest that waits because load-only changes are spread at a limited rate. */
@@ -84,7 +83,10 @@
   private readingList = false
 
   constructor (private readonly options: AgentOptions) {
-    const { settings, clock, createLog, table, objects } = options
+    super()
+    const { context, table, objects } = options
+    const { settings, clock, createModuleLogger: createLog } = context
+    this.clock = clock
     const { host: name, zone, clusterKey } = settings
     const incarnation = clock.wallMs()
     const archive = new ConfigArchive(table, objects)
@@ -107,12 +109,12 @@
     const api = new OperatorApi(this)
     this.metrics = new AgentMetrics({ state: this, getWrongCredentials: () => auth.wrongCount })
     this.operators = new OperatorServer({
+      settings,
+      logger: createLog('operator'),
       auth,
+      registry: this.metrics.registry,
       onRequest: async (request) => await api.handle(request),
-      getMetrics: async () => await this.metrics.print(),
-      isReady: () => this.holder.held !== undefined && !this.leaving,
-      onError: (error) => this.log.error('operator_request_failed', { message: error instanceof Error ? error.stack ?? error.message : 'unknown' }),
-      tls: options.tls
+      findObstacle: () => this.findObstacle()
     })
     this.exchange = new PeerExchange({
       self: { name, role: 'agent', incarnation },
@@ -133,13 +135,13 @@
   }
 
   get host (): string {
-    return this.options.settings.host
+    return this.options.context.settings.host
   }
 
   async start (): Promise<void> {
-    const { address, ports } = this.options.settings
+    const { address, ports } = this.options.context.settings
     await this.frames.listen(address, ports.agent)
-    await this.operators.listen(address, ports.operator)
+    await this.operators.listen()
     this.timers.push(setInterval(() => this.tick(), tickMs))
     this.timers.push(setInterval(() => { this.poll().catch((error: unknown) => this.reportCrash(error)) }, readIntervalMs))
     await this.poll()
@@ -147,7 +149,7 @@
   }
 
   /** Announces that the host is leaving, then stops. */
-  async stop (): Promise<void> {
+  override async stop (): Promise<void> {
     this.leaving = true
     const digest = this.members.self.report?.digest
     if (digest !== undefined) this.setDigest({ ...digest, leaving: true })
@@ -162,13 +164,13 @@
   }
 
   listMembers (): readonly Member[] {
-    return this.members.listMembers(this.options.clock.nowMs())
+    return this.members.listMembers(this.clock.nowMs())
   }
 
   /** A host that is alone in the configuration has nobody to lose contact with. */
   getContactAgeMs (): number {
     const alone = this.holder.held?.doc.hosts.every(({ name }) => name === this.host) === true
-    return alone ? 0 : this.options.clock.nowMs() - this.membership.contactMs
+    return alone ? 0 : this.clock.nowMs() - this.membership.contactMs
   }
 
   getFault (): Failure | undefined {
@@ -202,6 +204,11 @@
     return await connection.request(message, explainTimeoutMs)
   }
 
+  private findObstacle (): string | undefined {
+    if (this.leaving) return 'the host is leaving'
+    return this.holder.held === undefined ? 'no configuration has been loaded yet' : undefined
+  }
+
   private tick (): void {
     try {
       this.exchange.tick()
@@ -214,12 +221,13 @@
 
   /** The first live host of a zone reads for all of the zone. */
   private async poll (): Promise<void> {
-    if (!this.membership.isRelay(this.options.clock.nowMs())) return this.dropListing()
+    if (!this.membership.isRelay(this.clock.nowMs())) return this.dropListing()
     await Promise.all([this.reader.poll(), this.pollList()])
   }
 
   private async pollList (): Promise<void> {
-    const { clock, hosts } = this.options
+    const { clock } = this
+    const { hosts } = this.options
     if (this.readingList || clock.nowMs() < this.listPausedUntilMs) return
     this.readingList = true
     const list = await hosts.read()
@@ -255,7 +263,7 @@
 
   private applyConfig (held: HeldConfig): void {
     const { doc, writeId } = held
-    this.log.info('config_applied', { version: doc.version, writeId })
+    this.log.info('config-applied', { version: doc.version, writeId })
     this.exchange.setConfig(doc)
     this.membership.setHeld({ lineage: doc.lineage, version: doc.version, writeId })
     this.exchange.flushSoon()
@@ -285,10 +293,10 @@
   private welcome (peer: PeerIdentity, connection: FrameConnection): void {
     if (peer.role === 'agent') return
     if (peer.name !== this.host) {
-      this.log.warn('foreign_process_refused', { peer: peer.name, role: peer.role })
+      this.log.warn('foreign-process-refused', { peer: peer.name, role: peer.role })
       return connection.close(createFailure('frameAuth', { message: 'the process belongs to another host' }))
     }
-    this.log.info('process_connected', { role: peer.role, incarnation: peer.incarnation })
+    this.log.info('process-connected', { role: peer.role, incarnation: peer.incarnation })
     this.publisher.add(connection, peer.role)
   }
 
@@ -296,7 +304,7 @@
     if (failure !== undefined) this.metrics.frameFailures.inc({ reason: failure.name })
     this.publisher.remove(connection)
     if (peer?.role !== 'entry' || peer.name !== this.host || this.publisher.findEntry() !== undefined) return
-    this.log.warn('entry_disconnected')
+    this.log.warn('entry-disconnected')
     const digest = this.waitingDigest ?? this.members.self.report?.digest
     if (digest !== undefined) this.setDigest({ ...digest, serving: false })
   }
@@ -313,7 +321,7 @@
   private takeDigest (value: unknown): void {
     const parsed = digestSchema.safeParse(value)
     if (!parsed.success || parsed.data.host !== this.host) {
-      this.log.warn('digest_refused', { message: parsed.error?.issues[0]?.message ?? 'another host' })
+      this.log.warn('digest-refused', { message: parsed.error?.issues[0]?.message ?? 'another host' })
       return
     }
     this.setDigest(this.leaving ? { ...parsed.data, leaving: true } : parsed.data)
@@ -328,18 +336,18 @@
   /** Load-only digests wait their turn, so that a large deployment does not flood its hosts. */
   private publishWaitingDigest (): void {
     const intervalMs = Math.max(membershipTimes.spreadMs, this.members.size * 1_000 / membershipTimes.loadDigestsPerSecond)
-    if (this.waitingDigest === undefined || this.options.clock.nowMs() - this.lastDigestMs < intervalMs) return
+    if (this.waitingDigest === undefined || this.clock.nowMs() - this.lastDigestMs < intervalMs) return
     this.publishDigest(this.waitingDigest)
   }
 
   private publishDigest (digest: Digest): void {
     this.waitingDigest = undefined
-    this.lastDigestMs = this.options.clock.nowMs()
+    this.lastDigestMs = this.clock.nowMs()
     this.spreadReport(digest, this.members.self.report?.listing)
   }
 
   private reportCrash (error: unknown): void {
-    this.log.error('tick_failed', { message: error instanceof Error ? error.stack ?? error.message : 'unknown' })
+    this.log.error('tick-failed', { message: error instanceof Error ? error.stack ?? error.message : 'unknown' })
   }
 }
 
--- a/src/control/AgentMetrics.ts
+++ b/src/control/AgentMetrics.ts
@@ -26,10 +26,6 @@
     this.addMemberGauge()
   }
 
-  async print (): Promise<{ contentType: string, text: string }> {
-    return { contentType: this.registry.contentType, text: await this.registry.metrics() }
-  }
-
   private addGauge (name: string, help: string, read: () => number): void {
     const gauge: Gauge = new Gauge({ name, help, registers: [this.registry], collect: () => gauge.set(read()) })
   }
--- a/src/control/ConfigChange.ts
+++ b/src/control/ConfigChange.ts
@@ -1,5 +1,5 @@
 import type { Contract } from '../model/Contract.js'
-import type { Deployment } from './Deployment.js'
+import type { Deployment } from '../model/Deployment.js'
 import type { DrainKind } from '../model/DrainKind.js'
 
 /** A change that an operator asks for. */
--- a/src/control/ConfigReader.ts
+++ b/src/control/ConfigReader.ts
@@ -61,8 +61,8 @@
   private report (failure: Failure | undefined): void {
     if (failure?.name !== this.lastFault?.name) {
       const { log } = this.options
-      if (failure === undefined) log.info('head_read_recovered')
-      else log.warn('head_read_failed', { failure: failure.name, message: failure.message })
+      if (failure === undefined) log.info('head-read-recovered')
+      else log.warn('head-read-failed', { failure: failure.name, message: failure.message })
     }
     this.lastFault = failure
   }
--- a/src/control/ConfigWriter.ts
+++ b/src/control/ConfigWriter.ts
@@ -178,7 +178,7 @@
 
   private accept (held: HeldConfig, { version, writeId, by, change }: WriteReceipt): void {
     const { holder, log, onAccepted } = this.options
-    log.info('config_accepted', { version, writeId, by, change })
+    log.info('config-accepted', { version, writeId, by, change })
     holder.offer(held)
     onAccepted(held)
   }
--- a/src/control/OperatorApi.ts
+++ b/src/control/OperatorApi.ts
@@ -5,16 +5,19 @@
 import type { ZodType } from 'zod'
 import { createFailure } from '../common/createFailure.js'
 import type { Failure } from '../common/Failure.js'
+import type { ConfigProblem } from '../config/ConfigProblem.js'
+import { fields } from '../config/fields.js'
+import { formatProblem } from '../config/formatProblem.js'
+import { validateContract } from '../config/validateContract.js'
+import { validateDeployment } from '../config/validateDeployment.js'
 import type { ConfigDoc } from '../model/ConfigDoc.js'
+import { DrainKind } from '../model/DrainKind.js'
 import type { AgentState } from './AgentState.js'
 import type { ConfigChange } from './ConfigChange.js'
-import { contractSchema } from './contractSchema.js'
-import { deploymentSchema } from './deploymentSchema.js'
 import { describeConfig } from './describeConfig.js'
 import { describeDrains } from './describeDrains.js'
 import { describeLimits } from './describeLimits.js'
 import { describeStatus } from './describeStatus.js'
-import { nameSchema } from './nameSchema.js'
 import type { OperatorRequest } from './OperatorRequest.js'
 
 type ApiResult = Result<unknown, Failure>
@@ -22,21 +25,22 @@
 const versionSchema = z.coerce.number().int().nonnegative()
 const writeIdSchema = z.string().regex(/^[A-Za-z0-9._-]{1,64}$/, 'must have 1 to 64 letters, digits, ".", "_" or "-"')
 const flagSchema = z.union([z.boolean(), z.enum(['1', 'true']).transform(() => true), z.enum(['0', 'false']).transform(() => false)])
-const drainKindSchema = z.enum(['upstream', 'zone', 'host'])
+const drainKindSchema = z.enum(DrainKind)
 const writeFields = { writeId: writeIdSchema.optional(), dryRun: flagSchema.default(false), force: flagSchema.default(false) }
-const deploymentBody = z.object({ ...writeFields, deployment: deploymentSchema, expectVersion: versionSchema.optional() }).strict()
-const putContractBody = z.object({ ...writeFields, contract: contractSchema, expectVersion: versionSchema }).strict()
+const deploymentBody = z.object({ ...writeFields, deployment: z.unknown(), expectVersion: versionSchema.optional() }).strict()
+const putContractBody = z.object({ ...writeFields, contract: z.unknown(), expectVersion: versionSchema }).strict()
 const deleteContractBody = z.object({ ...writeFields, expectVersion: versionSchema }).strict()
-const addDrainBody = z.object({ ...writeFields, kind: drainKindSchema, name: nameSchema }).strict()
+const addDrainBody = z.object({ ...writeFields, kind: drainKindSchema, name: fields.name }).strict()
 const removeDrainBody = z.object(writeFields).strict()
 const explainBody = z.object({
-  customer: nameSchema,
-  service: nameSchema,
+  customer: fields.name,
+  service: fields.name,
   method: z.string().max(16).default('GET'),
   path: z.string().max(2_048).default('/')
 }).strict()
 
 const generatedIdBytes = 8
+const maxProblems = 20
 
 /** The pages under `/admin/v1/`. */
 export class OperatorApi {
@@ -60,15 +64,19 @@
     'GET limits/*': (_, [name = '']) => this.withDoc((doc) => findContract(doc, name).map((contract) => describeLimits(contract, this.state.listMembers()))),
     'GET writes/*': async (_, [writeId = '']) => await this.state.writer.findOutcome(writeId).then((result) => result.map((outcome) => ({ writeId, ...outcome }))),
     'PUT deployment': async (request) => await this.write(request, deploymentBody, ({ deployment, expectVersion, force }) =>
-      ({ kind: 'deployment', deployment, expectVersion, force })),
+      validateDeployment(deployment).mapErr(describeProblems).map((valid) => ({ kind: 'deployment', deployment: valid, expectVersion, force }))),
     'PUT contracts/*': async (request, [customer]) => await this.write(request, putContractBody, ({ contract, expectVersion }) =>
-      contract.customer === customer ? { kind: 'putContract', contract, expectVersion } : `The path names "${customer}" and the contract "${contract.customer}".`),
+      validateContract(contract).mapErr(describeProblems).andThen((valid) => valid.customer === customer
+        ? ok({ kind: 'putContract' as const, contract: valid, expectVersion })
+        : err(createFailure('badRequest', { message: `The path names "${customer}" and the contract "${valid.customer}".` })))),
     'DELETE contracts/*': async (request, [customer = '']) => await this.write(request, deleteContractBody, ({ expectVersion }) =>
-      ({ kind: 'deleteContract', customer, expectVersion })),
-    'POST drains': async (request) => await this.write(request, addDrainBody, ({ kind, name, force }) => ({ kind: 'addDrain', drain: kind, name, force })),
+      ok({ kind: 'deleteContract', customer, expectVersion })),
+    'POST drains': async (request) => await this.write(request, addDrainBody, ({ kind, name, force }) =>
+      ok({ kind: 'addDrain', drain: kind, name, force })),
     'DELETE drains/*/*': async (request, [kind, name = '']) => await this.write(request, removeDrainBody, () => {
       const parsed = drainKindSchema.safeParse(kind)
-      return parsed.success ? { kind: 'removeDrain', drain: parsed.data, name } : `"${kind}" is not a kind of drain; use upstream, zone or host.`
+      if (parsed.success) return ok({ kind: 'removeDrain', drain: parsed.data, name })
+      return err(createFailure('badRequest', { message: `"${kind}" is not a kind of drain; use upstream, zone or host.` }))
     }),
     'POST explain': async ({ body }) => await this.explain(body)
   }
@@ -79,13 +87,13 @@
   }
 
   /** Options of a write may come in the body or, for requests without one, in the query. */
-  private async write<Body extends WriteBody> (request: OperatorRequest, schema: ZodType<Body>, build: (body: Body) => ConfigChange | string): Promise<ApiResult> {
+  private async write<Body extends WriteBody> (request: OperatorRequest, schema: ZodType<Body>, build: (body: Body) => Result<ConfigChange, Failure>): Promise<ApiResult> {
     const parsed = parse(schema, { ...Object.fromEntries(request.query), ...request.body as object })
     if (parsed.isErr()) return err(parsed.error)
     const change = build(parsed.value)
-    if (typeof change === 'string') return err(createFailure('badRequest', { message: change }))
+    if (change.isErr()) return err(change.error)
     const { writeId = `auto-${randomBytes(generatedIdBytes).toString('hex')}`, dryRun } = parsed.value
-    const write = { writeId, by: request.operator, change }
+    const write = { writeId, by: request.operator, change: change.value }
     if (!dryRun) return await this.state.writer.write(write)
     const preview = await this.state.writer.preview(write)
     return preview.map(({ doc, change: line }) => ({ dryRun: true, version: doc.version, change: line }))
@@ -114,6 +122,11 @@
   return err(createFailure('invalidDocument', { message: `The document is not valid at ${place}: ${issue?.message ?? 'unknown fault'}.` }))
 }
 
+/** Names several faults, so that an operator corrects them at once. */
+function describeProblems (problems: readonly ConfigProblem[]): Failure {
+  return createFailure('invalidDocument', { message: `The document is not valid: ${problems.slice(0, maxProblems).map(formatProblem).join('; ')}.` })
+}
+
 function findContract (doc: ConfigDoc, customer: string): Result<ConfigDoc['contracts'][number], Failure> {
   const contract = doc.contracts.find((candidate) => candidate.customer === customer)
   return contract === undefined ? err(createFailure('unknownItem', { message: `There is no contract "${customer}"; see GET /admin/v1/contracts.` })) : ok(contract)
--- a/src/control/OperatorServer.ts
+++ b/src/control/OperatorServer.ts
@@ -1,95 +1,89 @@
-import { createServer } from 'node:http'
-import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http'
-import { createServer as createTlsServer } from 'node:https'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
+import type { Registry } from 'prom-client'
 import { createFailure } from '../common/createFailure.js'
 import type { Failure } from '../common/Failure.js'
-import { resultCodes } from '../common/resultCodes.js'
+import { HealthRoutes } from '../common/HealthRoutes.js'
+import { HttpListener } from '../common/HttpListener.js'
+import type { Logger } from '../common/Logger.js'
+import { readBearer } from '../common/readBearer.js'
+import { readRequestId } from '../common/readRequestId.js'
+import { sendFailure } from '../common/sendFailure.js'
+import { sendJson } from '../common/sendJson.js'
+import type { Settings } from '../config/Settings.js'
 import type { OperatorAuth } from './OperatorAuth.js'
 import type { OperatorRequest } from './OperatorRequest.js'
 
-/** A plain text page, such as metrics. */
-interface TextPage {
-  readonly contentType: string
-  readonly text: string
-}
-
 /** What an operator server serves. */
 interface OperatorServerOptions {
+  readonly settings: Settings
+  readonly logger: Logger
   readonly auth: OperatorAuth
+  readonly registry: Registry
   readonly onRequest: (request: OperatorRequest) => Promise<Result<unknown, Failure>>
-  readonly getMetrics: () => Promise<TextPage>
-  /** True when the agent has a configuration and is not leaving. */
-  readonly isReady: () => boolean
-  readonly onError: (err: unknown) => void
-  /** PEM texts; plain HTTP without them. */
-  readonly tls?: { readonly cert: string, readonly key: string } | undefined
+  /** Returns why the agent is not ready, or undefined when it is. */
+  readonly findObstacle: () => string | undefined
 }
 
 const adminPrefix = '/admin/v1/'
 const maxBodyBytes = 16_777_216
-const maxConnections = 256
-const requestTimeoutMs = 10_000
+const closeTimeoutMs = 1_000
 
 /** HTTP server for operators, health checks and metrics. */
 export class OperatorServer {
-  private readonly server: Server
+  private readonly listener: HttpListener
+  private readonly health: HealthRoutes
 
   constructor (private readonly options: OperatorServerOptions) {
-    const listener: RequestListener = (req, res) => {
-      this.handle(req, res).catch((error: unknown) => this.failInternally(res, error))
-    }
-    this.server = options.tls === undefined ? createServer(listener) : createTlsServer(options.tls, listener)
-    this.server.maxConnections = maxConnections
-    this.server.requestTimeout = requestTimeoutMs
-    this.server.headersTimeout = requestTimeoutMs
-  }
-
-  async listen (address: string, port: number): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject)
-      this.server.listen(port, address, resolve)
+    const { settings, logger, registry, findObstacle } = options
+    this.health = new HealthRoutes({ registry, findObstacle })
+    this.listener = new HttpListener({
+      limits: settings.limits,
+      tls: settings.tls,
+      logger,
+      onRequest: (req, res) => { this.handle(req, res).catch((error: unknown) => this.failInternally(res, error)) }
     })
   }
 
-  /** Replaces the certificate; new connections use it. */
-  setTls (tls: { readonly cert: string, readonly key: string }): void {
-    if ('setSecureContext' in this.server) (this.server as ReturnType<typeof createTlsServer>).setSecureContext(tls)
+  async listen (): Promise<void> {
+    const { address, ports } = this.options.settings
+    await this.listener.listen(address, ports.operator)
   }
 
   async close (): Promise<void> {
-    const closed = new Promise<void>((resolve) => this.server.close(() => resolve()))
-    this.server.closeAllConnections()
-    await closed
+    await this.listener.close(closeTimeoutMs)
   }
 
   private async handle (req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const url = parseUrl(req.url)
-    if (url === undefined) return sendFailure(res, createFailure('badRequest', { message: 'The URL is malformed.' }))
-    if (req.method === 'GET' && url.pathname === '/health/alive') return sendJson(res, 200, { alive: true })
-    if (req.method === 'GET' && url.pathname === '/health/ready') return this.sendReadiness(res)
-    if (req.method === 'GET' && url.pathname === '/metrics') return sendText(res, await this.options.getMetrics())
-    if (!url.pathname.startsWith(adminPrefix)) return sendFailure(res, createFailure('unknownItem', { message: `There is no page ${url.pathname}.` }))
-    const operator = this.options.auth.check(req.headers.authorization, req.socket.remoteAddress ?? '')
-    if (operator.isErr()) return sendFailure(res, operator.error)
-    if (url.pathname === `${adminPrefix}metrics`) return sendText(res, await this.options.getMetrics())
-    const request = await readRequest(req, url, operator.value)
-    if (request.isErr()) return sendFailure(res, request.error)
-    const result = await this.options.onRequest(request.value)
-    if (result.isErr()) return sendFailure(res, result.error)
-    sendJson(res, 200, result.value)
+    if (this.health.handle(req, res)) return
+    const requestId = readRequestId(req)
+    const result = await this.answer(req)
+    if (result.isErr()) return sendFailure(res, result.error, requestId)
+    if (typeof result.value === 'string') {
+      res.writeHead(200, { 'Content-Type': this.options.registry.contentType })
+      res.end(result.value)
+      return
+    }
+    sendJson(res, 200, result.value, { 'Shunt-Request-Id': requestId })
   }
 
-  private sendReadiness (res: ServerResponse): void {
-    const ready = this.options.isReady()
-    sendJson(res, ready ? 200 : 503, { ready })
+  /** A string is a text page, everything else is sent as JSON. */
+  private async answer (req: IncomingMessage): Promise<Result<unknown, Failure>> {
+    const url = parseUrl(req.url)
+    if (url === undefined) return err(createFailure('badRequest', { message: 'The URL is malformed.' }))
+    if (!url.pathname.startsWith(adminPrefix)) return err(createFailure('unknownItem', { message: `There is no page ${url.pathname}; pages start with ${adminPrefix}.` }))
+    const operator = this.options.auth.check(readBearer(req), req.socket.remoteAddress ?? '')
+    if (operator.isErr()) return err(operator.error)
+    if (url.pathname === `${adminPrefix}metrics`) return ok(await this.options.registry.metrics())
+    const request = await readRequest(req, url, operator.value)
+    return request.isErr() ? err(request.error) : await this.options.onRequest(request.value)
   }
 
   private failInternally (res: ServerResponse, error: unknown): void {
-    this.options.onError(error)
+    this.options.logger.error('operator-request-failed', { message: error instanceof Error ? error.stack ?? error.message : 'unknown' })
     if (res.headersSent) res.destroy()
-    else sendFailure(res, createFailure('internal'))
+    else sendFailure(res, createFailure('internal', { outcome: 'unknown' }), '')
   }
 }
 
@@ -123,21 +117,3 @@
   }
   return ok(Buffer.concat(chunks))
 }
-
-function sendFailure (res: ServerResponse, { name, outcome, message, retryAfterMs }: Failure): void {
-  const { code, status } = resultCodes[name]
-  res.setHeader('Shunt-Code', code)
-  res.setHeader('Shunt-Outcome', outcome)
-  if (retryAfterMs !== undefined) res.setHeader('Retry-After', Math.ceil(retryAfterMs / 1_000))
-  sendJson(res, status, { code, name, outcome, message, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) })
-}
-
-function sendJson (res: ServerResponse, status: number, value: unknown): void {
-  res.writeHead(status, { 'content-type': 'application/json' })
-  res.end(JSON.stringify(value))
-}
-
-function sendText (res: ServerResponse, { contentType, text }: TextPage): void {
-  res.writeHead(200, { 'content-type': contentType })
-  res.end(text)
-}
--- a/src/control/PeerExchange.ts
+++ b/src/control/PeerExchange.ts
@@ -140,14 +140,14 @@
   }
 
   private reportState (host: string, state: 'suspect' | 'dead'): void {
-    this.options.log.warn('member_state', { member: host, state })
+    this.options.log.warn('member-state', { member: host, state })
     if (state === 'suspect') this.options.onSuspect()
     this.options.onChange(true)
     this.flushSoon()
   }
 
   private reportLink (host: string, down: boolean): void {
-    this.options.log.warn('member_link', { member: host, down })
+    this.options.log.warn('member-link', { member: host, down })
     this.options.onChange(true)
   }
 
@@ -226,7 +226,7 @@
 
   private refuse (relation: string, { lineage, version, writeId }: Pick<Exchange, 'lineage' | 'version' | 'writeId'>): void {
     this.options.onRefusedConfig(relation)
-    this.options.log.warn('config_refused', { relation, lineage, version, writeId })
+    this.options.log.warn('config-refused', { relation, lineage, version, writeId })
   }
 
   private answerPull (): Message {
@@ -240,7 +240,7 @@
   }
 
   private reportCrash (err: unknown): void {
-    this.options.log.error('exchange_failed', { message: err instanceof Error ? err.stack ?? err.message : 'unknown' })
+    this.options.log.error('exchange-failed', { message: err instanceof Error ? err.stack ?? err.message : 'unknown' })
   }
 }
 
--- a/src/control/ViewPublisher.ts
+++ b/src/control/ViewPublisher.ts
@@ -87,7 +87,7 @@
       if (connection.notify(message) && config !== undefined) subscriber.sentVersion = config.version
     } catch (err) {
       // encodeFrame throws when the view is over the frame's size limit.
-      this.options.log.error('view_not_sent', { role: subscriber.role, message: err instanceof Error ? err.message : 'unknown' })
+      this.options.log.error('view-not-sent', { role: subscriber.role, message: err instanceof Error ? err.message : 'unknown' })
     }
   }
 }
--- a/src/control/applyContractChange.ts
+++ b/src/control/applyContractChange.ts
@@ -2,10 +2,12 @@
 import type { Result } from 'neverthrow'
 import { createFailure } from '../common/createFailure.js'
 import type { Failure } from '../common/Failure.js'
+import { checkContractServices } from '../config/checkContractServices.js'
+import { formatProblem } from '../config/formatProblem.js'
 import type { ConfigDoc } from '../model/ConfigDoc.js'
 import type { Contract } from '../model/Contract.js'
 import type { AppliedChange } from './AppliedChange.js'
-import { capFields } from './capFields.js'
+import { capParts } from './capParts.js'
 import type { ChangeContext } from './ChangeContext.js'
 import { checkCapGuarantee } from './checkCapGuarantee.js'
 import type { ConfigChange } from './ConfigChange.js'
@@ -30,14 +32,12 @@
 
 /** The contract's version is the configuration version of its change, so that a deleted and created contract never repeats one. */
 function putContract (base: ConfigDoc, contract: Contract, current: Contract | undefined, context: ChangeContext): Result<AppliedChange, Failure> {
-  const missing = contract.services.find((name) => !base.services.some((service) => service.name === name))
-  if (missing !== undefined) {
-    return err(createFailure('invalidDocument', { message: `The contract names service "${missing}", which the deployment does not have.` }))
-  }
+  const [problem] = checkContractServices(contract, base.services)
+  if (problem !== undefined) return err(createFailure('invalidDocument', { message: `The contract is not valid at ${formatProblem(problem)}.` }))
   return checkCapGuarantee(base, { customer: contract.customer, current, next: contract }, context).map(() => {
     const contracts = [...base.contracts.filter(({ customer }) => customer !== contract.customer), contract]
     contracts.sort((a, b) => a.customer < b.customer ? -1 : 1)
-    const replaced = current !== undefined && capFields.some((field) => current[field] !== contract[field]) ? [current] : []
+    const replaced = current !== undefined && capParts.some(({ field }) => current[field] !== contract[field]) ? [current] : []
     return {
       doc: { ...base, version: base.version + 1, contracts, priorCaps: keepPriorCaps(base, replaced, context.reaches) },
       change: `contract ${contract.customer}: ${describeChange(current, contract)}`
--- a/src/control/applyDeployment.ts
+++ b/src/control/applyDeployment.ts
@@ -2,13 +2,14 @@
 import type { Result } from 'neverthrow'
 import { createFailure } from '../common/createFailure.js'
 import type { Failure } from '../common/Failure.js'
+import { checkContractServices } from '../config/checkContractServices.js'
 import type { ConfigDoc } from '../model/ConfigDoc.js'
 import type { AppliedChange } from './AppliedChange.js'
 import type { ChangeContext } from './ChangeContext.js'
-import { checkReferences } from './checkReferences.js'
 import type { ConfigChange } from './ConfigChange.js'
-import type { Deployment } from './Deployment.js'
+import type { Deployment } from '../model/Deployment.js'
 import { describeConflict } from './describeConflict.js'
+import { isDrainTarget } from './isDrainTarget.js'
 import { keepPriorCaps } from './keepPriorCaps.js'
 
 type DeploymentChange = Extract<ConfigChange, { kind: 'deployment' }>
@@ -22,7 +23,7 @@
   const current = base ?? { ...deployment, version: 0, contracts: [], drains: [], priorCaps: [] }
   return checkHosts(current, change, context).andThen((removed) => {
     const doc = buildDocument(current, deployment, removed, context)
-    return checkReferences(doc).map(() => ({ doc, change: `deployment: ${doc.hosts.length} hosts, ${doc.endpoints.length} endpoints` }))
+    return checkContracts(doc).map(() => ({ doc, change: `deployment: ${doc.hosts.length} hosts, ${doc.endpoints.length} endpoints` }))
   })
 }
 
@@ -53,7 +54,18 @@
   const priorCaps = keepPriorCaps(current, hostsChanged ? current.contracts : [], reaches)
     .map((prior) => ({ ...prior, hosts: prior.hosts.filter((host) => !gone.has(host)) }))
     .filter(({ hosts }) => hosts.length > 0)
-  return { ...current, ...deployment, version: current.version + 1, priorCaps }
+  const drains = current.drains.filter(({ kind, name }) => isDrainTarget(deployment, kind, name))
+  return { ...current, ...deployment, version: current.version + 1, drains, priorCaps }
+}
+
+function checkContracts (doc: ConfigDoc): Result<void, Failure> {
+  for (const contract of doc.contracts) {
+    const [problem] = checkContractServices(contract, doc.services)
+    if (problem !== undefined) {
+      return err(createFailure('invalidDocument', { message: `The contract "${contract.customer}" does not fit the deployment: ${problem.message}. Change the contract first.` }))
+    }
+  }
+  return ok(undefined)
 }
 
 function hasSameNames (a: Deployment, b: Deployment): boolean {
--- a/src/control/applyDrainChange.ts
+++ b/src/control/applyDrainChange.ts
@@ -1,16 +1,15 @@
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
-import { match } from 'ts-pattern'
 import { createFailure } from '../common/createFailure.js'
 import type { Failure } from '../common/Failure.js'
 import type { ConfigDoc } from '../model/ConfigDoc.js'
 import type { Drain } from '../model/Drain.js'
-import type { DrainKind } from '../model/DrainKind.js'
 import type { EndpointSpec } from '../model/EndpointSpec.js'
 import type { HostSpec } from '../model/HostSpec.js'
 import type { AppliedChange } from './AppliedChange.js'
 import type { ChangeContext } from './ChangeContext.js'
 import type { ConfigChange } from './ConfigChange.js'
+import { isDrainTarget } from './isDrainTarget.js'
 
 type DrainChange = Extract<ConfigChange, { kind: 'addDrain' | 'removeDrain' }>
 type DrainMark = Pick<Drain, 'kind' | 'name'>
@@ -25,7 +24,7 @@
     if (existing === undefined) return err(createFailure('unknownItem', { message: `There is no ${item}.` }))
     return ok({ doc: { ...base, version, drains: base.drains.filter((drain) => drain !== existing) }, change: `${item}: cancelled` })
   }
-  if (!isKnown(base, kind, name)) return err(createFailure('unknownItem', { message: `The configuration has no ${kind} "${name}".` }))
+  if (!isDrainTarget(base, kind, name)) return err(createFailure('unknownItem', { message: `The configuration has no ${kind} "${name}".` }))
   const drain: Drain = existing ?? { kind, name, by: context.by, atMs: context.wallMs }
   const drains = [...base.drains.filter((other) => other !== existing), drain]
   const emptied = change.force ? undefined : findEmptied(base, drains, context.leavingEndpoints)
@@ -35,14 +34,6 @@
   return ok({ doc: { ...base, version, drains }, change: `${item}: announced` })
 }
 
-function isKnown (doc: ConfigDoc, kind: DrainKind, name: string): boolean {
-  return match(kind)
-    .with('upstream', () => doc.endpoints.some((endpoint) => endpoint.name === name))
-    .with('zone', () => doc.zones.some((zone) => zone.name === name))
-    .with('host', () => doc.hosts.some((host) => host.name === name))
-    .exhaustive()
-}
-
 /** Says what the drains would take the last of, when something is left before the change and nothing after it. */
 function findEmptied (doc: ConfigDoc, drains: readonly DrainMark[], leaving: ReadonlySet<string>): string | undefined {
   const stays = (marks: readonly DrainMark[]) => (endpoint: EndpointSpec): boolean =>
--- a/src/control/checkCapGuarantee.ts
+++ b/src/control/checkCapGuarantee.ts
@@ -5,25 +5,31 @@
 import type { ConfigDoc } from '../model/ConfigDoc.js'
 import type { Contract } from '../model/Contract.js'
 import type { PriorCap } from '../model/PriorCap.js'
-import { capFields } from './capFields.js'
-import type { CapPortion } from './CapPortion.js'
+import { emptyPortion } from '../share/emptyPortion.js'
+import type { Portion } from '../share/Portion.js'
+import { capParts } from './capParts.js'
 import type { ChangeContext } from './ChangeContext.js'
 import type { HostReach } from './HostReach.js'
 
+/** The limits that are divided among hosts. */
+type Cap = Pick<Contract, typeof capParts[number]['field']>
+
 /** A customer's cap before and after a change; `current` is undefined for a new contract. */
 interface CapChange {
   readonly customer: string
   readonly current: Contract | undefined
-  readonly next: CapPortion
+  readonly next: Cap
 }
 
 /** Old portions of one former cap, by host. */
 interface FormerCap {
   /** Hosts that applied this version or a later one have given the cap up. */
   readonly untilVersion: number
-  readonly portions: ReadonlyMap<string, CapPortion>
+  readonly portions: ReadonlyMap<string, Portion>
 }
 
+const roundingError = 1e-6
+
 /**
  * Rejects a lowered cap that is below what hosts out of reach may still use.
  * Failure: `capBelowUnreachable`, with the smallest cap that can be guaranteed now and the hosts behind it.
@@ -32,10 +38,11 @@
   const unreachable = findUnreachable(base, context.reaches)
   if (unreachable.length === 0) return ok(undefined)
   const formerCaps = listFormerCaps(base, change, context)
-  for (const field of capFields) {
+  for (const { field, part } of capParts) {
     if (change.current !== undefined && change.next[field] >= change.current[field]) continue
-    const held = unreachable.map((reach) => ({ host: reach.host, amount: findLargestPortion(formerCaps, reach, field) }))
-    const smallest = held.reduce((sum, { amount }) => sum + amount, 0)
+    const held = unreachable.map((reach) => ({ host: reach.host, amount: findLargestPart(formerCaps, reach, part) }))
+    // Rates are divided in steps of 0.001, so their sum may be off by rounding.
+    const smallest = Math.ceil(held.reduce((sum, { amount }) => sum + amount, 0) - roundingError)
     if (change.next[field] >= smallest) continue
     const hosts = held.filter(({ amount }) => amount > 0).map(({ host, amount }) => `${host} (${amount})`).join(', ')
     return err(createFailure('capBelowUnreachable', {
@@ -62,8 +69,11 @@
   return [...former, { untilVersion: base.version + 1, portions: computePortions(base, current) }]
 }
 
-/** A host that was removed keeps its place in the old division; only its name matters there. */
-function computePriorPortions (base: ConfigDoc, prior: PriorCap, computePortions: ChangeContext['computePortions']): ReadonlyMap<string, CapPortion> {
+/**
+ * Old portions by host. The zones of hosts that are no longer configured are unknown, and with them the order of the
+ * division; every old host then counts with the largest portion, as in `computeUsablePortion`.
+ */
+function computePriorPortions (base: ConfigDoc, prior: PriorCap, computePortions: ChangeContext['computePortions']): ReadonlyMap<string, Portion> {
   const [template] = base.hosts
   if (template === undefined) return new Map()
   const known = new Map(base.hosts.map((host) => [host.name, host]))
@@ -72,12 +82,23 @@
   const contract: Contract = {
     customer, rate, burst, concurrency, uploadBytesPerSecond, version: 0, credentialHashes: [], services: [], regionShare: 1, moveStep: 1, priority: 1
   }
-  return computePortions({ ...base, hosts }, contract)
+  const portions = computePortions({ ...base, hosts }, contract)
+  if (prior.hosts.every((name) => known.has(name))) return portions
+  const largest = combineLargest([...portions.values()])
+  return new Map(prior.hosts.map((name) => [name, largest]))
+}
+
+function combineLargest (portions: readonly Portion[]): Portion {
+  const largest = { ...emptyPortion }
+  for (const portion of portions) {
+    for (const { part } of capParts) largest[part] = Math.max(largest[part], portion[part])
+  }
+  return largest
 }
 
-function findLargestPortion (formerCaps: readonly FormerCap[], reach: HostReach, field: typeof capFields[number]): number {
+function findLargestPart (formerCaps: readonly FormerCap[], reach: HostReach, part: typeof capParts[number]['part']): number {
   const amounts = formerCaps
     .filter(({ untilVersion }) => untilVersion > reach.appliedVersion)
-    .map(({ portions }) => portions.get(reach.host)?.[field] ?? 0)
+    .map(({ portions }) => portions.get(reach.host)?.[part] ?? 0)
   return Math.max(0, ...amounts)
 }
--- a/src/control/configDocSchema.ts
+++ b/src/control/configDocSchema.ts
@@ -1,7 +1,8 @@
 import { z } from 'zod'
-import { contractSchema } from './contractSchema.js'
-import { deploymentSchema } from './deploymentSchema.js'
-import { nameSchema } from './nameSchema.js'
+import { contractSchema } from '../config/contractSchema.js'
+import { deploymentSchema } from '../config/deploymentSchema.js'
+import { fields } from '../config/fields.js'
+import { DrainKind } from '../model/DrainKind.js'
 
 const count = z.number().int().nonnegative()
 
@@ -10,18 +11,18 @@
   version: z.number().int().positive(),
   contracts: z.array(contractSchema),
   drains: z.array(z.object({
-    kind: z.enum(['upstream', 'zone', 'host']),
-    name: nameSchema,
+    kind: z.enum(DrainKind),
+    name: fields.name,
     by: z.string(),
     atMs: z.number()
   }).strict()),
   priorCaps: z.array(z.object({
-    customer: nameSchema,
+    customer: fields.name,
     untilVersion: z.number().int().positive(),
     rate: count,
     burst: count,
     concurrency: count,
     uploadBytesPerSecond: count,
-    hosts: z.array(nameSchema)
+    hosts: z.array(fields.name)
   }).strict())
 }).strict()
--- a/test/control/AgentGroup.ts
+++ b/test/control/AgentGroup.ts
@@ -5,7 +5,8 @@
 import { SystemClock } from '../../src/common/SystemClock.js'
 import { Agent } from '../../src/control/Agent.js'
 import { AgentLink } from '../../src/control/AgentLink.js'
-import { computeEvenPortions } from '../../src/control/computeEvenPortions.js'
+import { computePortions } from '../../src/share/computePortions.js'
+import type { Settings } from '../../src/config/Settings.js'
 import { MemoryPlatform } from './MemoryPlatform.js'
 import { sampleDeployment } from './sampleDeployment.js'
 
@@ -38,27 +39,26 @@
   async start (host: string, dial: Record<string, string> = {}): Promise<Agent> {
     const clock = new SystemClock()
     const log = new SilentLogger()
+    const settings: Settings = {
+      host,
+      zone: host.slice(0, host.lastIndexOf('-')),
+      address: this.find(host),
+      ports: { caller: 8080, internal: 8081, peer: 8082, lookup: 8083, agent: 8084, operator: 8085, entryAdmin: 8086 },
+      clusterKey,
+      operators: [{ name: 'anna', credentialHash: createHash('sha256').update(credential).digest('hex') }],
+      platform: { url: 'http://127.20.0.1:1', timeoutMs: 1_000 },
+      seeds: [...this.addresses.values()].map((address) => `${address}:8084`),
+      dial,
+      log: {},
+      stopTimeoutMs: 1_000,
+      limits: { maxConnections: 10, maxHeaderBytes: 16_384, headersTimeoutMs: 1_000, idleTimeoutMs: 1_000 }
+    }
     const agent = new Agent({
-      settings: {
-        host,
-        zone: host.slice(0, host.lastIndexOf('-')),
-        address: this.find(host),
-        ports: { caller: 8080, internal: 8081, peer: 8082, lookup: 8083, agent: 8084, operator: 8085, entryAdmin: 8086 },
-        clusterKey,
-        operators: [{ name: 'anna', credentialHash: createHash('sha256').update(credential).digest('hex') }],
-        platform: { url: 'http://127.20.0.1:1', timeoutMs: 1_000 },
-        seeds: [...this.addresses.values()].map((address) => `${address}:8084`),
-        dial,
-        log: {},
-        stopTimeoutMs: 1_000,
-        limits: { maxConnections: 10, maxHeaderBytes: 16_384, headersTimeoutMs: 1_000, idleTimeoutMs: 1_000 }
-      },
-      clock,
-      createLog: () => log,
+      context: { settings, clock, createModuleLogger: () => log },
       table: this.platform.table,
       objects: this.platform.objects,
       hosts: this.platform.hosts,
-      computePortions: computeEvenPortions
+      computePortions
     })
     this.agents.set(host, agent)
     await agent.start()
--- a/test/control/ConfigWriter.test.ts
+++ b/test/control/ConfigWriter.test.ts
@@ -3,7 +3,6 @@
 import fc from 'fast-check'
 import { Logger } from '../../src/common/Logger.js'
 import { SystemClock } from '../../src/common/SystemClock.js'
-import { computeEvenPortions } from '../../src/control/computeEvenPortions.js'
 import { ConfigArchive } from '../../src/control/ConfigArchive.js'
 import type { ConfigChange } from '../../src/control/ConfigChange.js'
 import type { ConfigHead } from '../../src/control/ConfigHead.js'
@@ -11,6 +10,7 @@
 import { ConfigReader } from '../../src/control/ConfigReader.js'
 import { ConfigWriter } from '../../src/control/ConfigWriter.js'
 import type { HostReach } from '../../src/control/HostReach.js'
+import { computePortions } from '../../src/share/computePortions.js'
 import type { Contract } from '../../src/model/Contract.js'
 import { MemoryPlatform } from './MemoryPlatform.js'
 import { sampleContract } from './sampleContract.js'
@@ -41,7 +41,7 @@
     this.writer = new ConfigWriter({
       ...common,
       budgetMs,
-      getContext: () => ({ reaches: this.reaches, leavingEndpoints: this.leaving, computePortions: computeEvenPortions }),
+      getContext: () => ({ reaches: this.reaches, leavingEndpoints: this.leaving, computePortions }),
       onAccepted: () => {}
     })
   }
--- a/test/control/OperatorServer.test.ts
+++ b/test/control/OperatorServer.test.ts
@@ -11,13 +11,13 @@
   const clock = new ManualClock()
   const hash = '34b0bca3abbe2a8e8b5a8f2d4fe3e3e4f9d1cb1f5c4e1c9b2f7c5f0c3ed5a1d2'
   const auth = new OperatorAuth([{ name: 'anna', credentialHash: hash }], clock)
-  for (let i = 0; i < 10; i += 1) expect(auth.check(`Bearer guess-${i}`, '1.1.1.1')._unsafeUnwrapErr().name).toEqual('operatorDenied')
-  const failure = auth.check('Bearer guess', '1.1.1.1')._unsafeUnwrapErr()
+  for (let i = 0; i < 20; i += 1) expect(auth.check(`guess-${i}`, '1.1.1.1')._unsafeUnwrapErr().name).toEqual('operatorDenied')
+  const failure = auth.check('guess', '1.1.1.1')._unsafeUnwrapErr()
   expect({ name: failure.name, waits: (failure.retryAfterMs ?? 0) > 0 }).toEqual({ name: 'credentialThrottled', waits: true })
   expect(auth.check(undefined, '2.2.2.2')._unsafeUnwrapErr().name).toEqual('operatorDenied')
-  expect(auth.wrongCount).toEqual(11)
+  expect(auth.wrongCount).toEqual(21)
   clock.advance(60_001)
-  expect(auth.check('Basic x', '1.1.1.1')._unsafeUnwrapErr().name).toEqual('operatorDenied')
+  expect(auth.check('x', '1.1.1.1')._unsafeUnwrapErr().name).toEqual('operatorDenied')
 })
 
 // Guards against pages that operators rely on and that answer wrongly or without a credential.
@@ -30,7 +30,7 @@
   const dry = await group.call('a-1', 'PUT', '/admin/v1/contracts/gyms?dryRun=1', { contract: sampleContract(), expectVersion: 0 })
   expect(dry.body).toEqual({ dryRun: true, version: 2, change: 'contract gyms: created' })
   const bad = await group.call('a-1', 'PUT', '/admin/v1/contracts/gyms', { contract: { ...sampleContract(), rate: -1 }, expectVersion: 0 })
-  expect({ status: bad.status, code: bad.body.code, outcome: bad.body.outcome, place: String(bad.body.message).includes('contract.rate') }).toEqual({ status: 422, code: 6006, outcome: 'not-run', place: true })
+  expect({ status: bad.status, code: bad.body.code, outcome: bad.body.outcome, place: String(bad.body.message).includes('not valid: rate: ') }).toEqual({ status: 422, code: 6006, outcome: 'not-run', place: true })
   expect((await group.call('a-1', 'PUT', '/admin/v1/contracts/gyms', { contract: sampleContract(), expectVersion: 0, writeId: 'w1' })).body.version).toEqual(2)
   expect((await group.call('b-1', 'GET', '/admin/v1/writes/w1')).body.outcome).toEqual('accepted')
   const use = { customer: 'gyms', inFlight: 3, rate: 5, rateHeld: 35, permitsHeld: 7 }
--- a/test/control/sampleContract.ts
+++ b/test/control/sampleContract.ts
@@ -5,7 +5,7 @@
   return {
     customer: 'gyms',
     version: 0,
-    credentialHashes: [],
+    credentialHashes: ['0'.repeat(64)],
     services: ['stock'],
     rate: 70,
     burst: 7,
