Watch new neighbours without waiting for the next heartbeat

Cause: after the configuration arrived or a host came up, news waited up to 500 ms for the next choice of peers (first digest 485 ms). Change: a new topology and urgent news from an unwatched host bring the next heartbeat forward.

--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -53,6 +53,7 @@
   setTopology (topology: Topology): void {
     this.topology = topology
     this.neighbourCache.clear()
+    this.lastBeatMs = -Infinity
     this.table.forget((host) => topology.zones.has(host))
   }
 
@@ -132,6 +133,8 @@
     const results = [exchange.row, ...exchange.rows].map((row) => this.table.merge(row, host, nowMs))
     const linkChanged = this.updateLink(peer, nowMs)
     const urgent = results.includes('urgent')
+    // A host that just came up may be a new neighbour or relay; waiting for the next heartbeat would delay news to it.
+    if (urgent && !peer.watched) this.lastBeatMs = -Infinity
     return { urgent, changed: urgent || linkChanged || results.includes('changed') }
   }
 
