--- a/test/control/AgentGroup.ts
+++ b/test/control/AgentGroup.ts
@@ -1,10 +1,12 @@
 import { createHash } from 'node:crypto'
+import type { TestContext } from 'node:test'
 import { DialMap } from '../../src/common/DialMap.js'
 import { Logger } from '../../src/common/Logger.js'
 import { SystemClock } from '../../src/common/SystemClock.js'
 import { Agent } from '../../src/control/Agent.js'
 import { AgentLink } from '../../src/control/AgentLink.js'
-import { computeEvenPortions } from '../../src/control/computeEvenPortions.js'
+import { computePortions } from '../../src/share/computePortions.js'
+import type { Settings } from '../../src/config/Settings.js'
 import { MemoryPlatform } from './MemoryPlatform.js'
 import { sampleDeployment } from './sampleDeployment.js'
 
@@ -27,8 +29,9 @@
   readonly links = new Map<string, AgentLink>()
   private readonly addresses: ReadonlyMap<string, string>
 
-  /** `net` is an address prefix such as `127.20.3` that no other test uses. */
-  constructor (readonly hosts: readonly string[], private readonly net: string) {
+  /** `net` is an address prefix such as `127.20.3` that no other test uses. The group stops when the test ends. */
+  constructor (t: TestContext, readonly hosts: readonly string[], private readonly net: string) {
+    t.after(async () => await this.stop())
     this.addresses = new Map(hosts.map((host, i) => [host, `${net}.${i + 1}`]))
   }
 
@@ -36,27 +39,26 @@
   async start (host: string, dial: Record<string, string> = {}): Promise<Agent> {
     const clock = new SystemClock()
     const log = new SilentLogger()
+    const settings: Settings = {
+      host,
+      zone: host.slice(0, host.lastIndexOf('-')),
+      address: this.find(host),
+      ports: { caller: 8080, internal: 8081, peer: 8082, lookup: 8083, agent: 8084, operator: 8085, entryAdmin: 8086 },
+      clusterKey,
+      operators: [{ name: 'anna', credentialHash: createHash('sha256').update(credential).digest('hex') }],
+      platform: { url: 'http://127.20.0.1:1', timeoutMs: 1_000 },
+      seeds: [...this.addresses.values()].map((address) => `${address}:8084`),
+      dial,
+      log: {},
+      stopTimeoutMs: 1_000,
+      limits: { maxConnections: 10, maxHeaderBytes: 16_384, headersTimeoutMs: 1_000, idleTimeoutMs: 1_000 }
+    }
     const agent = new Agent({
-      settings: {
-        host,
-        zone: host.slice(0, host.lastIndexOf('-')),
-        address: this.find(host),
-        ports: { caller: 8080, internal: 8081, peer: 8082, lookup: 8083, agent: 8084, operator: 8085, entryAdmin: 8086 },
-        clusterKey,
-        operators: [{ name: 'anna', credentialHash: createHash('sha256').update(credential).digest('hex') }],
-        platform: { url: 'http://127.20.0.1:1', timeoutMs: 1_000 },
-        seeds: [...this.addresses.values()].map((address) => `${address}:8084`),
-        dial,
-        log: {},
-        stopTimeoutMs: 1_000,
-        limits: { maxConnections: 10, maxHeaderBytes: 16_384, headersTimeoutMs: 1_000, idleTimeoutMs: 1_000 }
-      },
-      clock,
-      createLog: () => log,
+      context: { settings, clock, createModuleLogger: () => log },
       table: this.platform.table,
       objects: this.platform.objects,
       hosts: this.platform.hosts,
-      computePortions: computeEvenPortions
+      computePortions
     })
     this.agents.set(host, agent)
     await agent.start()
@@ -72,6 +74,11 @@
     await this.until(() => this.hosts.every((host) => this.hosts.every((other) => this.see(host, other)?.state === 'alive')), 10_000)
   }
 
+  async stopAgent (host: string): Promise<void> {
+    await this.get(host).stop()
+    this.agents.delete(host)
+  }
+
   get (host: string): Agent {
     return this.agents.get(host)!
   }
@@ -120,7 +127,7 @@
     return performance.now() - startMs
   }
 
-  async stop (): Promise<void> {
+  private async stop (): Promise<void> {
     for (const link of this.links.values()) link.stop()
     await Promise.all([...this.agents.values()].map(async (agent) => await agent.stop()))
   }
