Close half-ended proxy sockets instead of resetting them

Cause: resetting a socket while its shutdown is under way leaves the handle open in Node.js 20, so the proxy's test process spun at 100% after its last test.

--- a/dev/proxy/Link.ts
+++ b/dev/proxy/Link.ts
@@ -4,6 +4,7 @@
 import type { LinkFaults } from './LinkFaults.js'
 import type { LinkPlan } from './LinkPlan.js'
 import { Pipe } from './Pipe.js'
+import { resetSocket } from './resetSocket.js'
 
 /** One proxied connection. */
 interface Pair {
@@ -65,21 +66,21 @@
 
   private resetAll (): void {
     for (const pair of this.pairs) this.reset(pair)
-    for (const near of this.waiting) near.resetAndDestroy()
+    for (const near of this.waiting) resetSocket(near)
   }
 
   private reset ({ near, far, forward, backward }: Pair): void {
     forward.stop()
     backward.stop()
-    near.resetAndDestroy()
-    far.resetAndDestroy()
+    resetSocket(near)
+    resetSocket(far)
   }
 
   private accept (near: Socket): void {
     this.connections += 1
     near.on('error', () => {})
     if (this.faults.cut) {
-      near.resetAndDestroy()
+      resetSocket(near)
       return
     }
     if (this.isSilent()) {
--- a/dev/proxy/Pipe.ts
+++ b/dev/proxy/Pipe.ts
@@ -1,5 +1,6 @@
 import type { Socket } from 'node:net'
 import type { BandwidthGroup } from './BandwidthGroup.js'
+import { resetSocket } from './resetSocket.js'
 
 /** What a pipe carries to its sink. */
 interface Parcel {
@@ -86,7 +87,7 @@
     if (sink.destroyed) return
     if (kind === 'data') sink.write(data)
     else if (kind === 'end') sink.end()
-    else sink.resetAndDestroy()
+    else resetSocket(sink)
   }
 
   private resumeSource (): void {
