--- /dev/null
+++ b/dev/callers/Caller.ts
@@ -0,0 +1,210 @@
+import { createHash } from 'node:crypto'
+import { Agent } from 'node:http'
+import { answerBody } from '../upstream/answerBody.js'
+import { CallKind } from './CallKind.js'
+import type { CallRecord } from './CallRecord.js'
+import { EntryDirectory } from './EntryDirectory.js'
+import { exchange } from './exchange.js'
+import type { TrafficStream } from './TrafficStream.js'
+
+/** What a caller needs besides its stream. */
+interface CallerOptions {
+  readonly stream: TrafficStream
+  /** Addresses of look-up ports as the caller reaches them, the nearest first. */
+  readonly lookups: readonly string[]
+  readonly clientIp: string
+  /** Translates an entry host's `a.b.c.d:port` to where this caller reaches it. */
+  readonly dial: (target: string) => string
+  /** Base URL and name of each host, for pinned streams. */
+  readonly hostUrl: (host: string) => string
+}
+
+/** A request and its progress. */
+interface Call {
+  readonly requestId: string
+  readonly path: string
+  readonly body: Buffer | undefined
+  readonly intendedMs: number
+  readonly deadlineMs: number
+  readonly breaks: { host: string, atMs: number, reason: string }[]
+  key: string | undefined
+  attempts: number
+  host: string
+}
+
+/** How a call goes on after an attempt. */
+type Verdict =
+  | { readonly kind: 'end', readonly result: CallRecord['result'], readonly code: number }
+  | { readonly kind: 'repeat', readonly waitMs: number, readonly result: CallRecord['result'], readonly code: number }
+
+const defaultDeadlineMs = { read: 3_000, order: 8_000, upload: 20_000 }
+const answerGraceMs = 2_000
+const maxFailures = 3
+const defaultRepeats = 2
+const orderBytes = 200
+const uploadBodies = new Map<number, { readonly body: Buffer, readonly hash: string }>()
+
+/** One caller of a customer: keeps connections open, caches look-ups, checks every answer. */
+export class Caller {
+  private readonly agent = new Agent({ keepAlive: true, noDelay: true })
+  private readonly directory: EntryDirectory
+  private readonly credential: string
+
+  constructor (private readonly options: CallerOptions) {
+    const { stream, lookups, clientIp } = options
+    this.credential = `demo-${stream.customer}`
+    this.directory = new EntryDirectory({ lookups, credential: this.credential, service: stream.service, clientIp, agent: this.agent })
+  }
+
+  /** Sends one request that was due at `intendedMs` (of `performance.now()`) and reports what became of it. */
+  async call (requestId: string, intendedMs: number): Promise<CallRecord> {
+    const call = this.createCall(requestId, intendedMs)
+    let failures = 0
+    let repeats = 0
+    for (;;) {
+      const verdict = await this.attempt(call)
+      if (verdict.kind === 'end') return this.describe(call, verdict)
+      if (verdict.result === 'broken') failures += 1
+      else repeats += 1
+      const leftMs = intendedMs + call.deadlineMs - performance.now()
+      const given = failures >= maxFailures || repeats > (this.options.stream.repeats ?? defaultRepeats)
+      if (given || verdict.waitMs >= leftMs) return this.describe(call, verdict)
+      if (verdict.waitMs > 0) await new Promise((resolve) => setTimeout(resolve, verdict.waitMs))
+    }
+  }
+
+  close (): void {
+    this.agent.destroy()
+  }
+
+  private createCall (requestId: string, intendedMs: number): Call {
+    const { stream } = this.options
+    const query = stream.kind === CallKind.read && stream.bytes !== undefined ? `?bytes=${stream.bytes}` : ''
+    return {
+      requestId,
+      path: `/${stream.path}/items/${requestId}${query}`,
+      body: createBody(stream, requestId),
+      intendedMs,
+      deadlineMs: stream.deadlineMs ?? defaultDeadlineMs[stream.kind],
+      breaks: [],
+      key: undefined,
+      attempts: 0,
+      host: ''
+    }
+  }
+
+  private async attempt (call: Call): Promise<Verdict> {
+    const entry = await this.chooseEntry()
+    if (entry === undefined) return { kind: 'repeat', result: 'notRun', code: 0, waitMs: 200 }
+    call.attempts += 1
+    call.host = entry.host
+    // A key stays the same for all attempts, since it stands for the order.
+    if (this.options.stream.kind !== CallKind.read) call.key ??= `${entry.keyPrefix}${call.requestId}`
+    const leftMs = Math.max(1, Math.round(call.intendedMs + call.deadlineMs - performance.now()))
+    const result = await exchange({
+      address: this.options.dial(entry.url.replace(/^http:\/\//, '')),
+      method: call.body === undefined ? 'GET' : 'POST',
+      path: call.path,
+      headers: this.createHeaders(call, leftMs),
+      body: call.body,
+      timeoutMs: leftMs + answerGraceMs,
+      agent: this.agent
+    })
+    if (result.kind === 'failure') return this.judgeFailure(call, result)
+    if (result.headers['shunt-leaving'] !== undefined) this.directory.avoid(entry.host)
+    return this.judgeAnswer(call, result)
+  }
+
+  private async chooseEntry (): ReturnType<EntryDirectory['choose']> {
+    const chosen = await this.directory.choose()
+    const { pinnedHost } = this.options.stream
+    if (pinnedHost === undefined || chosen === undefined) return chosen
+    return { host: pinnedHost, url: this.options.hostUrl(pinnedHost), keyPrefix: chosen.host === pinnedHost ? chosen.keyPrefix : 'pinned-' }
+  }
+
+  private createHeaders (call: Call, deadlineMs: number): Record<string, string | number> {
+    return {
+      authorization: `Bearer ${this.credential}`,
+      'shunt-request-id': call.requestId,
+      'shunt-deadline-ms': deadlineMs,
+      ...(call.key === undefined ? {} : { 'idempotency-key': call.key })
+    }
+  }
+
+  private judgeFailure (call: Call, { sent, reason }: { readonly sent: boolean, readonly reason: string }): Verdict {
+    this.directory.avoid(call.host)
+    if (!sent) {
+      // Nothing with this key has left this caller by this host, so another host may get a key of its own.
+      if (call.attempts === 1) call.key = undefined
+      return { kind: 'repeat', result: 'broken', code: 0, waitMs: 0 }
+    }
+    call.breaks.push({ host: call.host, atMs: Date.now(), reason })
+    if (this.options.stream.kind === CallKind.read) return { kind: 'repeat', result: 'broken', code: 0, waitMs: 0 }
+    return { kind: 'end', result: 'broken', code: 0 }
+  }
+
+  private judgeAnswer (call: Call, { status, headers, body }: { readonly status: number, readonly headers: Record<string, unknown>, readonly body: Buffer }): Verdict {
+    const code = Number(headers['shunt-code'] ?? 0)
+    if (status === 200 && code === 0) return { kind: 'end', result: this.isOwnAnswer(call, body) ? 'ok' : 'mixed', code: 0 }
+    if (headers['shunt-outcome'] === 'unknown') return { kind: 'end', result: 'unknown', code }
+    if (headers['shunt-outcome'] !== 'not-run') return { kind: 'end', result: 'unknown', code: code === 0 ? status : code }
+    const retryAfterMs = readRetryAfter(body)
+    if (retryAfterMs === undefined || this.options.stream.repeats === 0) return { kind: 'end', result: 'notRun', code }
+    return { kind: 'repeat', result: 'notRun', code, waitMs: retryAfterMs }
+  }
+
+  private isOwnAnswer (call: Call, body: Buffer): boolean {
+    const head = answerBody.read(body)
+    if (head === undefined) return false
+    const hash = this.options.stream.kind === CallKind.upload ? uploadBodies.get(call.body?.length ?? 0)?.hash : undefined
+    return head.requestId === call.requestId &&
+      head.customer === this.options.stream.customer &&
+      call.path.endsWith(head.path) &&
+      head.received === (call.body?.length ?? 0) &&
+      (hash === undefined || head.receivedHash === hash)
+  }
+
+  private describe (call: Call, { result, code }: { readonly result: CallRecord['result'], readonly code: number }): CallRecord {
+    const { customer, region, kind, service } = this.options.stream
+    const latencyMs = performance.now() - call.intendedMs
+    return {
+      customer,
+      region,
+      kind,
+      service,
+      requestId: call.requestId,
+      key: call.key,
+      intendedMs: Date.now() - latencyMs,
+      latencyMs,
+      result,
+      code,
+      attempts: call.attempts,
+      host: call.host,
+      breaks: call.breaks,
+      uploadedBytes: kind === CallKind.upload && result === 'ok' ? call.body?.length ?? 0 : 0
+    }
+  }
+}
+
+function createBody (stream: TrafficStream, requestId: string): Buffer | undefined {
+  if (stream.kind === CallKind.read) return undefined
+  if (stream.kind === CallKind.order) return Buffer.from(JSON.stringify({ order: requestId, note: 'x'.repeat(orderBytes) }))
+  const bytes = stream.bytes ?? 0
+  const known = uploadBodies.get(bytes) ?? createUpload(bytes)
+  uploadBodies.set(bytes, known)
+  return known.body
+}
+
+function createUpload (bytes: number): { readonly body: Buffer, readonly hash: string } {
+  const body = Buffer.alloc(bytes, 'condition report and catalogue data ')
+  return { body, hash: createHash('sha256').update(body).digest('hex') }
+}
+
+function readRetryAfter (body: Buffer): number | undefined {
+  try {
+    const { retryAfterMs } = JSON.parse(body.toString()) as { retryAfterMs?: number }
+    return retryAfterMs
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/dev/callers/exchange.ts
@@ -0,0 +1,52 @@
+import { request } from 'node:http'
+import type { Agent, IncomingHttpHeaders, OutgoingHttpHeaders } from 'node:http'
+
+/** A request to an entry host. */
+interface ExchangeOptions {
+  /** `a.b.c.d:port` as the caller reaches it. */
+  readonly address: string
+  readonly method: string
+  readonly path: string
+  readonly headers: OutgoingHttpHeaders
+  readonly body: Buffer | undefined
+  readonly timeoutMs: number
+  readonly agent: Agent
+}
+
+/** A complete answer, or a failure and whether anything can have reached the host. */
+type ExchangeResult =
+  | { readonly kind: 'answer', readonly status: number, readonly headers: IncomingHttpHeaders, readonly body: Buffer }
+  | { readonly kind: 'failure', readonly sent: boolean, readonly reason: string }
+
+/** Sends one request and never throws. */
+export async function exchange (options: ExchangeOptions): Promise<ExchangeResult> {
+  return await new Promise((resolve) => {
+    const { address, method, path, headers, body, timeoutMs, agent } = options
+    const [host, port] = address.split(':')
+    const req = request({ host, port, method, path, headers: body === undefined ? headers : { ...headers, 'content-length': body.length }, agent })
+    let sent = false
+    const fail = (reason: string): void => {
+      clearTimeout(timer)
+      req.destroy()
+      resolve({ kind: 'failure', sent, reason })
+    }
+    const timer = setTimeout(() => fail('timeout'), timeoutMs)
+    req.on('socket', (socket) => {
+      if (socket.connecting) socket.once('connect', () => { sent = true })
+      else sent = true
+    })
+    let answered = false
+    req.on('error', (err: NodeJS.ErrnoException) => { if (!answered) fail(err.code ?? err.message) })
+    req.on('response', (res) => {
+      answered = true
+      const chunks: Buffer[] = []
+      res.on('data', (chunk: Buffer) => chunks.push(chunk))
+      res.on('error', (err: NodeJS.ErrnoException) => fail(`incomplete:${err.code ?? err.message}`))
+      res.on('end', () => {
+        clearTimeout(timer)
+        resolve({ kind: 'answer', status: res.statusCode ?? 0, headers: res.headers, body: Buffer.concat(chunks) })
+      })
+    })
+    req.end(body)
+  })
+}
--- /dev/null
+++ b/dev/common/groupBy.ts
@@ -0,0 +1,11 @@
+/** Groups items by a name, in the order of their first occurrence. */
+export function groupBy<Item> (items: readonly Item[], nameOf: (item: Item) => string): Map<string, Item[]> {
+  const groups = new Map<string, Item[]>()
+  for (const item of items) {
+    const name = nameOf(item)
+    const group = groups.get(name) ?? []
+    groups.set(name, group)
+    group.push(item)
+  }
+  return groups
+}
--- a/dev/common/sendRequest.ts
+++ b/dev/common/sendRequest.ts
@@ -10,6 +10,8 @@
   readonly timeoutMs?: number
   /** Without an agent the connection is used once. */
   readonly agent?: Agent
+  /** Own address of the connection. */
+  readonly localAddress?: string
 }
 
 /** A complete answer. */
@@ -25,8 +27,13 @@
  */
 export async function sendRequest (url: string, options: RequestOptions = {}): Promise<RequestAnswer> {
   return await new Promise((resolve, reject) => {
-    const { method = 'GET', headers = {}, body, timeoutMs = 30_000, agent } = options
-    const req = request(url, { method, headers: body === undefined ? headers : { 'content-length': Buffer.byteLength(body), ...headers }, agent: agent ?? false })
+    const { method = 'GET', headers = {}, body, timeoutMs = 30_000, agent, localAddress } = options
+    const req = request(url, {
+      method,
+      headers: body === undefined ? headers : { 'content-length': Buffer.byteLength(body), ...headers },
+      agent: agent ?? false,
+      ...(localAddress === undefined ? {} : { localAddress })
+    })
     const timer = setTimeout(() => req.destroy(new Error(`no complete answer from ${url} within ${timeoutMs} ms`)), timeoutMs)
     const fail = (err: Error): void => {
       clearTimeout(timer)
