Remember refused writes and repeat reads on a closed idle connection

Cause: after a refusal the outcome of a write was reported as unknown for ever, and a read on an idle connection that the platform had closed started the 5 s pause. Change: the writer remembers the last 256 refused write ids; a read that fails on a reused connection is sent once more; an agent that stops no longer reports its entry process as lost.

--- a/src/control/Agent.ts
+++ b/src/control/Agent.ts
@@ -303,6 +303,7 @@
   private release (peer: PeerIdentity | undefined, failure: Failure | undefined, connection: FrameConnection): void {
     if (failure !== undefined) this.metrics.frameFailures.inc({ reason: failure.name })
     this.publisher.remove(connection)
+    if (this.leaving) return
     if (peer?.role !== 'entry' || peer.name !== this.host || this.publisher.findEntry() !== undefined) return
     this.log.warn('entry-disconnected')
     const digest = this.waitingDigest ?? this.members.self.report?.digest
--- a/src/control/ConfigWriter.ts
+++ b/src/control/ConfigWriter.ts
@@ -48,7 +48,7 @@
 }
 
 const maxLogEntries = 64
-const maxUnsettled = 256
+const maxRemembered = 256
 const maxWaiting = 64
 const defaultBudgetMs = 5_000
 const retryDelayMs = 150
@@ -62,6 +62,8 @@
   private queue: Promise<unknown> = Promise.resolve()
   private waiting = 0
   private readonly unsettled = new Map<string, SentMove>()
+  /** Write ids that this host refused for certain. */
+  private readonly refused = new Set<string>()
 
   constructor (private readonly options: ConfigWriterOptions) {}
 
@@ -74,7 +76,7 @@
       return err(createFailure('platformUnavailable', { message: 'Too many changes wait at this host; repeat later or use another host.', retryAfterMs: 1_000 }))
     }
     this.waiting += 1
-    const result = this.queue.then(async () => await this.run(request))
+    const result = this.queue.then(async () => this.note(request.writeId, await this.run(request)))
     this.queue = result.catch(() => undefined).finally(() => { this.waiting -= 1 })
     return await result
   }
@@ -85,11 +87,13 @@
     return base.andThen((value) => this.makeChange(value, request))
   }
 
-  /** Reports what became of a write. Failures: `platformUnavailable`, `configRolledBack`. */
+  /** Reports what became of a write; `not-run` holds for the attempts at this host. Failures: `platformUnavailable`, `configRolledBack`. */
   async findOutcome (writeId: string): Promise<Result<WriteOutcome, Failure>> {
     const platformHead = await this.options.archive.readHead()
     if (platformHead.isErr()) return err(platformHead.error)
     const sent = this.unsettled.get(writeId)
+    const isLogged = platformHead.value.head?.log.some((entry) => entry.writeId === writeId) === true
+    if (!isLogged && sent === undefined && this.refused.has(writeId)) return ok({ outcome: 'not-run' })
     // Without a record of the attempt, a write that is still on its way cannot be excluded.
     const basis = sent === undefined
       ? { writeId, rowVersion: Infinity, version: 0 }
@@ -190,9 +194,20 @@
 
   private remember (writeId: string, sent: SentMove): void {
     this.unsettled.set(writeId, sent)
-    const [oldest] = this.unsettled.keys()
-    if (this.unsettled.size > maxUnsettled && oldest !== undefined) this.unsettled.delete(oldest)
+    dropOldest(this.unsettled)
   }
+
+  private note (writeId: string, result: Result<WriteReceipt, Failure>): Result<WriteReceipt, Failure> {
+    this.refused.delete(writeId)
+    if (result.isErr() && result.error.outcome === Outcome.notRun) this.refused.add(writeId)
+    dropOldest(this.refused)
+    return result
+  }
+}
+
+function dropOldest (memory: Map<string, unknown> | Set<string>): void {
+  const [oldest] = memory.keys()
+  if (memory.size > maxRemembered && oldest !== undefined) memory.delete(oldest)
 }
 
 function describeUnknown (writeId: string): Failure {
--- a/src/platform/PlatformHttp.ts
+++ b/src/platform/PlatformHttp.ts
@@ -29,6 +29,14 @@
   readonly body: Buffer
 }
 
+/** What became of a call's connection. */
+interface CallState {
+  /** Bytes may have reached the platform. */
+  sent: boolean
+  /** The call failed on a connection that had carried another call before. */
+  reused: boolean
+}
+
 const maxResponseBytes = 16_777_216
 const maxSockets = 8
 const defaultPort = '80'
@@ -47,7 +55,10 @@
   }
 
   async call (call: PlatformCall): Promise<Result<PlatformResponse, Failure>> {
-    const result = await this.exchange(call)
+    const state = { sent: false, reused: false }
+    let result = await this.exchange(call, state)
+    // The platform may close an idle connection at the moment of its reuse; a read can simply be sent again.
+    if (result.isErr() && call.method === 'GET' && state.reused) result = await this.exchange(call, state)
     if (result.isErr() || result.value.status < serverErrorStatus) return result
     return err(describeLoss(call, true, `status ${result.value.status}`))
   }
@@ -56,16 +67,19 @@
     this.agent.destroy()
   }
 
-  private async exchange (call: PlatformCall): Promise<Result<PlatformResponse, Failure>> {
+  private async exchange (call: PlatformCall, state: CallState): Promise<Result<PlatformResponse, Failure>> {
     return await new Promise((resolve) => {
-      const state = { sent: false }
+      Object.assign(state, { sent: false, reused: false })
       const req = this.open(call)
       const timer = setTimeout(() => req.destroy(new Error(`no answer within ${this.options.timeoutMs} ms`)), this.options.timeoutMs)
       const finish = (result: Result<PlatformResponse, Failure>): void => {
         clearTimeout(timer)
         resolve(result)
       }
-      const fail = (error: Error): void => finish(err(describeLoss(call, state.sent, error.message)))
+      const fail = (error: Error): void => {
+        state.reused = req.reusedSocket && (error as NodeJS.ErrnoException).code === 'ECONNRESET'
+        finish(err(describeLoss(call, state.sent, error.message)))
+      }
       trackSending(req, state)
       req.on('error', fail)
       req.on('response', (res) => readBody(res, (body) => finish(ok({ status: res.statusCode ?? 0, body })), fail))
@@ -85,7 +99,7 @@
 }
 
 /** Bytes can reach the platform as soon as the socket is connected; a reused socket is connected at once. */
-function trackSending (req: ClientRequest, state: { sent: boolean }): void {
+function trackSending (req: ClientRequest, state: CallState): void {
   req.on('socket', (socket) => {
     if (!socket.connecting) {
       state.sent = true
--- a/test/control/ConfigWriter.test.ts
+++ b/test/control/ConfigWriter.test.ts
@@ -107,6 +107,8 @@
   await joseph.put('j1', { rate: 90 }, 2).then((result) => result._unsafeUnwrap())
   expect((await anna.writer.findOutcome('a1'))._unsafeUnwrap().outcome).toEqual('not-run')
   expect((await joseph.writer.findOutcome('a1'))._unsafeUnwrap().outcome).toEqual('unknown')
+  await anna.put('a2', { rate: 80 }, 2).then((result) => result._unsafeUnwrapErr())
+  expect((await anna.writer.findOutcome('a2'))._unsafeUnwrap().outcome).toEqual('not-run')
   expect((await anna.writer.findOutcome('j1'))._unsafeUnwrap().outcome).toEqual('accepted')
 })
 
