--- a/dev/demo.ts
+++ b/dev/demo.ts
@@ -1,6 +1,7 @@
 import { Command } from 'commander'
 import { createMixedTraffic } from './callers/createMixedTraffic.js'
 import { LoadGenerator } from './callers/LoadGenerator.js'
+import type { CallRecord } from './callers/CallRecord.js'
 import { Cluster } from './Cluster.js'
 import { groupBy } from './common/groupBy.js'
 import { checkPromises } from './proof/checkPromises.js'
@@ -15,6 +16,7 @@
 const killed = 'north-b-1'
 const changed = { customer: 'san-fernando-gyms', rate: 90, concurrency: 30 }
 const flooding = { customer: 'discount-hunters', factor: 4 }
+const maxListed = 10
 const configLimitMs = 6_000
 
 const program = new Command()
@@ -23,8 +25,9 @@
   .option('--network <octet>', 'second octet of the loopback network', Number, 41)
   .option('--seed <number>', 'seed of arrivals and service times', Number, 1)
   .option('--keep', 'keep the temporary folder with settings and logs')
+  .option('--log <level>', 'level of the daemons\' logs: warn, info or debug', 'warn')
   .parse()
-const options = program.opts<{ network: number, seed: number, keep?: boolean }>()
+const options = program.opts<{ network: number, seed: number, keep?: boolean, log: 'warn' | 'info' | 'debug' }>()
 
 let trafficStartMs = 0
 
@@ -103,10 +106,19 @@
     const broken = records.filter(({ result }) => result === 'broken').length
     console.log(`${name}${[records.length, count].map((value) => String(value).padStart(7)).join('')}${String(refused).padStart(9)}${String(broken).padStart(8)}${String(p50).padStart(9)}${String(p99).padStart(9)}`)
   }
+  for (const { requestId, kind, customer, host, result, code, latencyMs, breaks } of load.records.filter(isUnusual).slice(0, maxListed)) {
+    const reasons = breaks.map((entry) => `${entry.reason}@${entry.host}`).join(',') || 'none'
+    console.log(`not answered: ${requestId} ${kind} of ${customer} at ${host}: ${result}/${code} after ${Math.round(latencyMs)} ms, breaks ${reasons}`)
+  }
   const codes = groupBy(load.records.filter(({ result }) => result !== 'ok'), ({ result, code }) => `${result}/${code}`)
   console.log(`not ok by result and code: ${[...codes].map(([name, records]) => `${name}=${records.length}`).join(' ') || 'none'}`)
 }
 
+/** True for a request that got no answer although its customer kept to its contract. */
+function isUnusual ({ customer, result }: CallRecord): boolean {
+  return result !== 'ok' && customer !== flooding.customer
+}
+
 function isKept (promises: BrokenPromises, { spreadMs, drainMs }: Measures, answered: number): boolean {
   const broken = Object.values(promises).some((count) => count > 0)
   return !broken && answered > 0 && drainMs !== undefined && spreadMs !== undefined && spreadMs <= configLimitMs
@@ -137,7 +149,7 @@
 }
 
 say('starting Caroni: 7 hosts, 44 endpoints, platform and proxy')
-const cluster = await Cluster.start({ example: 'caroni', network: options.network, seed: options.seed, keepFolder: options.keep === true })
+const cluster = await Cluster.start({ example: 'caroni', network: options.network, seed: options.seed, keepFolder: options.keep === true, logLevel: options.log })
 try {
   process.exitCode = await run(cluster) ? 0 : 1
 } finally {
