Spread the use per customer once per second and as bytes

Cause: digests with 64 customers were decoded, validated and encoded again at every host and for every view, though only operators read these rows. Change: agents encode the rows of their own host once per second and pass them on as bytes; views leave them out.

--- a/src/control/Agent.ts
+++ b/src/control/Agent.ts
@@ -9,12 +9,15 @@
 import { DialMap } from '../common/DialMap.js'
 import type { Failure } from '../common/Failure.js'
 import type { Logger } from '../common/Logger.js'
+import { decodeUses } from '../membership/decodeUses.js'
 import { digestSchema } from '../membership/digestSchema.js'
+import { encodeUses } from '../membership/encodeUses.js'
 import { isUrgentDigest } from '../membership/isUrgentDigest.js'
 import type { Listing } from '../membership/Listing.js'
 import { Membership } from '../membership/Membership.js'
 import { membershipTimes } from '../membership/membershipTimes.js'
 import { MemberTable } from '../membership/MemberTable.js'
+import type { CustomerUse } from '../model/CustomerUse.js'
 import type { Digest } from '../model/Digest.js'
 import type { Member } from '../model/Member.js'
 import { MemberState } from '../model/MemberState.js'
@@ -51,6 +54,8 @@
   readonly computePortions: ComputePortions
 }
 
+/** Only operators read the use per customer, so it is spread less often than loads. */
+const usesIntervalMs = 1_000
 const readIntervalMs = 1_000
 const tickMs = 50
 const explainTimeoutMs = 2_000
@@ -79,6 +84,9 @@
   /** Digest that waits because load-only changes are spread at a limited rate. */
   private waitingDigest: Digest | undefined
   private lastDigestMs = -Infinity
+  /** Encoded use per customer of the last digest that carried it on. */
+  private uses: Uint8Array | undefined
+  private lastUsesMs = -Infinity
   private listPausedUntilMs = -Infinity
   private readingList = false
 
@@ -167,6 +175,10 @@
     return this.members.listMembers(this.clock.nowMs())
   }
 
+  listUses (host: string): readonly CustomerUse[] {
+    return decodeUses(this.members.get(host)?.report?.uses)
+  }
+
   /** A host that is alone in the configuration has nobody to lose contact with. */
   getContactAgeMs (): number {
     const alone = this.holder.held?.doc.hosts.every(({ name }) => name === this.host) === true
@@ -267,7 +279,7 @@
   }
 
   private spreadReport (digest: Digest | undefined, listing: Listing | undefined): void {
-    const urgent = this.members.setReport({ digest, listing })
+    const urgent = this.members.setReport({ digest, uses: this.uses, listing })
     if (urgent) this.exchange.flushSoon()
     this.publisher.announce(urgent)
   }
@@ -354,9 +366,14 @@
   }
 
   private publishDigest (digest: Digest): void {
+    const nowMs = this.clock.nowMs()
     this.waitingDigest = undefined
-    this.lastDigestMs = this.clock.nowMs()
-    this.spreadReport(digest, this.members.self.report?.listing)
+    this.lastDigestMs = nowMs
+    if (nowMs - this.lastUsesMs >= usesIntervalMs && digest.uses.length > 0) {
+      this.lastUsesMs = nowMs
+      this.uses = encodeUses(digest.uses)
+    }
+    this.spreadReport({ ...digest, uses: [] }, this.members.self.report?.listing)
   }
 
   private reportCrash (error: unknown): void {
--- a/src/control/AgentState.ts
+++ b/src/control/AgentState.ts
@@ -1,5 +1,6 @@
 import type { Result } from 'neverthrow'
 import type { Failure } from '../common/Failure.js'
+import type { CustomerUse } from '../model/CustomerUse.js'
 import type { Member } from '../model/Member.js'
 import type { Message } from '../wire/Message.js'
 import type { ConfigHolder } from './ConfigHolder.js'
@@ -12,6 +13,8 @@
   readonly holder: ConfigHolder
   readonly writer: ConfigWriter
   listMembers (): readonly Member[]
+  /** Use per customer of a host, from its last digest. */
+  listUses (host: string): readonly CustomerUse[]
   /** Age in ms of the newest exchange with another agent. */
   getContactAgeMs (): number
   /** Why the platform's configuration is refused or cannot be read now. */
--- a/src/control/OperatorApi.ts
+++ b/src/control/OperatorApi.ts
@@ -61,7 +61,7 @@
     'GET contracts/*': (_, [name = '']) => this.withDoc((doc) => findContract(doc, name).map((contract) => ({ contract }))),
     'GET deployment': () => this.withDoc(({ contracts, drains, priorCaps, version, ...deployment }) => ok({ version, deployment })),
     'GET drains': () => this.withDoc((doc) => ok(describeDrains(doc, this.state))),
-    'GET limits/*': (_, [name = '']) => this.withDoc((doc) => findContract(doc, name).map((contract) => describeLimits(contract, this.state.listMembers()))),
+    'GET limits/*': (_, [name = '']) => this.withDoc((doc) => findContract(doc, name).map((contract) => describeLimits(contract, this.state))),
     'GET writes/*': async (_, [writeId = '']) => await this.state.writer.findOutcome(writeId).then((result) => result.map((outcome) => ({ writeId, ...outcome }))),
     'PUT deployment': async (request) => await this.write(request, deploymentBody, ({ deployment, expectVersion, force }) =>
       validateDeployment(deployment).mapErr(describeProblems).map((valid) => ({ kind: 'deployment', deployment: valid, expectVersion, force }))),
--- a/src/control/ViewPublisher.ts
+++ b/src/control/ViewPublisher.ts
@@ -75,8 +75,7 @@
     if (this.subscribers.size === 0) return
     this.seq += 1
     const view = { seq: this.seq, ...this.options.buildView() }
-    const lean = omitUses(view)
-    for (const [connection, subscriber] of this.subscribers) this.send(connection, subscriber, subscriber.role === 'lookup' ? lean : view)
+    for (const [connection, subscriber] of this.subscribers) this.send(connection, subscriber, view)
   }
 
   private send (connection: FrameConnection, subscriber: Subscriber, view: View): void {
@@ -91,8 +90,3 @@
     }
   }
 }
-
-/** Look-ups don't read the use per customer, which is most of a view. */
-function omitUses (view: View): View {
-  return { ...view, members: view.members.map((member) => member.digest === undefined ? member : { ...member, digest: { ...member.digest, uses: [] } }) }
-}
--- a/src/control/describeLimits.ts
+++ b/src/control/describeLimits.ts
@@ -1,12 +1,12 @@
 import type { Contract } from '../model/Contract.js'
-import type { Member } from '../model/Member.js'
+import type { AgentState } from './AgentState.js'
 
 /** A customer's cap and what each host uses of it, from the hosts' last digests. */
-export function describeLimits (contract: Contract, members: readonly Member[]): unknown {
+export function describeLimits (contract: Contract, state: Pick<AgentState, 'listMembers' | 'listUses'>): unknown {
   const { customer, version, rate, burst, concurrency, uploadBytesPerSecond, regionShare } = contract
-  const uses = members.flatMap(({ host, state, digest }) => {
-    const use = digest?.uses.find((candidate) => candidate.customer === customer)
-    return use === undefined ? [] : [{ host, state, inFlight: use.inFlight, rate: use.rate, rateHeld: use.rateHeld, permitsHeld: use.permitsHeld }]
+  const uses = state.listMembers().flatMap(({ host, state: memberState }) => {
+    const use = state.listUses(host).find((candidate) => candidate.customer === customer)
+    return use === undefined ? [] : [{ host, state: memberState, inFlight: use.inFlight, rate: use.rate, rateHeld: use.rateHeld, permitsHeld: use.permitsHeld }]
   })
   return {
     customer,
--- a/src/membership/MemberReport.ts
+++ b/src/membership/MemberReport.ts
@@ -7,7 +7,10 @@
   readonly incarnation: number
   /** Grows by one with each report of an incarnation. */
   readonly no: number
+  /** Last digest of the entry process, without the use per customer. */
   readonly digest?: Digest | undefined
+  /** Use per customer, encoded; left out of a frame when the receiver has it. */
+  readonly uses?: Uint8Array | undefined
   /** What the platform's list says; only from agents that read it. */
   readonly listing?: Listing | undefined
 }
--- a/src/membership/MemberRow.ts
+++ b/src/membership/MemberRow.ts
@@ -14,6 +14,8 @@
   changeNo: number
   /** Number of the local change that replaced the report last. */
   reportNo: number
+  /** Number of the local change that replaced the use per customer last. */
+  usesNo: number
   /** Host that the last change came from; empty when it was made here. */
   source: string
   /** Monotonic time at which a suspect host becomes dead. */
--- a/src/membership/MemberTable.ts
+++ b/src/membership/MemberTable.ts
@@ -83,13 +83,14 @@
   }
 
   /** Replaces the own report; returns true when it must be spread at once. */
-  setReport (report: Pick<MemberReport, 'digest' | 'listing'>): boolean {
+  setReport (report: Pick<MemberReport, 'digest' | 'uses' | 'listing'>): boolean {
     const { self } = this
     const before = self.report
     const no = before?.incarnation === self.incarnation ? before.no + 1 : 1
     self.report = { ...report, incarnation: self.incarnation, no }
     self.seq += 1
     this.touch(self, '', true)
+    if (report.uses !== before?.uses) self.usesNo = self.changeNo
     return isUrgentDigest(before?.digest, report.digest) || JSON.stringify(before?.listing) !== JSON.stringify(report.listing)
   }
 
@@ -165,14 +166,18 @@
       if (!isWanted(row)) continue
       bytes += estimateBytes(row)
       if (bytes > times.maxRowBytes && rows.length > 0) return { rows, upTo: row.changeNo - 1 }
-      rows.push(this.encode(row, row.reportNo > since))
+      rows.push(this.encode(row, since))
     }
     return { rows, upTo: this.lastChangeNo }
   }
 
-  encode (row: MemberRow, withReport: boolean): WireRow {
+  /** Encodes a row for a peer that has all changes up to `since`; 0 gives everything, Infinity leaves the report out. */
+  encode (row: MemberRow, since: number): WireRow {
     const base = [row.host, row.zone, row.incarnation, row.seq, stateRanks.indexOf(row.state), row.configVersion] as const
-    return withReport && row.report !== undefined ? [...base, row.report] : base
+    if (row.report === undefined || row.reportNo <= since) return base
+    if (row.usesNo > since) return [...base, row.report]
+    const { uses, ...report } = row.report
+    return [...base, report]
   }
 
   private toMember (row: MemberRow, nowMs: number): Member {
@@ -201,14 +206,16 @@
     }
     self.seq = Math.max(self.seq, seq) + 1
     this.touch(self, '', true)
+    self.usesNo = self.changeNo
     return 'urgent'
   }
 
   private mergeReport (row: MemberRow, report: MemberReport | undefined, peer: string): MergeResult {
     if (report === undefined || compareReports(report, row.report) <= 0) return 'none'
     const urgent = isUrgentDigest(row.report?.digest, report.digest) || JSON.stringify(row.report?.listing) !== JSON.stringify(report.listing)
-    row.report = report
+    row.report = { ...report, uses: report.uses ?? row.report?.uses }
     this.touch(row, peer, true)
+    if (report.uses !== undefined) row.usesNo = row.changeNo
     return urgent ? 'urgent' : 'changed'
   }
 
@@ -250,6 +257,7 @@
       report: undefined,
       changeNo: 0,
       reportNo: 0,
+      usesNo: 0,
       source: '',
       deadAtMs: Infinity,
       flaps: 0,
@@ -291,5 +299,5 @@
 function estimateBytes ({ report }: MemberRow): number {
   const digest = report?.digest
   if (digest === undefined) return 100
-  return 300 + digest.uses.length * 100 + digest.loads.length * 80 + digest.leavingEndpoints.length * 40 + Object.keys(digest.drainInFlight).length * 40
+  return 300 + (report?.uses?.length ?? 0) + digest.loads.length * 80 + digest.leavingEndpoints.length * 40 + Object.keys(digest.drainInFlight).length * 40
 }
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -103,7 +103,7 @@
     const from = peer?.mine ?? 0
     const page = peer === undefined ? { rows: [], upTo: 0 } : table.collectChanges(from, (row) => this.isWanted(row, peer, nowMs))
     return {
-      row: table.encode(table.self, false),
+      row: table.encode(table.self, Infinity),
       epoch: this.epoch,
       from,
       upTo: page.upTo,
@@ -353,7 +353,7 @@
       if (row === undefined || row.incarnation === 0) return []
       const withReport = compareReports(row.report, { incarnation: reportIncarnation, no }) > 0
       const differs = row.incarnation > incarnation || row.configVersion > configVersion || stateRanks.indexOf(row.state) !== state
-      return withReport || differs ? [this.table.encode(row, withReport)] : []
+      return withReport || differs ? [this.table.encode(row, withReport ? 0 : Infinity)] : []
     })
   }
 
--- a/src/membership/isWireRow.ts
+++ b/src/membership/isWireRow.ts
@@ -15,6 +15,7 @@
 
 function isReport (value: unknown): boolean {
   if (!isRecord(value) || typeof value.incarnation !== 'number' || typeof value.no !== 'number') return false
+  if (value.uses !== undefined && !(value.uses instanceof Uint8Array)) return false
   return (value.digest === undefined || isDigest(value.digest)) && (value.listing === undefined || isListing(value.listing))
 }
 
--- a/src/model/Digest.ts
+++ b/src/model/Digest.ts
@@ -21,6 +21,6 @@
   readonly leavingEndpoints: readonly string[]
   /** Requests in flight at each draining or leaving endpoint that the host owns. */
   readonly drainInFlight: Readonly<Record<string, number>>
-  /** Use of customers that had traffic lately; at most 64 rows, the busiest first. */
+  /** Use of customers that had traffic lately; at most 64 rows, the busiest first. Agents spread it once per second; views leave it empty. */
   readonly uses: readonly CustomerUse[]
 }
