Lower the cost of a request on the entry host

Cause: a profile showed new upstream connections for most requests above eight idle ones, header grouping for reads without a claim, and separate writes for short answers. Change: keep up to 64 idle connections (slots bound them anyway), skip claim and preparation steps that have nothing to do, send short answers with their headers.

--- a/src/entry/AnswerWriter.ts
+++ b/src/entry/AnswerWriter.ts
@@ -12,6 +12,8 @@
   readonly reserveBytes?: ((bytes: number) => number) | undefined
 }
 
+const shortBytes = 8_192
+
 /** Passes one answer on: whole when it is held, else with back-pressure and at most one chunk in memory. */
 export class AnswerWriter {
   private resolve!: (isWhole: boolean) => void
@@ -46,7 +48,9 @@
     const all = hasBody ? replaceLength(headers, body.length) : headers
     all.push(...this.options.headers)
     this.res.writeHead(status, all)
-    this.res.end(body.length === 0 ? undefined : body)
+    // Node sends a short string together with the headers; a buffer costs a second chunk in the write.
+    if (body.length > 0 && body.length <= shortBytes) this.res.end(body.toString('latin1'), 'latin1')
+    else this.res.end(body.length === 0 ? undefined : body)
     return true
   }
 
--- a/src/entry/AttemptLoop.ts
+++ b/src/entry/AttemptLoop.ts
@@ -71,10 +71,10 @@
   }
 
   private async attempt (target: SteerTarget): Promise<Result<OpenAnswer, AttemptFailure>> {
-    const prepared = await this.prepare(target)
-    if (prepared.isErr()) {
+    const failure = this.plan.prepareAttempt === undefined && target.kind === 'endpoint' ? undefined : await this.prepare(target)
+    if (failure !== undefined) {
       this.giveBack(target)
-      return err({ failure: prepared.error, result: AttemptResult.cancelled })
+      return err({ failure, result: AttemptResult.cancelled })
     }
     this.attempts += 1
     const first = this.start(target)
@@ -84,23 +84,23 @@
     return await new HedgedAttempt(hedgeAfterMs, async () => await this.startSecond(target)).run(first)
   }
 
-  private async prepare (target: SteerTarget): Promise<Result<void, Failure>> {
-    const waited = await this.waitForLink(target)
-    if (waited.isErr()) return waited
-    const prepared = await this.plan.prepareAttempt()
-    if (prepared.isErr()) return prepared
-    return this.request.scope.reason === undefined ? ok() : err(createFailure('deadlineExceeded'))
+  /** Does what must be done before anything is sent; returns the failure that forbids it. */
+  private async prepare (target: SteerTarget): Promise<Failure | undefined> {
+    const refusal = target.kind === 'host' ? await this.waitForLink(target.region) : undefined
+    if (refusal !== undefined) return refusal
+    const prepared = await this.plan.prepareAttempt?.()
+    if (prepared?.isErr() === true) return prepared.error
+    return this.request.scope.reason === undefined ? undefined : createFailure('deadlineExceeded')
   }
 
   /** Waits for room on the link for the part of a request that is sent at once. */
-  private async waitForLink (target: SteerTarget): Promise<Result<void, Failure>> {
-    if (target.kind === 'endpoint') return ok()
+  private async waitForLink (region: string): Promise<Failure | undefined> {
     const bytes = this.request.body.bytes.length + headBytes
-    const waitMs = this.context.steering.reserveLinkBytes(target.region, this.request.workClass, bytes)
-    if (waitMs <= 0) return ok()
-    if (waitMs >= this.request.scope.leftMs) return err(createFailure('linkBudget', { retryAfterMs: waitMs }))
+    const waitMs = this.context.steering.reserveLinkBytes(region, this.request.workClass, bytes)
+    if (waitMs <= 0) return undefined
+    if (waitMs >= this.request.scope.leftMs) return createFailure('linkBudget', { retryAfterMs: waitMs })
     await new Promise((resolve) => setTimeout(resolve, waitMs))
-    return ok()
+    return undefined
   }
 
   private start (target: SteerTarget): Attempt {
--- a/src/entry/AttemptPlan.ts
+++ b/src/entry/AttemptPlan.ts
@@ -10,8 +10,8 @@
   /** Counts an attempt in a region; false when the contract does not allow it. */
   readonly enterRegion: (region: string) => boolean
   readonly leaveRegion: (region: string) => void
-  /** Called once a target is reserved and before anything is sent; a failure ends the request. */
-  readonly prepareAttempt: () => Promise<Result<void, Failure>>
+  /** Called once a target is reserved and before anything is sent; a failure ends the request. Undefined when there is nothing to do. */
+  readonly prepareAttempt: (() => Promise<Result<void, Failure>>) | undefined
   /** Asked at the moment of the write. */
   readonly mayWrite: () => boolean
   /** Monotonic time in ms after which nothing may be written; infinite when no claim is held. */
--- a/src/entry/ClaimStep.ts
+++ b/src/entry/ClaimStep.ts
@@ -85,7 +85,7 @@
   }
 
   settleAnswer (answer: UpstreamAnswer): void {
-    if (answer.rest !== undefined) return
+    if (answer.rest !== undefined || this.handle === undefined) return
     const headers = groupHeaders(copyAnswerHeaders(answer.headers))
     this.settle((handle) => handle.settleDone({ status: answer.status, headers, body: answer.body }))
   }
--- a/src/entry/EntryGateway.ts
+++ b/src/entry/EntryGateway.ts
@@ -41,8 +41,8 @@
   readonly steering: Steering
 }
 
-/** An endpoint gets about as many connections as it has slots, so few of them are idle. */
-const maxIdlePerEndpoint = 8
+/** Slots bound the connections to an endpoint; a lower limit here made a new connection for every second request. */
+const maxIdlePerEndpoint = 64
 const maxIdlePerHost = 64
 /** Peers hold their connections longer than callers, so that a forward seldom needs a new one. */
 const internalLimits = { maxConnections: 4_096, maxHeaderBytes: 32_768, headersTimeoutMs: 10_000, idleTimeoutMs: 60_000 }
--- a/src/entry/HttpExchange.ts
+++ b/src/entry/HttpExchange.ts
@@ -12,6 +12,7 @@
 import type { AttemptFailure } from './AttemptFailure.js'
 import { createConnectTimeout } from './createConnectTimeout.js'
 import { entryLimits } from './entryLimits.js'
+import { findHeader } from './findHeader.js'
 import { UploadPump } from './UploadPump.js'
 import type { UpstreamAnswer } from './UpstreamAnswer.js'
 import type { UpstreamCall } from './UpstreamCall.js'
@@ -150,9 +151,9 @@
       incoming.resume()
       return this.succeed(noBytes, undefined)
     }
-    const length = incoming.headers['content-length']
+    const length = findHeader(incoming.rawHeaders, 'content-length')
     // The end of a body without length or chunks cannot be told from a broken connection.
-    if (length === undefined && incoming.headers['transfer-encoding'] === undefined) {
+    if (length === undefined && findHeader(incoming.rawHeaders, 'transfer-encoding') === undefined) {
       this.fail('upstreamTruncated', AttemptResult.broken)
       return this.destroy()
     }
@@ -165,7 +166,7 @@
   }
 
   private hasNoBody (incoming: IncomingMessage): boolean {
-    return this.request.method === 'HEAD' || bodylessStatuses.has(incoming.statusCode!) || incoming.headers['content-length'] === '0'
+    return this.request.method === 'HEAD' || bodylessStatuses.has(incoming.statusCode!) || findHeader(incoming.rawHeaders, 'content-length') === '0'
   }
 
   private readonly onData = (chunk: Buffer): void => {
--- a/src/entry/InternalHandler.ts
+++ b/src/entry/InternalHandler.ts
@@ -120,7 +120,7 @@
       allowsRegion: () => true,
       enterRegion: () => true,
       leaveRegion: () => {},
-      prepareAttempt: async () => ok(),
+      prepareAttempt: undefined,
       mayWrite: () => clock.nowMs() < writeUntilMs && request.scope.reason === undefined,
       writeUntilMs: () => writeUntilMs,
       waitUntilMs: Math.min(request.scope.deadlineAtMs, writeUntilMs),
--- a/src/entry/RequestPipeline.ts
+++ b/src/entry/RequestPipeline.ts
@@ -63,13 +63,13 @@
   }
 
   private async serve (exchange: Exchange, claim: ClaimStep, permit: Permit): Promise<Result<void, Failure>> {
-    const body = await this.readBody(exchange)
-    if (body.isErr()) return err(body.error)
     const { request } = exchange
+    const body = request.body.length === 0 ? undefined : await this.readBody(exchange)
+    if (body?.isErr() === true) return err(body.error)
     // Bulk work may wait long for a slot, so it takes its claim only when it has one.
     const claimsFirst = request.workClass !== WorkClass.bulk
-    const claimed = claimsFirst ? await claim.ensure() : ok()
-    if (claimed.isErr()) return this.replayOrFail(exchange, claim, claimed.error)
+    const claimed = claimsFirst && claim.isNeeded ? await claim.ensure() : undefined
+    if (claimed?.isErr() === true) return this.replayOrFail(exchange, claim, claimed.error)
     const loop = new AttemptLoop(this.options.context, request, this.createPlan(request, claim, permit, claimsFirst))
     const answered = await loop.run()
     if (answered.isErr()) return this.replayOrFail(exchange, claim, answered.error)
@@ -79,7 +79,6 @@
 
   private async readBody (exchange: Exchange): Promise<Result<void, Failure>> {
     const { request, req, res, expectsContinue, maxBodyBytes } = exchange
-    if (request.body.length === 0) return ok()
     const body = await readRequestBody(req, {
       length: request.body.length,
       maxBytes: maxBodyBytes,
@@ -97,11 +96,11 @@
     const latestStartMs = scope.deadlineAtMs - times.typicalMs(service)
     const isBulk = request.workClass === WorkClass.bulk
     return {
-      choose: async (steerRequest) => await steering.choose(steerRequest),
+      choose: (steerRequest) => steering.choose(steerRequest),
       allowsRegion: (region) => allowsRegion(permit, region),
       enterRegion: (region) => permit.enterRegion(region),
       leaveRegion: (region) => permit.leaveRegion(region),
-      prepareAttempt: async () => await claim.ensure(),
+      prepareAttempt: claim.isNeeded ? async () => await claim.ensure() : undefined,
       mayWrite: () => claim.isUsable() && scope.reason === undefined,
       writeUntilMs: () => claim.writeUntilMs,
       waitUntilMs: claimsFirst ? Math.min(latestStartMs, claim.writeUntilMs - claimMarginMs) : latestStartMs,
