Test limits of callers' connections

Cause: the limits on connections, slow senders and wrong credentials had no tests. Change: tests with 10,000 connections against a limit of 2,000, a body that stops, throttled credentials, and an unread body after a refusal.

--- /dev/null
+++ b/test/entry/HttpFront.test.ts
@@ -0,0 +1,65 @@
+import { connect } from 'node:net'
+import type { Socket } from 'node:net'
+import { after, before, test } from 'node:test'
+import { expect } from 'earl'
+import { entryLimits } from '../../src/entry/entryLimits.js'
+import { Bench, call, credential, exchange, pause } from './fakes.js'
+
+const address = '127.22.5.1'
+const limit = 2_000
+const bench = new Bench(address, { maxConnections: limit, headersTimeoutMs: 60_000 })
+
+before(async () => {
+  await bench.start()
+  await bench.upstream(9_001, (req, res) => { req.resume(); req.on('end', () => res.end('whole')) })
+})
+after(async () => await bench.stop())
+
+async function open (): Promise<Socket> {
+  return await new Promise((resolve) => {
+    const socket = connect(8_080, address, () => resolve(socket))
+    socket.on('error', () => resolve(socket))
+    socket.resume()
+  })
+}
+
+// Guards against idle connections that take all memory of a host, and against a limit that stays used up.
+test('10,000 idle connections stay within the limit', async () => {
+  const sockets: Socket[] = []
+  for (let count = 0; count < 10_000; count += 500) sockets.push(...await Promise.all(Array.from({ length: 500 }, open)))
+  await pause(300)
+  const { connections, dropped } = bench.gateway.callers
+  for (const socket of sockets) socket.destroy()
+  expect([connections, dropped]).toEqual([limit, 10_000 - limit])
+  for (let count = 0; count < 100 && bench.gateway.callers.connections > 0; count++) await pause(20)
+  expect((await call(address, '/stock')).body).toEqual('whole')
+})
+
+// Guards against a sender that holds a permit by sending nothing.
+test('a body that does not arrive is refused and frees its permit', async () => {
+  const head = `POST /orders HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer ${credential}\r\nContent-Length: 5\r\nShunt-Deadline-Ms: 300\r\n\r\nab`
+  const answer = await exchange(address, head)
+  expect(answer).toInclude('Shunt-Code: 3003\r\n')
+  expect(bench.admission.permits.at(-1)!.released > 0).toEqual(true)
+})
+
+// Guards against credentials that can be guessed without limit, and against callers who lose their connection to it.
+test('wrong credentials are throttled per address, proven connections go on', async () => {
+  const socket = connect(8_080, address)
+  const ask = async (): Promise<string> => {
+    socket.write(`GET /stock HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer ${credential}\r\n\r\n`)
+    return await new Promise((resolve) => socket.once('data', (chunk) => resolve(chunk.toString())))
+  }
+  await ask()
+  const codes: unknown[] = []
+  for (let count = 0; count < 22; count++) codes.push((await call(address, '/stock', { headers: { authorization: 'Bearer no' } })).headers['shunt-code'])
+  expect([codes.slice(18), (await call(address, '/stock')).headers['shunt-code']]).toEqual([['1003', '1003', '1004', '1004'], '1004'])
+  expect(await ask()).toInclude('HTTP/1.1 200')
+  socket.destroy()
+})
+
+// Guards against an unread body that resets the connection before the caller has read the refusal.
+test('a refusal survives a body under way', async () => {
+  const answer = await call(address, '/stock', { method: 'POST', body: Buffer.alloc(entryLimits.maxLingerBytes / 2) })
+  expect(answer.headers['shunt-code']).toEqual('1004')
+})
