--- /dev/null
+++ b/dev/measures/Measure.ts
@@ -0,0 +1,6 @@
+/** One measured value. */
+export interface Measure {
+  readonly name: string
+  readonly value: number
+  readonly unit: string
+}
--- /dev/null
+++ b/dev/measures/MeasureOptions.ts
@@ -0,0 +1,10 @@
+/** Options of a measuring run. */
+export interface MeasureOptions {
+  readonly deployment: 'caroni' | 'kimberley'
+  /** Length of each phase of mixed traffic in s. */
+  readonly seconds: number
+  readonly policy: 'project' | 'random' | 'local' | 'passthrough'
+  readonly seed: number
+  /** Second octet of the loopback network. */
+  readonly network: number
+}
