Raise the default number of callers' connections to 10,000

Cause: the agent's provisional settings already use 10,000, and every customer fronts about a thousand callers. Change: the default in src/config/settingsSchema.ts.

--- a/src/config/settingsSchema.ts
+++ b/src/config/settingsSchema.ts
@@ -11,7 +11,7 @@
 const logLevel = z.enum(['error', 'warn', 'info', 'debug'])
 
 const limitsSchema = z.strictObject({
-  maxConnections: fields.count.default(4_096),
+  maxConnections: fields.count.default(10_000),
   maxHeaderBytes: z.int().min(1_024).max(1_048_576).default(16_384),
   headersTimeoutMs: fields.timeMs.default(10_000),
   idleTimeoutMs: fields.timeMs.default(60_000)
