--- a/src/lookup/isChanging.ts
+++ b/src/lookup/isChanging.ts
@@ -1,4 +1,5 @@
 import type { ConfigDoc } from '../model/ConfigDoc.js'
+import type { Digest } from '../model/Digest.js'
 import { MemberState } from '../model/MemberState.js'
 import type { View } from '../model/View.js'
 
@@ -10,6 +11,11 @@
   const recentDrain = doc.drains.some(({ atMs }) => Math.abs(wallMs - atMs) < drainChangeMs)
   return recentDrain || view.members.some(({ state, digest, configVersion }) => {
     if (state === MemberState.dead) return false
-    return state === MemberState.suspect || configVersion !== doc.version || digest === undefined || digest.leaving || digest.appliedVersion !== doc.version
+    return state === MemberState.suspect || configVersion !== doc.version || digest === undefined || isOnTheMove(digest, doc.version)
   })
 }
+
+/** The last digest of a process that has left stays until the next start and is no change any more. */
+function isOnTheMove ({ leaving, serving, inFlight, appliedVersion }: Digest, version: number): boolean {
+  return leaving ? serving || inFlight > 0 : appliedVersion !== version
+}
--- a/test/lookup/LookupService.test.ts
+++ b/test/lookup/LookupService.test.ts
@@ -90,6 +90,8 @@
   expect(ttl(doc, createView(doc, { 'south-a-1': { state: 'dead' } }))).toEqual(2_000)
   expect(ttl(doc, createView(doc, { 'south-a-1': { state: 'suspect' } }))).toEqual(500)
   expect(ttl(doc, createView(doc, { 'south-a-1': { digest: { leaving: true } } }))).toEqual(500)
+  expect(ttl(doc, createView(doc, { 'south-a-1': { digest: { leaving: true, serving: false, inFlight: 1 } } }))).toEqual(500)
+  expect(ttl(doc, createView(doc, { 'south-a-1': { digest: { leaving: true, serving: false, appliedVersion: 0 } } }))).toEqual(2_000)
   expect(ttl(doc, createView(doc, { 'south-a-1': { digest: { appliedVersion: 0 } } }))).toEqual(500)
   expect(ttl(createDoc({ drains: [{ kind: 'upstream', name: 'stock-north-a-1', by: 'anna', atMs: 990_000 }] }), view)).toEqual(500)
 })
