--- /dev/null
+++ b/test/share/ShareCluster.ts
@@ -0,0 +1,97 @@
+import type { ConfigDoc } from '../../src/model/ConfigDoc.js'
+import { ShareService } from '../../src/share/ShareService.js'
+import { CapLedger } from '../model/CapLedger.js'
+import { createRandom } from '../model/createRandom.js'
+import { findDelayMs } from '../model/createDoc.js'
+import { SimNet } from '../model/SimNet.js'
+
+interface Flight {
+  readonly host: string
+  readonly endsAtMs: number
+  readonly release: () => void
+}
+
+/** Real share services on the simulated network, under a load that the test gives, watched from outside. */
+export class ShareCluster {
+  readonly net = new SimNet(createRandom(1), findDelayMs)
+  readonly services = new Map<string, ShareService>()
+  readonly ledger: CapLedger
+  admitted = 0
+  refused = 0
+  longestWaitMs = 0
+  readonly refusals = new Map<string, number>()
+  worstInFlight = 0
+  private flights: Flight[] = []
+
+  constructor (readonly doc: ConfigDoc) {
+    const contract = doc.contracts[0]!
+    this.ledger = new CapLedger(contract.rate, contract.burst)
+  }
+
+  /** Starts all hosts and lets the quarantine pass. */
+  async start (): Promise<void> {
+    for (const { name } of this.doc.hosts) this.startHost(name, 1)
+    await this.net.advance(20_000, undefined, 10)
+  }
+
+  startHost (name: string, incarnation: number): void {
+    this.net.start({ name, role: 'entry', incarnation }, (messenger) => {
+      const service = new ShareService({ host: name, incarnation, clock: this.net.clock, messenger })
+      service.setConfig(this.doc)
+      this.services.set(name, service)
+      return service
+    })
+  }
+
+  /** Ends a host's process; its requests in flight are broken off. */
+  crash (name: string): void {
+    this.net.crash(name)
+    this.services.delete(name)
+    this.flights = this.flights.filter(({ host }) => host !== name)
+  }
+
+  cutOff (name: string, cut = true): void {
+    for (const other of this.doc.hosts) {
+      this.net.setCut(name, other.name, cut)
+      this.net.setCut(other.name, name, cut)
+    }
+  }
+
+  /** Runs for `ms` with `perSecond` requests at each of `hosts`. */
+  async run (ms: number, hosts: readonly string[], perSecond: number, serviceMs: number, deadlineMs = 8_000): Promise<void> {
+    const startMs = this.net.nowMs
+    let sent = 0
+    await this.net.advance(ms, () => {
+      this.endFlights()
+      for (; sent < (this.net.nowMs - startMs) * perSecond / 1_000; sent += 1) for (const host of hosts) this.send(host, serviceMs, deadlineMs)
+    })
+  }
+
+  send (host: string, serviceMs: number, deadlineMs = 8_000): void {
+    const service = this.services.get(host)
+    if (service === undefined || !this.net.isRunning(host)) return
+    const startMs = this.net.nowMs
+    const deadlineAtMs = startMs + deadlineMs
+    const request = { customer: 'gyms', workClass: 'interactive', deadlineAtMs, signal: new AbortController().signal } as const
+    service.admit(request).then((result) => {
+      const { nowMs } = this.net
+      if (result.isErr()) {
+        this.refused += 1
+        this.refusals.set(result.error.name, (this.refusals.get(result.error.name) ?? 0) + 1)
+        return
+      }
+      this.admitted += 1
+      this.ledger.admit(nowMs)
+      this.longestWaitMs = Math.max(this.longestWaitMs, nowMs - startMs)
+      this.flights.push({ host, endsAtMs: Math.min(nowMs + serviceMs, deadlineAtMs), release: () => result.value.release() })
+      this.worstInFlight = Math.max(this.worstInFlight, this.flights.filter(({ endsAtMs }) => endsAtMs > nowMs).length)
+    })
+  }
+
+  private endFlights (): void {
+    const { nowMs } = this.net
+    const ended = this.flights.filter(({ endsAtMs, host }) => endsAtMs <= nowMs && this.net.isRunning(host))
+    for (const flight of ended) flight.release()
+    this.flights = this.flights.filter((flight) => !ended.includes(flight))
+  }
+}
--- a/test/share/borrowing.test.ts
+++ b/test/share/borrowing.test.ts
@@ -1,79 +1,115 @@
 import { test } from 'node:test'
 import { expect } from 'earl'
-import type { ConfigDoc } from '../../src/model/ConfigDoc.js'
-import { ShareService } from '../../src/share/ShareService.js'
-import { createRandom } from '../model/createRandom.js'
-import { createDoc, findDelayMs } from '../model/createDoc.js'
-import { SimNet } from '../model/SimNet.js'
+import { createContract, createDoc, hostNames } from '../model/createDoc.js'
+import { ShareCluster } from './ShareCluster.js'
 
-interface Cluster {
-  readonly net: SimNet
-  readonly services: Map<string, ShareService>
+async function startCluster (contract = createContract()): Promise<ShareCluster> {
+  const cluster = new ShareCluster(createDoc({ contracts: [contract] }))
+  await cluster.start()
+  return cluster
 }
 
-async function startCluster (doc: ConfigDoc): Promise<Cluster> {
-  const net = new SimNet(createRandom(1), findDelayMs)
-  const services = new Map<string, ShareService>()
-  for (const { name } of doc.hosts) {
-    net.start({ name, role: 'entry', incarnation: 1 }, (messenger) => {
-      const service = new ShareService({ host: name, incarnation: 1, clock: net.clock, messenger })
-      service.setConfig(doc)
-      services.set(name, service)
-      return service
-    })
-  }
-  await net.advance(20_000)
-  return { net, services }
-}
+const others = hostNames.filter((name) => name !== 'a1')
 
-interface Counts { admitted: number, refused: number, waitMs: number[] }
+// Guards against a split cap that leaves most of it unused when all callers use one host.
+test('one host gets the whole cap', async () => {
+  const cluster = await startCluster()
+  await cluster.run(2_000, ['a1'], 140, 50)
+  const before = cluster.admitted
+  await cluster.run(10_000, ['a1'], 140, 50)
+  expect((cluster.admitted - before) / 1_200).toBeGreaterThanOrEqual(0.95)
+})
 
-/** Sends `count` requests at once to one host; admitted ones are served for `serviceMs`. */
-function send ({ net, services }: Cluster, host: string, counts: Counts, count = 1, serviceMs = 50): void {
-  for (let index = 0; index < count; index += 1) {
-    const startMs = net.nowMs
-    const request = { customer: 'gyms', workClass: 'interactive', deadlineAtMs: startMs + 8_000, signal: new AbortController().signal } as const
-    services.get(host)!.admit(request).then((result) => {
-      if (result.isErr()) {
-        counts.refused += 1
-        return
-      }
-      counts.admitted += 1
-      counts.waitMs.push(net.nowMs - startMs)
-      releases.push({ atMs: net.nowMs + serviceMs, run: () => result.value.release() })
-    })
-  }
-}
+// Guards against refusing a burst below the cap only because each host holds a small part of it.
+test('a small burst waits for a loan', async () => {
+  const cluster = await startCluster()
+  for (let count = 0; count < 36; count += 1) cluster.send('c1', 200)
+  await cluster.run(1_500, [], 0, 0)
+  expect([cluster.admitted, cluster.refused]).toEqual([36, 0])
+})
 
-const releases: { atMs: number, run: () => void }[] = []
+// Guards against loans that move back and forth, so that two busy hosts together stay far below the cap.
+test('two busy hosts share by demand', async () => {
+  const cluster = await startCluster()
+  await cluster.run(3_000, ['a1', 'f1'], 100, 50)
+  const before = cluster.admitted
+  await cluster.run(10_000, ['a1', 'f1'], 100, 50)
+  expect((cluster.admitted - before) / 1_200).toBeGreaterThanOrEqual(0.95)
+})
 
-function releaseDue (nowMs: number): void {
-  for (let index = releases.length - 1; index >= 0; index -= 1) {
-    if (releases[index]!.atMs <= nowMs) releases.splice(index, 1)[0]!.run()
-  }
+/** Lets `a1` borrow everything after all hosts have used their burst, so that any excess shows. */
+async function lendAllTo (cluster: ShareCluster, serviceMs: number): Promise<void> {
+  await cluster.run(20, hostNames, 1_000, serviceMs)
+  await cluster.run(2_500, ['a1'], 200, serviceMs)
 }
 
-// Guards against a split cap that leaves most of it unused when all callers use one host.
-test('one host gets the whole cap', async () => {
-  const cluster = await startCluster(createDoc())
-  const { net } = cluster
-  const early: Counts = { admitted: 0, refused: 0, waitMs: [] }
-  const late: Counts = { admitted: 0, refused: 0, waitMs: [] }
-  const startMs = net.nowMs
-  let sent = 0
-  await net.advance(12_000, () => {
-    releaseDue(net.nowMs)
-    for (; sent < (net.nowMs - startMs) * 0.14; sent += 1) send(cluster, 'a1', net.nowMs - startMs < 2_000 ? early : late)
-  })
-  expect(late.admitted / (120 * 10)).toBeGreaterThanOrEqual(0.95)
+const rateContract = createContract({ concurrency: 200 })
+const permitContract = createContract({ rate: 1_000, burst: 500, concurrency: 40 })
+
+// Guards against a lender that resumes before the borrower has stopped.
+test('a cut borrower and its lenders stay within the rate', async () => {
+  const cluster = await startCluster(rateContract)
+  await lendAllTo(cluster, 100)
+  cluster.cutOff('a1')
+  await cluster.run(8_000, hostNames, 200, 100)
+  expect(cluster.ledger.worstExcess).toBeLessThanOrEqual(1e-6)
 })
 
-// Guards against refusing a burst below the cap only because each host holds a small part of it.
-test('a small burst waits for a loan', async () => {
-  const cluster = await startCluster(createDoc())
-  const { net } = cluster
-  const counts: Counts = { admitted: 0, refused: 0, waitMs: [] }
-  send(cluster, 'c1', counts, 36, 200)
-  await net.advance(1_500, () => releaseDue(net.nowMs))
-  expect([counts.admitted, counts.refused]).toEqual([36, 0])
+test('a cut borrower and its lenders stay within the permits', async () => {
+  const cluster = await startCluster(permitContract)
+  await lendAllTo(cluster, 7_500)
+  cluster.cutOff('a1')
+  await cluster.run(20_000, hostNames, 20, 7_500)
+  expect(cluster.worstInFlight).toEqual(40)
+})
+
+// Guards against a lender that forgets its loans with its process.
+test('restarted lenders stay within the rate', async () => {
+  const cluster = await startCluster(rateContract)
+  await lendAllTo(cluster, 100)
+  for (const name of others) cluster.crash(name)
+  for (const name of others) cluster.startHost(name, 2)
+  await cluster.run(8_000, hostNames, 200, 100)
+  expect(cluster.ledger.worstExcess).toBeLessThanOrEqual(1e-6)
+})
+
+test('restarted lenders stay within the permits', async () => {
+  const cluster = await startCluster(permitContract)
+  await lendAllTo(cluster, 7_500)
+  for (const name of others) cluster.crash(name)
+  for (const name of others) cluster.startHost(name, 2)
+  await cluster.run(25_000, hostNames, 20, 7_500)
+  expect(cluster.worstInFlight).toBeLessThanOrEqual(40)
+})
+
+// Guards against forgetting long permits that uploads at other hosts still use after the quarantine.
+test('restarted lenders keep back long permits', async () => {
+  const cluster = await startCluster(permitContract)
+  await cluster.run(2_000, ['a1'], 30, 55_000, 60_000)
+  cluster.cutOff('a1')
+  for (const name of others) cluster.crash(name)
+  for (const name of others) cluster.startHost(name, 2)
+  await cluster.run(30_000, hostNames, 20, 500)
+  expect(cluster.worstInFlight).toBeLessThanOrEqual(40)
+})
+
+// Guards against a host that resumes after a pause with loans that have ended.
+test('a paused borrower stays within the rate', async () => {
+  const cluster = await startCluster(rateContract)
+  await lendAllTo(cluster, 100)
+  cluster.net.setPaused('a1', true)
+  await cluster.run(5_000, others, 200, 100)
+  cluster.net.setPaused('a1', false)
+  await cluster.run(3_000, hostNames, 200, 100)
+  expect(cluster.ledger.worstExcess).toBeLessThanOrEqual(1e-6)
+})
+
+// Guards against a restarted host that starts with the burst that its last process has used.
+test('a restart brings no new burst', async () => {
+  const cluster = await startCluster(rateContract)
+  await cluster.run(20, hostNames, 1_000, 100)
+  for (const name of hostNames) cluster.crash(name)
+  for (const name of hostNames) cluster.startHost(name, 2)
+  await cluster.run(6_000, hostNames, 200, 100)
+  expect(cluster.ledger.worstExcess).toBeLessThanOrEqual(1e-6)
 })
