--- /dev/null
+++ b/dev/slopes.ts
@@ -0,0 +1,38 @@
+import { Command } from 'commander'
+import { fitLine } from './slopes/fitLine.js'
+import { measureConfigDocument } from './slopes/measureConfigDocument.js'
+import { measureHeartbeats } from './slopes/measureHeartbeats.js'
+import { measureMemberMemory } from './slopes/measureMemberMemory.js'
+import type { Slope } from './slopes/Slope.js'
+
+/** Groups of slopes by name; a new group has a file of its own in `dev/slopes/`. */
+const groups: Readonly<Record<string, () => Promise<Slope[]>>> = {
+  heartbeats: measureHeartbeats,
+  config: measureConfigDocument,
+  members: measureMemberMemory
+}
+
+const program = new Command()
+  .name('slopes')
+  .description('Measures costs at several sizes and prints a straight-line fit for each.')
+  .option('--only <groups...>', `groups to run: ${Object.keys(groups).join(', ')}`)
+  .parse()
+const { only } = program.opts<{ only?: string[] }>()
+
+function printSlope ({ name, points, target, unit }: Slope): void {
+  const { slope, intercept, r2 } = fitLine(points)
+  const sizes = points.map(({ size }) => size).join(',')
+  const values = points.map(({ value }) => format(value)).join(',')
+  const sign = intercept < 0 ? '-' : '+'
+  console.log(`slope=${name} sizes=${sizes} values=${values} fit=${format(slope)}*n${sign}${format(Math.abs(intercept))} r2=${r2.toFixed(4)} ` +
+    `target=${Math.round(target)} at_target=${format(intercept + slope * target)} unit=${unit}`)
+}
+
+function format (value: number): string {
+  return String(Number(value.toPrecision(4)))
+}
+
+for (const [name, measure] of Object.entries(groups)) {
+  if (only !== undefined && !only.includes(name)) continue
+  for (const slope of await measure()) printSlope(slope)
+}
--- /dev/null
+++ b/dev/slopes/measureConfigDocument.ts
@@ -0,0 +1,73 @@
+import { decodeHeld } from '../../src/control/decodeHeld.js'
+import { encodeHeld } from '../../src/control/encodeHeld.js'
+import { LookupIndex } from '../../src/lookup/LookupIndex.js'
+import { hashCredential } from '../../src/common/hashCredential.js'
+import type { ConfigDoc } from '../../src/model/ConfigDoc.js'
+import { createSlopeHosts } from './createSlopeHosts.js'
+import type { Slope } from './Slope.js'
+
+const sizes = [250, 500, 1_000, 2_000]
+/** The letter names no number of contracts at the target; each of the two users fronts about a thousand callers. */
+const targetContracts = 10_000
+const hostCount = 7
+const repeats = 5
+
+/** Size of the configuration document on the wire and time to decode and index it, against the number of contracts. */
+export async function measureConfigDocument (): Promise<Slope[]> {
+  const rows = sizes.map((size) => {
+    const held = { doc: createDocument(size), writeId: 'slope' }
+    const data = encodeHeld(held)
+    const decodeMs = timeMedian(() => { if (decodeHeld(data) === undefined) throw new Error('the document is not valid') })
+    const indexMs = timeMedian(() => new LookupIndex(held.doc))
+    const encodeMs = timeMedian(() => encodeHeld(held))
+    return { size, bytes: data.length, decodeMs, indexMs, encodeMs }
+  })
+  const toSlope = (name: string, unit: string, value: (row: typeof rows[number]) => number): Slope =>
+    ({ name, unit, target: targetContracts, points: rows.map((row) => ({ size: row.size, value: value(row) })) })
+  return [
+    toSlope('config_frame_bytes_by_contracts', 'bytes', ({ bytes }) => bytes),
+    toSlope('config_decode_time_by_contracts', 'ms', ({ decodeMs }) => decodeMs),
+    toSlope('config_encode_time_by_contracts', 'ms', ({ encodeMs }) => encodeMs),
+    toSlope('config_lookup_index_time_by_contracts', 'ms', ({ indexMs }) => indexMs)
+  ]
+}
+
+function createDocument (contracts: number): ConfigDoc {
+  const hosts = createSlopeHosts(hostCount, 6)
+  return {
+    lineage: 'slope',
+    version: 1,
+    zones: Array.from({ length: 6 }, (_, index) => ({ name: `z-${index}`, region: `r-${index % 3}` })),
+    hosts,
+    services: [{ name: 'stock', path: 'stock', routes: [] }],
+    endpoints: Array.from({ length: 44 }, (_, index) => ({
+      name: `stock-${index}`, service: 'stock', zone: `z-${index % 6}`, address: `127.61.1.1:${9_001 + index}`, slots: 4, maxConnections: 400
+    })),
+    links: [],
+    objective: { latency: 0.8, headroom: 0.2 },
+    contracts: Array.from({ length: contracts }, (_, index) => ({
+      customer: `customer-${index}`,
+      version: 1,
+      credentialHashes: [hashCredential(`credential-${index}`)],
+      services: ['stock'],
+      rate: 10 + index % 90,
+      burst: 10 + index % 50,
+      concurrency: 8 + index % 32,
+      uploadBytesPerSecond: 1_000_000,
+      regionShare: 0.8,
+      moveStep: 0.2,
+      priority: 1
+    })),
+    drains: [],
+    priorCaps: []
+  }
+}
+
+function timeMedian (action: () => unknown): number {
+  const times = Array.from({ length: repeats }, () => {
+    const startMs = performance.now()
+    action()
+    return performance.now() - startMs
+  })
+  return times.sort((a, b) => a - b)[Math.floor(repeats / 2)]!
+}
--- /dev/null
+++ b/dev/slopes/measureMemberMemory.ts
@@ -0,0 +1,35 @@
+import { MemberTable } from '../../src/membership/MemberTable.js'
+import { createSlopeDigest } from './createSlopeDigest.js'
+import { createSlopeHosts } from './createSlopeHosts.js'
+import type { Slope } from './Slope.js'
+
+const sizes = [500, 1_000, 2_000, 4_000]
+const targetNodes = 7_000
+const zones = 55
+const aliveState = 0
+
+/** Heap that the member table of one agent takes, with a digest of 16 busy customers for each node. */
+export async function measureMemberMemory (): Promise<Slope[]> {
+  const points = sizes.map((size) => ({ size, value: measureTable(size) / 1_048_576 }))
+  return [{ name: 'member_table_heap_by_nodes', points, target: targetNodes, unit: 'MiB' }]
+}
+
+function measureTable (size: number): number {
+  const hosts = createSlopeHosts(size, zones)
+  const before = readHeap()
+  const table = new MemberTable({ host: 'self', zone: 'z-0', incarnation: 1 })
+  for (const { name, zone } of hosts) {
+    // Each row is decoded from a frame of its own, so its strings are its own as well.
+    const report = JSON.parse(JSON.stringify({ incarnation: 1, no: 1, digest: createSlopeDigest(name, 1) })) as { incarnation: number, no: number, digest: ReturnType<typeof createSlopeDigest> }
+    table.merge([name, zone, 1, 1, aliveState, 1, report], name, 0)
+  }
+  const used = readHeap() - before
+  if (table.size < size) throw new Error(`the table kept ${table.size} of ${size} rows`)
+  return used
+}
+
+function readHeap (): number {
+  if (globalThis.gc === undefined) throw new Error('run with --expose-gc')
+  globalThis.gc()
+  return process.memoryUsage().heapUsed
+}
