Load only the histogram that is used

Cause: the main module of hdr-histogram-js also loads WebAssembly and compression. Change: RollingHistogram imports Int32Histogram directly.

--- a/src/metrics/RollingHistogram.ts
+++ b/src/metrics/RollingHistogram.ts
@@ -1,12 +1,18 @@
-import { build } from 'hdr-histogram-js'
 import type { Histogram } from 'hdr-histogram-js'
+// The package's main module also loads WebAssembly and compression, which cost 13 MB and are not used here.
+import histograms from 'hdr-histogram-js/dist/Int32Histogram.js'
 import type { Clock } from '../common/Clock.js'
 
+// The CommonJS module arrives as an object with its default export.
+const { default: Int32Histogram } = histograms
+
 /** Largest value; a larger one counts as this. An hour in ms. */
 const maxValue = 3_600_000
 
 const windowMs = 60_000
 
+const significantDigits = 2
+
 /**
  * Distribution of the values of the last one to two minutes, with two significant digits.
  * Two histograms take turns, so that old values leave without a copy.
@@ -47,5 +53,7 @@
 }
 
 function createHistogram (): Histogram {
-  return build({ lowestDiscernibleValue: 1, highestTrackableValue: maxValue, numberOfSignificantValueDigits: 2, autoResize: false })
+  const histogram = new Int32Histogram(1, maxValue, significantDigits)
+  histogram.autoResize = false
+  return histogram
 }
