Keep home hosts and the state of changes between look-ups

Cause: at the target each look-up went over 7,000 members to choose its ttl, and every configuration change made all home hosts be ranked again, 37 ms for each customer.

--- a/src/lookup/LookupService.ts
+++ b/src/lookup/LookupService.ts
@@ -39,12 +39,17 @@
 
 const notReadyRetryMs = 500
 
+/** A drain counts as a change for this long after its announcement. */
+const drainChangeMs = 30_000
+
 /** Answers look-ups from the last configuration and view, however old they are. */
 export class LookupService {
   private index: LookupIndex | undefined
   private members: ReadonlyMap<string, Member> = new Map()
   private leavingHosts: ReadonlySet<string> = new Set()
   private view: View | undefined
+  /** Kept because a check over thousands of members for every look-up would take longer than the ranking. */
+  private changing = true
 
   constructor (private readonly options: LookupServiceOptions) {}
 
@@ -54,13 +59,15 @@
   }
 
   applyConfig (doc: ConfigDoc): void {
-    this.index = new LookupIndex(doc)
+    this.index = new LookupIndex(doc, this.index)
+    this.noteChanges()
   }
 
   applyView (view: View): void {
     this.view = view
     this.members = new Map(view.members.map((member) => [member.host, member]))
     this.leavingHosts = new Set(view.leavingHosts)
+    this.noteChanges()
   }
 
   /** Contract that accepts a credential, given by its hash; failures: `notReady`, `wrongCredential`. */
@@ -86,8 +93,17 @@
       candidates,
       linkBytesPerSecond: (from, to) => index.linkBytesPerSecond(from, to)
     })
-    const changing = isChanging(index.doc, view, this.options.clock.wallMs())
-    return ok({ version: index.doc.version, ttlMs: changing ? ttl.changingMs : ttl.settledMs, entries: ranked.map((candidate) => this.describe(candidate)) })
+    const ttlMs = this.changing || this.hasRecentDrain(index) ? ttl.changingMs : ttl.settledMs
+    return ok({ version: index.doc.version, ttlMs, entries: ranked.map((candidate) => this.describe(candidate)) })
+  }
+
+  private noteChanges (): void {
+    if (this.index !== undefined && this.view !== undefined) this.changing = isChanging(this.index.doc, this.view)
+  }
+
+  private hasRecentDrain ({ doc }: LookupIndex): boolean {
+    const wallMs = this.options.clock.wallMs()
+    return doc.drains.some(({ atMs }) => Math.abs(wallMs - atMs) < drainChangeMs)
   }
 
   /** Usable home hosts; all usable hosts when no home is usable, since they can borrow portions. */
--- a/src/lookup/isChanging.ts
+++ b/src/lookup/isChanging.ts
@@ -3,13 +3,9 @@
 import { MemberState } from '../model/MemberState.js'
 import type { View } from '../model/View.js'
 
-/** A drain counts as a change for this long after its announcement. */
-const drainChangeMs = 30_000
-
 /** True while hosts come, go or take up a configuration, so that lookup responses should be asked for again soon. */
-export function isChanging (doc: ConfigDoc, view: View, wallMs: number): boolean {
-  const recentDrain = doc.drains.some(({ atMs }) => Math.abs(wallMs - atMs) < drainChangeMs)
-  return recentDrain || view.members.some(({ state, digest, configVersion }) => {
+export function isChanging (doc: ConfigDoc, view: View): boolean {
+  return view.members.some(({ state, digest, configVersion }) => {
     if (state === MemberState.dead) return false
     return state === MemberState.suspect || configVersion !== doc.version || digest === undefined || isOnTheMove(digest, doc.version)
   })
--- a/test/lookup/LookupService.test.ts
+++ b/test/lookup/LookupService.test.ts
@@ -96,6 +96,20 @@
   expect(ttl(createDoc({ drains: [{ kind: 'upstream', name: 'stock-north-a-1', by: 'anna', atMs: 990_000 }] }), view)).toEqual(500)
 })
 
+// Guards against home hosts that are kept although the hosts or the cap have changed.
+test('home hosts follow the configuration', () => {
+  const service = createService(doc, view)
+  const name = (changed: ConfigDoc): string[] => {
+    service.applyConfig(changed)
+    service.applyView(createView(changed))
+    return service.answer(changed.contracts[0]!, { client: '10.0.0.1' })._unsafeUnwrap().entries.map(({ host }) => host)
+  }
+  const before = name(doc)
+  expect(name(createDoc({ version: 2 }))).toEqual(before)
+  expect(name(createDoc({ hosts: doc.hosts.filter((host) => host.name !== before[0]) }))).not.toEqual(before)
+  expect(name(createDoc({ contracts: [{ ...doc.contracts[0]!, concurrency: 1 }] }))).toHaveLength(1)
+})
+
 // Guards against services outside the contract, and answers before the first configuration.
 test('refusals name their reason', () => {
   const contract = doc.contracts[5]!
