Answer requests that cross the end of an idle connection

Cause: in a rolling restart one keep-alive caller in about 3,700 requests met a reset: its request crossed the end of its idle connection. Change: an idle connection is ended with a refusal as its last answer, and a request that arrives on it is never run; the listener closes last; a home that knows its bound key as unused lets refusals before the claim say 'not-run'. Conclusion: callers get an answer they can act on instead of a reset.

--- a/src/claim/ClaimHome.ts
+++ b/src/claim/ClaimHome.ts
@@ -95,6 +95,14 @@
     }
   }
 
+  /** True when this home has complete memory of the key and has not granted it. */
+  isUnused (customer: string, key: string): boolean {
+    const parsed = this.parse({ customer, key })
+    if (parsed === undefined || this.table.get(parsed.id) !== undefined) return false
+    if (parsed.bound !== undefined && parsed.bound.incarnation !== this.options.incarnation) return false
+    return this.isComplete(parsed, this.options.clock.nowMs())
+  }
+
   /** Takes over the complete memory of the process that ran before on this host. */
   load (rows: readonly HandoverRow[], memory: Memory): void {
     const nowMs = this.options.clock.nowMs()
--- a/src/claim/ClaimService.ts
+++ b/src/claim/ClaimService.ts
@@ -108,6 +108,10 @@
     if (this.dead.size > 0) this.home.settleGone((executor) => this.dead.has(executor.host))
   }
 
+  override isCertainlyNotRun (customer: string, key: string): boolean {
+    return this.home.isUnused(customer, key)
+  }
+
   override async claim (request: ClaimRequest): Promise<Result<ClaimDecision, Failure>> {
     const key = parseClaimKey(request.customer, request.key, this.map.boundNames)
     if (key === undefined) return err(createFailure('badIdempotencyKey'))
--- a/src/claim/Claims.ts
+++ b/src/claim/Claims.ts
@@ -19,6 +19,9 @@
    */
   abstract claim (request: ClaimRequest): Promise<Result<ClaimDecision, Failure>>
 
+  /** True when this process knows without asking that no request with the key has run or is running. */
+  abstract isCertainlyNotRun (customer: string, key: string): boolean
+
   /** Prefix for keys that are bound to this process. */
   abstract get keyPrefix (): string
 }
--- a/src/entry/CallerHandler.ts
+++ b/src/entry/CallerHandler.ts
@@ -69,6 +69,7 @@
     const routed = expectation === 'other' ? refuseExpectation() : this.route(req, names)
     if (names.id === '') names.id = this.options.ids.create()
     if (routed.isErr()) return this.refuse(req, res, names, applyKey(names, routed.error))
+    if (this.options.state.refusesWork) return this.refuse(req, res, names, applyKey(names, createFailure('hostLeaving')))
     this.serve(req, res, names, routed.value, startMs).catch((error: unknown) => this.fail(req, res, names, error))
   }
 
--- a/src/entry/ClaimStep.ts
+++ b/src/entry/ClaimStep.ts
@@ -79,9 +79,7 @@
   settleFailure (failure: Failure): Failure {
     if (failure.outcome === Outcome.notRun) this.settle((handle) => handle.settleNotRun())
     else this.settle((handle) => handle.settleUnknown())
-    // Without a claim nothing is known about earlier requests with the key, unless its home said so.
-    const isCertain = this.request.key === undefined || this.isKeyKnown
-    return isCertain ? failure : { ...failure, outcome: Outcome.unknown }
+    return this.isKeyKnown || this.isUnused() ? failure : { ...failure, outcome: Outcome.unknown }
   }
 
   settleAnswer (answer: UpstreamAnswer): void {
@@ -95,6 +93,12 @@
     this.settle((handle) => isWhole ? handle.settleDone(undefined) : handle.settleUnknown())
   }
 
+  /** Without a claim, only this host's own memory can tell that no earlier request with the key has run. */
+  private isUnused (): boolean {
+    const { customer, key } = this.request
+    return key === undefined || this.claims.isCertainlyNotRun(customer, key)
+  }
+
   private settle (apply: (handle: ClaimHandle) => void): void {
     const { handle } = this
     this.handle = undefined
--- a/src/entry/ConnectionRow.ts
+++ b/src/entry/ConnectionRow.ts
@@ -4,4 +4,6 @@
 export interface ConnectionRow {
   readonly socket: Socket
   open: number
+  /** The host has ended the connection; a request that arrives on it now is not run. */
+  isEnded: boolean
 }
--- a/src/entry/EntryState.ts
+++ b/src/entry/EntryState.ts
@@ -10,6 +10,8 @@
   private table: RouteTable | undefined
   /** True once a planned stop or a drain of the host has begun. */
   isLeaving = false
+  /** True once callers have had time to learn that the host is leaving; requests are refused from then on. */
+  refusesWork = false
 
   setConfig (doc: ConfigDoc): void {
     this.doc = doc
--- a/src/entry/HttpFront.ts
+++ b/src/entry/HttpFront.ts
@@ -4,6 +4,8 @@
 import { Server as NetServer } from 'node:net'
 import type { Socket } from 'node:net'
 import { createFailure } from '../common/createFailure.js'
+import type { Failure } from '../common/Failure.js'
+import { Outcome } from '../common/Outcome.js'
 import type { ResultName } from '../common/ResultName.js'
 import type { ConnectionRow } from './ConnectionRow.js'
 import { formatRefusal } from './formatRefusal.js'
@@ -25,6 +27,9 @@
   readonly onRefused: (name: ResultName) => void
 }
 
+/** Time in ms in which a caller can read a refusal on a connection that is ending. */
+const lingerMs = 1_000
+
 /** An HTTP server that counts open requests per connection, so that a planned stop cuts none of them. */
 export class HttpFront {
   private readonly server: Server
@@ -111,13 +116,15 @@
   }
 
   private track (socket: Socket): void {
-    const row = { socket, open: 0 }
+    const row = { socket, open: 0, isEnded: false }
     this.rows.set(socket, row)
     socket.once('close', () => this.rows.delete(socket))
   }
 
   private receive (req: IncomingMessage, res: ServerResponse, expectation: 'none' | 'continue' | 'other'): void {
     const row = this.rows.get(req.socket)
+    // Its caller has been told that it was not run.
+    if (row?.isEnded === true) return
     if (row !== undefined) row.open += 1
     this.openRequests += 1
     res.once('close', () => {
@@ -129,9 +136,18 @@
     this.options.onRequest(req, res, expectation)
   }
 
-  // Half-closing lets the caller see the end of the stream; destroying could reset a request under way.
+  /**
+   * Ends an idle connection with a refusal. A caller whose request crosses it on the way gets that as its answer
+   * instead of a reset. The request is not run, but the refusal says `unknown`: the request has not been read, and
+   * an earlier one with the same key may have run.
+   */
   private endIdle (row: ConnectionRow): void {
-    if (row.open === 0) row.socket.end()
+    if (row.open > 0 || row.isEnded) return
+    row.isEnded = true
+    this.endWithRefusal(row.socket, createFailure('hostLeaving', {
+      outcome: Outcome.unknown,
+      message: 'The host is leaving and did not read this request; repeat it at another host, with the same key if it has one.'
+    }))
   }
 
   private refuseRaw (error: Error & { code?: string }, socket: Socket): void {
@@ -142,12 +158,16 @@
     }
     const failure = createFailure(classify(error.code), { message: describe(error.code) })
     this.options.onRefused(failure.name)
+    this.endWithRefusal(socket, failure)
+  }
+
+  private endWithRefusal (socket: Socket, failure: Failure): void {
     const { status, headers, body } = formatRefusal(failure, this.options.createRequestId())
     const lines = [`HTTP/1.1 ${status} Refused`, 'Connection: close']
     for (let index = 0; index < headers.length; index += 2) lines.push(`${headers[index]}: ${headers[index + 1]}`)
     socket.end(`${lines.join('\r\n')}\r\n\r\n${body}`)
     socket.resume()
-    setTimeout(() => socket.destroy(), 1_000).unref()
+    setTimeout(() => socket.destroy(), lingerMs).unref()
   }
 }
 
--- a/src/entry/PlannedStop.ts
+++ b/src/entry/PlannedStop.ts
@@ -12,7 +12,7 @@
   readonly stopTimeoutMs: number
 }
 
-/** Time in ms for callers to learn that the host is leaving before it takes no further connections. */
+/** Time in ms for callers to learn that the host is leaving before it takes no further work. */
 const noticeMs = 1_500
 /** Time in ms for short requests to end before claims are handed over; uploads go on after it. */
 const graceMs = 1_000
@@ -42,7 +42,8 @@
     gateway.state.isLeaving = true
     this.options.announce()
     await sleep(noticeMs)
-    gateway.callers.closeListener()
+    // New connections are still taken and refused: closing the listener would reset those in its backlog.
+    gateway.state.refusesWork = true
     gateway.callers.closeIdle()
     // A request that has no claim yet gets none once the claims are handed over.
     await this.waitUntilEmpty(graceMs)
@@ -50,6 +51,7 @@
     const isEmpty = await this.waitUntilEmpty(stopTimeoutMs)
     if (!isEmpty) logger.warn('stop-timeout', { inFlight: gateway.inFlight })
     gateway.internal.closeIdle()
+    gateway.callers.closeListener()
     await sleep(settleMs)
     logger.info('left', { inFlight: gateway.inFlight })
   }
--- a/test/claim/ClaimService.test.ts
+++ b/test/claim/ClaimService.test.ts
@@ -184,3 +184,13 @@
   }
   expect([before, await claimed()]).toEqual(['keyUnknown unknown', 'granted'])
 })
+
+// Guards against 'unknown' for a new key that its own home refuses, and against 'not-run' for a key that has run.
+test('the home of a bound key knows whether it has run', async () => {
+  const cluster = await startCluster()
+  const service = cluster.services.get('a1')!
+  const isUnused = (key: string): boolean => service.isCertainlyNotRun('gyms', key)
+  const before = isUnused('a1.1.k')
+  unwrapClaim(await cluster.claim('a1', 'a1.1.k')).settleDone(answer)
+  expect([before, isUnused('a1.1.k'), isUnused('a1.0.k'), isUnused('a2.1.k'), isUnused('plain')]).toEqual([true, false, false, false, false])
+})
--- a/test/entry/fakes.ts
+++ b/test/entry/fakes.ts
@@ -83,6 +83,8 @@
     return ok({ kind: 'granted', claim: new FakeHandle(this) })
   }
 
+  isCertainlyNotRun (): boolean { return false }
+
   get keyPrefix (): string { return 'h.1.' }
 }
 
