--- a/src/claim/ClaimHome.ts
+++ b/src/claim/ClaimHome.ts
@@ -46,7 +46,7 @@
     /** False for a process that is known to be gone. */
     private readonly isCurrent: (executor: Executor) => boolean
   ) {
-    this.completeFromMs = options.clock.nowMs() + claimLimits.retentionMs
+    this.completeFromMs = options.clock.nowMs() + claimLimits.memoryMs
   }
 
   get waiting (): number {
@@ -137,7 +137,7 @@
     return this.frozen ? decide('stopping') : undefined
   }
 
-  /** True when a key that the table does not know was certainly not granted within the retention time. */
+  /** True when a key that the table does not know was certainly not granted within the time of its memory. */
   private isComplete (key: ClaimKey, nowMs: number): boolean {
     if (key.bound !== undefined) return true
     return nowMs >= this.completeFromMs && this.map.hadSameHome(key, this.options.host)
--- a/src/claim/ClaimTable.ts
+++ b/src/claim/ClaimTable.ts
@@ -115,7 +115,7 @@
   /** Marks overdue keys as unknown and forgets settled keys after the retention time; returns the overdue ids. */
   sweep (nowMs: number): string[] {
     for (const [id, settledMs] of this.settled) {
-      if (nowMs - settledMs < claimLimits.retentionMs) break
+      if (nowMs - settledMs < claimLimits.memoryMs) break
       this.remove(id)
     }
     return this.settleRunning((row) => nowMs >= row.endsAtMs, nowMs)
--- a/src/claim/CopyTable.ts
+++ b/src/claim/CopyTable.ts
@@ -48,7 +48,7 @@
 
   sweep (nowMs: number): void {
     for (const [id, { copiedMs }] of this.copies) {
-      if (nowMs - copiedMs < claimLimits.retentionMs) break
+      if (nowMs - copiedMs < claimLimits.memoryMs) break
       this.delete(id)
     }
   }
--- a/src/claim/HomeMap.ts
+++ b/src/claim/HomeMap.ts
@@ -66,7 +66,7 @@
       const isConfirmed = set.hosts.every((host) => host === self || !this.names.includes(host) || (versions.get(host) ?? 0) >= set.untilVersion)
       if (isConfirmed) set.confirmedMs ??= nowMs
     }
-    const kept = this.former.filter(({ confirmedMs }) => confirmedMs === undefined || nowMs - confirmedMs < claimLimits.retentionMs)
+    const kept = this.former.filter(({ confirmedMs }) => confirmedMs === undefined || nowMs - confirmedMs < claimLimits.memoryMs)
     if (kept.length === this.former.length) return
     this.former = kept
     this.updateKnown()
--- a/src/claim/claimLimits.ts
+++ b/src/claim/claimLimits.ts
@@ -4,8 +4,13 @@
   validMs: 2_000,
   /** Largest difference in speed between two monotonic clocks. */
   clockDrift: 0.01,
-  /** A settled key is remembered, and a home without complete memory refuses unknown keys, for this time. */
+  /** Callers may repeat a key for this time. */
   retentionMs: 600_000,
+  /**
+   * A settled key is remembered, and a home without complete memory refuses unknown keys, for this time: the
+   * retention time and `validMs`, since a claim that is asked for within the retention time may be used later.
+   */
+  memoryMs: 602_000,
   /** A running key whose deadline has passed by this much counts as unknown. */
   deadlineGraceMs: 5_000,
   /** Longest time that any request may run. */
--- a/test/share/ShareCluster.ts
+++ b/test/share/ShareCluster.ts
@@ -1,4 +1,5 @@
 import type { ConfigDoc } from '../../src/model/ConfigDoc.js'
+import type { Member } from '../../src/model/Member.js'
 import { ShareService } from '../../src/share/ShareService.js'
 import { CapLedger } from '../model/CapLedger.js'
 import { createRandom } from '../model/createRandom.js'
@@ -21,6 +22,7 @@
   longestWaitMs = 0
   readonly refusals = new Map<string, number>()
   worstInFlight = 0
+  private readonly incarnations = new Map<string, number>()
   private flights: Flight[] = []
 
   constructor (readonly doc: ConfigDoc) {
@@ -31,10 +33,12 @@
   /** Starts all hosts and lets the quarantine pass. */
   async start (): Promise<void> {
     for (const { name } of this.doc.hosts) this.startHost(name, 1)
+    this.sendViews()
     await this.net.advance(20_000, undefined, 10)
   }
 
   startHost (name: string, incarnation: number): void {
+    this.incarnations.set(name, incarnation)
     this.net.start({ name, role: 'entry', incarnation }, (messenger) => {
       const service = new ShareService({ host: name, incarnation, clock: this.net.clock, messenger })
       service.setConfig(this.doc)
@@ -43,6 +47,20 @@
     })
   }
 
+  /** Tells every host which processes run. */
+  sendViews (): void {
+    const members = this.doc.hosts.map(({ name, zone }): Member => {
+      const entryIncarnation = this.incarnations.get(name) ?? 1
+      const digest = {
+        host: name, entryIncarnation, seq: 1, appliedVersion: 1, serving: true, leaving: false, inFlight: 0, loads: [], leavingEndpoints: [], drainInFlight: {}, uses: []
+      }
+      return { host: name, zone, incarnation: entryIncarnation, seq: 1, state: 'alive', configVersion: 1, digest }
+    })
+    for (const service of this.services.values()) {
+      service.setView({ seq: 1, contactAgeMs: 0, configVersion: 1, members, leavingEndpoints: [], leavingHosts: [] })
+    }
+  }
+
   /** Ends a host's process; its requests in flight are broken off. */
   crash (name: string): void {
     this.net.crash(name)
--- a/test/share/borrowing.test.ts
+++ b/test/share/borrowing.test.ts
@@ -38,9 +38,9 @@
 })
 
 /** Lets `a1` borrow everything after all hosts have used their burst, so that any excess shows. */
-async function lendAllTo (cluster: ShareCluster, serviceMs: number): Promise<void> {
-  await cluster.run(20, hostNames, 1_000, serviceMs)
-  await cluster.run(2_500, ['a1'], 200, serviceMs)
+async function lendAllTo (cluster: ShareCluster): Promise<void> {
+  await cluster.run(20, hostNames, 1_000, 100)
+  await cluster.run(2_500, ['a1'], 200, 100)
 }
 
 const rateContract = createContract({ concurrency: 200 })
@@ -49,7 +49,7 @@
 // Guards against a lender that resumes before the borrower has stopped.
 test('a cut borrower and its lenders stay within the rate', async () => {
   const cluster = await startCluster(rateContract)
-  await lendAllTo(cluster, 100)
+  await lendAllTo(cluster)
   cluster.cutOff('a1')
   await cluster.run(8_000, hostNames, 200, 100)
   expect(cluster.ledger.worstExcess).toBeLessThanOrEqual(1e-6)
@@ -57,7 +57,8 @@
 
 test('a cut borrower and its lenders stay within the permits', async () => {
   const cluster = await startCluster(permitContract)
-  await lendAllTo(cluster, 7_500)
+  await cluster.run(2_500, ['a1'], 200, 7_500)
+  expect(cluster.worstInFlight).toEqual(40)
   cluster.cutOff('a1')
   await cluster.run(20_000, hostNames, 20, 7_500)
   expect(cluster.worstInFlight).toEqual(40)
@@ -66,18 +67,21 @@
 // Guards against a lender that forgets its loans with its process.
 test('restarted lenders stay within the rate', async () => {
   const cluster = await startCluster(rateContract)
-  await lendAllTo(cluster, 100)
+  await lendAllTo(cluster)
   for (const name of others) cluster.crash(name)
   for (const name of others) cluster.startHost(name, 2)
+  cluster.sendViews()
   await cluster.run(8_000, hostNames, 200, 100)
   expect(cluster.ledger.worstExcess).toBeLessThanOrEqual(1e-6)
 })
 
 test('restarted lenders stay within the permits', async () => {
   const cluster = await startCluster(permitContract)
-  await lendAllTo(cluster, 7_500)
+  await cluster.run(2_500, ['a1'], 200, 7_500)
+  expect(cluster.worstInFlight).toEqual(40)
   for (const name of others) cluster.crash(name)
   for (const name of others) cluster.startHost(name, 2)
+  cluster.sendViews()
   await cluster.run(25_000, hostNames, 20, 7_500)
   expect(cluster.worstInFlight).toBeLessThanOrEqual(40)
 })
@@ -89,6 +93,7 @@
   cluster.cutOff('a1')
   for (const name of others) cluster.crash(name)
   for (const name of others) cluster.startHost(name, 2)
+  cluster.sendViews()
   await cluster.run(30_000, hostNames, 20, 500)
   expect(cluster.worstInFlight).toBeLessThanOrEqual(40)
 })
@@ -96,7 +101,7 @@
 // Guards against a host that resumes after a pause with loans that have ended.
 test('a paused borrower stays within the rate', async () => {
   const cluster = await startCluster(rateContract)
-  await lendAllTo(cluster, 100)
+  await lendAllTo(cluster)
   cluster.net.setPaused('a1', true)
   await cluster.run(5_000, others, 200, 100)
   cluster.net.setPaused('a1', false)
@@ -110,6 +115,7 @@
   await cluster.run(20, hostNames, 1_000, 100)
   for (const name of hostNames) cluster.crash(name)
   for (const name of hostNames) cluster.startHost(name, 2)
+  cluster.sendViews()
   await cluster.run(6_000, hostNames, 200, 100)
   expect(cluster.ledger.worstExcess).toBeLessThanOrEqual(1e-6)
 })
