End pipelined requests of a closed connection; keep early answers

Cause: Node announces the close of a connection only to the answer that is being written, so the permits of pipelined requests behind it stayed taken; an answer that came before the whole upload was read could be lost to a reset; an incarnation could repeat after a clock step.

--- a/src/entry/AnswerWriter.ts
+++ b/src/entry/AnswerWriter.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { AttemptResult } from '../steer/AttemptResult.js'
 import { copyAnswerHeaders } from './copyAnswerHeaders.js'
+import { endAfterBody } from './endAfterBody.js'
 import type { OpenAnswer } from './OpenAnswer.js'
 
 /** How an answer is passed on. */
@@ -48,6 +49,11 @@
     const all = hasBody ? replaceLength(headers, body.length) : headers
     all.push(...this.options.headers)
     this.res.writeHead(status, all)
+    if (!this.res.req.complete) {
+      if (body.length > 0) this.res.write(body)
+      endAfterBody(this.res)
+      return true
+    }
     // Node sends a short string together with the headers; a buffer costs a second chunk in the write.
     if (body.length > 0 && body.length <= shortBytes) this.res.end(body.toString('latin1'), 'latin1')
     else this.res.end(body.length === 0 ? undefined : body)
--- a/src/entry/CallerHandler.ts
+++ b/src/entry/CallerHandler.ts
@@ -97,6 +97,7 @@
     const request = createRequest(req, names.id, routed, scope)
     const { route, headers } = routed
     const result = await pipeline.run({ request, req, res, maxBodyBytes: route.maxBodyBytes, expectsContinue: headers.expectsContinue })
+    if (scope.reason === 'caller') return
     if (result.isErr()) this.refuse(req, res, names, result.error)
     else logger.debug('request-answered', { id: names.id, service: names.service, customer: names.customer, status: res.statusCode })
   }
--- a/src/entry/ConnectionRow.ts
+++ b/src/entry/ConnectionRow.ts
@@ -1,7 +1,8 @@
+import type { ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 
-/** An accepted connection and the requests on it that have no complete answer. */
+/** An accepted connection and the answers on it that are not complete. */
 export interface ConnectionRow {
   readonly socket: Socket
-  open: number
+  readonly open: Set<ServerResponse>
 }
--- a/src/entry/EntryDaemon.ts
+++ b/src/entry/EntryDaemon.ts
@@ -27,6 +27,8 @@
 /** What the daemon is made of. */
 interface EntryDaemonOptions {
   readonly settings: Settings
+  /** Start of the process in ms since the Unix epoch, raised above every earlier one of the host. */
+  readonly incarnation: number
   readonly clock: Clock
   readonly createLog: (module: string) => Logger
   readonly metrics: RequestMetrics
@@ -60,7 +62,7 @@
     const { settings, clock, createLog } = options
     const dial = new DialMap(settings.dial)
     this.log = createLog('entry')
-    this.self = { name: settings.host, role: 'entry', incarnation: Math.round(clock.wallMs()) }
+    this.self = { name: settings.host, role: 'entry', incarnation: options.incarnation }
     const identity = { self: this.self, clusterKey: settings.clusterKey, dial, clock }
     this.peers = new PeerLinks(identity)
     this.modules = options.createModules({ host: settings.host, incarnation: this.self.incarnation, clock, messenger: this.peers })
--- a/src/entry/EntryProcess.ts
+++ b/src/entry/EntryProcess.ts
@@ -10,13 +10,14 @@
 import { SteerService } from '../steer/SteerService.js'
 import { EntryDaemon } from './EntryDaemon.js'
 import type { CreateEntryModules } from './EntryModules.js'
+import { findIncarnation } from './findIncarnation.js'
 
 /** Builds the entry daemon with its real modules, and a new one when the drain of its host was cancelled. */
 export class EntryProcess extends Daemon {
   private readonly logger: Logger
   private readonly registry: Registry
   private readonly metrics: EntryMetrics
-  private current: EntryDaemon
+  private current: EntryDaemon | undefined
   private stopping: Promise<void> | undefined
 
   constructor (private readonly context: DaemonContext) {
@@ -24,24 +25,26 @@
     this.logger = context.createModuleLogger('entry')
     this.registry = createRegistry({ host: context.settings.host, process: 'shunt-entry' })
     this.metrics = new EntryMetrics(this.registry, context.clock)
-    this.current = this.createDaemon()
-    this.addGauge('shunt_in_flight', 'Requests without a complete answer, callers\' and forwarded ones', () => this.current.inFlight)
-    this.addGauge('shunt_caller_connections', 'Open connections of callers', () => this.current.connections)
+    this.addGauge('shunt_in_flight', 'Requests without a complete answer, callers\' and forwarded ones', () => this.current?.inFlight ?? 0)
+    this.addGauge('shunt_caller_connections', 'Open connections of callers', () => this.current?.connections ?? 0)
   }
 
   async start (): Promise<void> {
+    const { settings, clock } = this.context
+    this.current = this.createDaemon(await findIncarnation(settings, clock))
     await this.current.start()
   }
 
   override async stop (): Promise<void> {
-    this.stopping ??= this.current.stop()
+    this.stopping ??= this.current?.stop()
     await this.stopping
   }
 
-  private createDaemon (): EntryDaemon {
+  private createDaemon (incarnation: number): EntryDaemon {
     const { settings, clock, createModuleLogger } = this.context
     return new EntryDaemon({
       settings,
+      incarnation,
       clock,
       createLog: createModuleLogger,
       metrics: this.metrics,
@@ -57,10 +60,8 @@
   private async replace (): Promise<void> {
     if (this.stopping !== undefined) return
     this.logger.info('drain-cancelled')
-    await this.current.stop()
-    if (this.stopping !== undefined) return
-    this.current = this.createDaemon()
-    await this.current.start()
+    await this.current?.stop()
+    if (this.stopping === undefined) await this.start()
   }
 
   private addGauge (name: string, help: string, read: () => number): void {
--- a/src/entry/HttpFront.ts
+++ b/src/entry/HttpFront.ts
@@ -111,19 +111,23 @@
   }
 
   private track (socket: Socket): void {
-    const row = { socket, open: 0 }
+    const row: ConnectionRow = { socket, open: new Set() }
     this.rows.set(socket, row)
-    socket.once('close', () => this.rows.delete(socket))
+    socket.once('close', () => {
+      this.rows.delete(socket)
+      // Node closes the answer that is being written, but not those of pipelined requests behind it.
+      setImmediate(() => { for (const res of row.open) res.emit('close') })
+    })
   }
 
   private receive (req: IncomingMessage, res: ServerResponse, expectation: 'none' | 'continue' | 'other'): void {
     const row = this.rows.get(req.socket)
-    if (row !== undefined) row.open += 1
+    row?.open.add(res)
     this.openRequests += 1
     res.once('close', () => {
       this.openRequests -= 1
       if (row === undefined) return
-      row.open -= 1
+      row.open.delete(res)
       if (this.isClosingIdle) this.endIdle(row)
     })
     this.options.onRequest(req, res, expectation)
@@ -131,11 +135,11 @@
 
   // Half-closing lets the caller see the end of the stream; destroying could reset a request under way.
   private endIdle (row: ConnectionRow): void {
-    if (row.open === 0) row.socket.end()
+    if (row.open.size === 0) row.socket.end()
   }
 
   private refuseRaw (error: Error & { code?: string }, socket: Socket): void {
-    const isBusy = (this.rows.get(socket)?.open ?? 0) > 0
+    const isBusy = (this.rows.get(socket)?.open.size ?? 0) > 0
     if (isBusy || !socket.writable || error.code === 'ECONNRESET') {
       socket.destroy()
       return
--- a/src/entry/PlannedStop.ts
+++ b/src/entry/PlannedStop.ts
@@ -49,7 +49,10 @@
     await this.handOver(modules)
     const isEmpty = await this.waitUntilEmpty(stopTimeoutMs)
     if (!isEmpty) logger.warn('stop-timeout', { inFlight: gateway.inFlight })
+    gateway.internal.closeListener()
     gateway.internal.closeIdle()
+    // A forward may have arrived between the two.
+    if (isEmpty) await this.waitUntilEmpty(stopTimeoutMs)
     await sleep(settleMs)
     logger.info('left', { inFlight: gateway.inFlight })
   }
--- a/src/entry/RequestPipeline.ts
+++ b/src/entry/RequestPipeline.ts
@@ -35,7 +35,6 @@
   readonly expectsContinue: boolean
 }
 
-const noHeaders: readonly string[] = []
 const noExclusions: ReadonlySet<string> = new Set()
 /** Time in ms kept of a claim for the way from a slot to the write. */
 const claimMarginMs = 300
@@ -56,7 +55,7 @@
     })
     if (admitted.isErr()) return err(claim.settleFailure(admitted.error))
     const permit = admitted.value
-    if (res.closed) permit.release()
+    if (res.closed || exchange.req.socket.destroyed) permit.release()
     else res.once('close', () => permit.release())
     const result = await this.serve(exchange, claim, permit)
     return result.mapErr((failure) => claim.settleFailure(failure))
@@ -129,8 +128,8 @@
   }
 
   private listAnswerHeaders (exchange: Exchange): readonly string[] {
-    const state = exchange.req.complete ? this.options.answerHeaders() : closeHeaders
-    return ['Shunt-Request-Id', exchange.request.id, ...(state.length === 0 ? noHeaders : state)]
+    const state = this.options.answerHeaders()
+    return ['Shunt-Request-Id', exchange.request.id, ...(state.length === 0 && !exchange.req.complete ? closeHeaders : state)]
   }
 }
 
--- a/src/entry/writeRefusal.ts
+++ b/src/entry/writeRefusal.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Failure } from '../common/Failure.js'
 import { formatRefusal } from './formatRefusal.js'
-import { entryLimits } from './entryLimits.js'
+import { endAfterBody } from './endAfterBody.js'
 
 /** How a refusal is sent. */
 interface RefusalOptions {
@@ -12,7 +12,7 @@
   readonly headers: readonly string[]
 }
 
-/** Sends a refusal. An unread body is discarded for a while first, since closing at once would lose the refusal. */
+/** Sends a refusal. */
 export function writeRefusal (req: IncomingMessage, res: ServerResponse, failure: Failure, options: RefusalOptions): void {
   if (res.headersSent || res.destroyed) {
     res.destroy()
@@ -28,21 +28,5 @@
     return
   }
   res.write(body)
-  discardBody(req, res)
-}
-
-function discardBody (req: IncomingMessage, res: ServerResponse): void {
-  let bytes = 0
-  const end = (): void => {
-    clearTimeout(timer)
-    if (!res.writableEnded) res.end()
-  }
-  const timer = setTimeout(end, entryLimits.lingerMs)
-  req.on('end', end)
-  req.on('close', end)
-  req.on('data', (chunk: Buffer) => {
-    bytes += chunk.length
-    if (bytes > entryLimits.maxLingerBytes) end()
-  })
-  req.resume()
+  endAfterBody(res)
 }
--- a/test/entry/EntryDaemon.test.ts
+++ b/test/entry/EntryDaemon.test.ts
@@ -21,6 +21,7 @@
 function createDaemon (): EntryDaemon {
   return new EntryDaemon({
     settings: createSettings(address),
+    incarnation: 1,
     clock,
     createLog: () => new QuietLogger(),
     metrics: new FakeMetrics(),
--- a/test/entry/RequestPipeline.test.ts
+++ b/test/entry/RequestPipeline.test.ts
@@ -155,6 +155,28 @@
   expect([admission.permits.at(-1)!.released > 0, steering.results]).toEqual([true, ['cancelled']])
 })
 
+// Guards against permits of pipelined requests that stay taken when their connection closes.
+test('pipelined requests of a caller who has gone are ended', async () => {
+  await bench.upstream(9_012, (req) => { req.resume() })
+  aim(9_012)
+  const count = admission.permits.length
+  const socket = connect(8_080, address)
+  socket.write(`GET /stock HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer ${credential}\r\n\r\n`.repeat(3))
+  await pause(100)
+  socket.destroy()
+  await pause(100)
+  const taken = admission.permits.slice(count)
+  expect([taken.length, taken.filter((permit) => permit.released === 0).length, bench.gateway.inFlight]).toEqual([3, 0, 0])
+})
+
+// Guards against an answer that is lost because the endpoint did not want the whole body.
+test('an early answer reaches a caller who still sends', async () => {
+  await bench.upstream(9_013, (_req, res) => res.end('enough'))
+  aim(9_013)
+  const answer = await call(address, '/intake', { method: 'POST', body: Buffer.alloc(2 << 20) })
+  expect(answer.body).toEqual('enough')
+})
+
 // Guards against an answer that is held in memory for a slow reader, and against bytes that are lost or reordered.
 test('a long answer is streamed with bounded memory', async () => {
   const bytes = 64 << 20
