--- a/src/entry/EntryDaemon.ts
+++ b/src/entry/EntryDaemon.ts
@@ -18,6 +18,8 @@
 import { EntryGateway } from './EntryGateway.js'
 import type { CreateEntryModules, EntryModules } from './EntryModules.js'
 import { explainRequest } from './explainRequest.js'
+import type { OperationMetrics } from './OperationMetrics.js'
+import { OperationSystem } from './OperationSystem.js'
 import { PeerLinks } from './PeerLinks.js'
 import { PlannedStop } from './PlannedStop.js'
 import { ProbeSystem } from './ProbeSystem.js'
@@ -31,7 +33,7 @@
   readonly incarnation: number
   readonly clock: Clock
   readonly createLog: (module: string) => Logger
-  readonly metrics: RequestMetrics
+  readonly metrics: RequestMetrics & OperationMetrics
   readonly registry: Registry
   readonly createModules: CreateEntryModules
   /** The host is idle after a drain that was cancelled since; only a new process state may serve again. */
@@ -86,7 +88,9 @@
       modules: this.modules,
       logger: this.log,
       announce: () => this.digest.run(clock.nowMs()),
-      stopTimeoutMs: settings.stopTimeoutMs
+      stopTimeoutMs: settings.stopTimeoutMs,
+      clock,
+      metrics: options.metrics
     })
   }
 
@@ -210,6 +214,7 @@
       new ModuleSystem('claim', claim),
       new ModuleSystem('steer', steer),
       new ProbeSystem(steer, this.gateway.endpointClient),
+      new OperationSystem(steer, this.options.metrics),
       this.digest
     ]
     return new Scheduler(this.options.clock, systems, (system, error) => {
--- a/src/entry/PlannedStop.ts
+++ b/src/entry/PlannedStop.ts
@@ -1,6 +1,9 @@
+import type { Clock } from '../common/Clock.js'
 import type { Logger } from '../common/Logger.js'
+import { DrainKind } from '../model/DrainKind.js'
 import type { EntryGateway } from './EntryGateway.js'
 import type { EntryModules } from './EntryModules.js'
+import type { OperationMetrics } from './OperationMetrics.js'
 
 /** What a planned stop works on. */
 interface PlannedStopOptions {
@@ -10,6 +13,8 @@
   /** Tells other hosts at once that this host is leaving. */
   readonly announce: () => void
   readonly stopTimeoutMs: number
+  readonly clock: Clock
+  readonly metrics: OperationMetrics
 }
 
 /** Time in ms for callers to learn that the host is leaving before it takes no further connections. */
@@ -37,7 +42,8 @@
   }
 
   private async stop (): Promise<void> {
-    const { gateway, modules, logger, stopTimeoutMs } = this.options
+    const { gateway, modules, logger, stopTimeoutMs, clock, metrics } = this.options
+    const startMs = clock.nowMs()
     logger.info('leaving', { inFlight: gateway.inFlight })
     gateway.state.isLeaving = true
     this.options.announce()
@@ -48,7 +54,8 @@
     await this.waitUntilEmpty(graceMs)
     await this.handOver(modules)
     const isEmpty = await this.waitUntilEmpty(stopTimeoutMs)
-    if (!isEmpty) logger.warn('stop-timeout', { inFlight: gateway.inFlight })
+    if (isEmpty) metrics.drained(DrainKind.host, clock.nowMs() - startMs)
+    else logger.warn('stop-timeout', { inFlight: gateway.inFlight })
     gateway.internal.closeListener()
     gateway.internal.closeIdle()
     // A forward may have arrived between the two.
--- a/test/entry/fakes.ts
+++ b/test/entry/fakes.ts
@@ -110,6 +110,8 @@
   retried (name: string): void { this.events.push(`retried ${name}`) }
   completed (): void { this.events.push('completed') }
   hedged (): void { this.events.push('hedged') }
+  measuredHeadroom (): void {}
+  drained (kind: string): void { this.events.push(`drained ${kind}`) }
 }
 
 const ports = { caller: 8080, internal: 8081, peer: 8082, lookup: 8083, agent: 8084, operator: 8085, entryAdmin: 8086 }
@@ -166,7 +168,7 @@
   readonly gateway: EntryGateway
   private readonly servers: Server[] = []
 
-  constructor (readonly address: string, limits: Partial<{ maxConnections: number, maxHeaderBytes: number, headersTimeoutMs: number, idleTimeoutMs: number }> = {}, name = 'h') {
+  constructor (readonly address: string, limits: Partial<{ maxConnections: number, maxHeaderBytes: number, headersTimeoutMs: number, idleTimeoutMs: number }> = {}, name = 'h', tls?: { cert: string, key: string }) {
     this.gateway = new EntryGateway({
       host: name,
       address,
@@ -179,6 +181,7 @@
       admission: this.admission,
       claims: this.claims,
       steering: this.steering,
+      tls,
       limits: { maxConnections: 1_000, maxHeaderBytes: 16_384, headersTimeoutMs: 5_000, idleTimeoutMs: 5_000, ...limits }
     })
   }
