--- a/test/control/shuntAgent.test.ts
+++ b/test/control/shuntAgent.test.ts
@@ -25,7 +25,7 @@
   }))
   const child = spawn(process.execPath, [binary, '--settings', file], { stdio: ['ignore', 'pipe', 'inherit'] })
   t.after(() => child.kill('SIGKILL'))
-  for await (const chunk of child.stdout as AsyncIterable<Buffer>) if (chunk.includes('event=started')) break
+  await new Promise<void>((resolve) => child.stdout.on('data', (chunk: Buffer) => { if (chunk.includes('event=started')) resolve() }))
   await new Promise((resolve) => setTimeout(resolve, 1_500))
   const ready = await fetch('http://127.20.17.1:8085/health/ready')
   expect({ status: ready.status, body: await ready.json() }).toEqual({ status: 503, body: { status: 'not-ready', reason: 'no configuration has been loaded yet' } })
