--- a/src/share/ShareTable.ts
+++ b/src/share/ShareTable.ts
@@ -179,7 +179,8 @@
   lend (request: LoanRequest, peer: Peer, nowMs: number): LoanGrant | undefined {
     if (!this.isPeer(peer.name) || !this.noteIncarnation(peer)) return undefined
     const row = this.open(request.customer, nowMs)
-    if (row === undefined || !this.noteSettled(row, peer, request.settledSeq, request.seq)) return undefined
+    if (row === undefined || this.isSettled(row, peer, request.seq)) return undefined
+    this.noteSettled(row, peer, request.settledSeq)
     const { share } = row
     share.advance(nowMs)
     share.lent.applyStatement({ ...request, borrower: peer.name, incarnation: peer.incarnation })
@@ -198,7 +199,7 @@
     if (!this.isPeer(peer.name) || !this.noteIncarnation(peer)) return false
     const row = this.rows.get(statement.customer)
     if (row === undefined) return false
-    this.noteSettled(row, peer, statement.settledSeq, statement.settledSeq)
+    this.noteSettled(row, peer, statement.settledSeq)
     row.share.advance(nowMs)
     row.share.lent.applyStatement({ ...statement, borrower: peer.name, incarnation: peer.incarnation })
     return true
@@ -263,7 +264,8 @@
     return statements
   }
 
-  private createStatement (row: ShareRow, lender: string): LoanStatement {
+  /** States what is held from a lender; everything else is given back. */
+  createStatement (row: ShareRow, lender: string): LoanStatement {
     const settledSeq = (row.pending.get(lender)?.seq ?? this.seq + 1) - 1
     return { t: 'loan_return', customer: row.customer, settledSeq, held: row.share.held.createStatement(lender) }
   }
@@ -281,13 +283,17 @@
     row.pauses.set(lender, { untilMs: nowMs + lengthMs, lengthMs, lost: false })
   }
 
-  /** Notes what a borrower has settled; false when the request `seq` was settled or answered before. */
-  private noteSettled (row: ShareRow, peer: Peer, settledSeq: number, seq: number): boolean {
+  /** True when a request was settled or answered before; a late or repeated one must not lend again. */
+  private isSettled (row: ShareRow, peer: Peer, seq: number): boolean {
+    const known = row.settled.get(peer.name)
+    const isKnown = known?.incarnation === peer.incarnation && seq <= known.seq
+    return isKnown || row.share.lent.read(peer.name, seq) !== undefined
+  }
+
+  private noteSettled (row: ShareRow, peer: Peer, seq: number): void {
     const known = row.settled.get(peer.name)
     const before = known?.incarnation === peer.incarnation ? known.seq : -1
-    if (seq <= before || row.share.lent.read(peer.name, seq) !== undefined) return false
-    row.settled.set(peer.name, { incarnation: peer.incarnation, seq: Math.max(before, settledSeq) })
-    return true
+    row.settled.set(peer.name, { incarnation: peer.incarnation, seq: Math.max(before, seq) })
   }
 
   private createRow (contract: Contract, nowMs: number): ShareRow {
--- a/test/model/createLoanSpec.ts
+++ b/test/model/createLoanSpec.ts
@@ -15,6 +15,8 @@
   readonly quietUntil: number
   /** The lender's record of its loan. */
   readonly lent: { readonly seq: number, readonly until: number } | null
+  /** Highest sequence number that the lender knows to be settled. */
+  readonly settled: number
   /** Deadlines of requests in flight, by the host that admitted them. */
   readonly lenderFlights: readonly number[]
   readonly borrowerFlights: readonly number[]
@@ -30,19 +32,26 @@
 /** Mistakes that can be planted. */
 type LoanMistake = 'earlyResume' | 'noQuarantine' | 'validFromReceipt' | 'returnInUse' | 'anyReturn'
 
-const loanTicks = 2
-const validTicks = 2
-const requestTicks = 2
-const lastTick = 6
-const maxMessages = 2
-const maxSeq = 2
+/** Times of the protocol and bounds of the search. */
+interface LoanBounds {
+  readonly loan: number
+  readonly valid: number
+  /** Longest time of a request. */
+  readonly request: number
+  readonly last: number
+  readonly messages: number
+  readonly asks: number
+}
+
+const smallBounds: LoanBounds = { loan: 2, valid: 2, request: 2, last: 6, messages: 2, asks: 2 }
 
 /** The protocol of permit loans between two hosts, with the invariant `cap`: at most one request is in flight. */
-export function createLoanSpec (mistake?: LoanMistake): Spec<LoanState> {
+export function createLoanSpec (mistake?: LoanMistake, bounds = smallBounds): Spec<LoanState> {
+  const { loan: loanTicks, valid: validTicks, request: requestTicks, last: lastTick, messages: maxMessages, asks: maxSeq } = bounds
   const tail = mistake === 'earlyResume' ? 0 : requestTicks
   const quiet = mistake === 'noQuarantine' ? 0 : loanTicks + requestTicks
   const initial: LoanState = {
-    t: 0, lenderUp: true, quietUntil: 0, lent: null, lenderFlights: [], borrowerFlights: [], seq: 0, awaited: null, held: null, messages: [], faults: 2
+    t: 0, lenderUp: true, quietUntil: 0, lent: null, settled: 0, lenderFlights: [], borrowerFlights: [], seq: 0, awaited: null, held: null, messages: [], faults: 2
   }
 
   function * next (state: LoanState): Iterable<readonly [string, LoanState]> {
@@ -64,7 +73,7 @@
     const canUse = state.lenderUp && t >= state.quietUntil && (state.lent === null || t >= state.lent.until)
     if (canUse && state.lenderFlights.length === 0) yield ['lender admits', { ...state, lenderFlights: [t + requestTicks] }]
     if (state.lenderFlights.length > 0) yield ['lender ends', { ...state, lenderFlights: [] }]
-    if (state.lenderUp && state.faults > 0) yield ['lender crashes', { ...state, lenderUp: false, lent: null, lenderFlights: [], faults: state.faults - 1 }]
+    if (state.lenderUp && state.faults > 0) yield ['lender crashes', { ...state, lenderUp: false, lent: null, settled: 0, lenderFlights: [], faults: state.faults - 1 }]
     if (!state.lenderUp) yield ['lender restarts', { ...state, lenderUp: true, quietUntil: t + quiet }]
   }
 
@@ -89,11 +98,18 @@
       return { ...state, awaited: null, held: { seq: message.seq, validUntil: from + validTicks } }
     }
     if (!state.lenderUp) return state
-    if (message.kind === 'return') return lent !== null && (lent.seq === message.seq || mistake === 'anyReturn') ? { ...state, lent: null } : state
-    const isFree = t >= state.quietUntil && state.lenderFlights.length === 0 && (lent === null || t >= lent.until)
-    if (!isFree) return state
+    if (message.kind === 'return') {
+      const isGivenBack = lent !== null && (lent.seq <= message.seq || mistake === 'anyReturn')
+      return { ...state, lent: isGivenBack ? null : lent, settled: Math.max(state.settled, message.seq) }
+    }
+    if (message.seq <= state.settled) return state
+    // The borrower asks only while it holds nothing, so every earlier loan is settled.
+    const kept = lent !== null && lent.seq < message.seq ? null : lent
+    const heard = { ...state, lent: kept, settled: Math.max(state.settled, message.seq - 1) }
+    const isFree = t >= state.quietUntil && state.lenderFlights.length === 0 && (kept === null || t >= kept.until)
+    if (!isFree) return heard
     const grant = { kind: 'grant', seq: message.seq, sentAt: message.sentAt } as const
-    return { ...state, lent: { seq: message.seq, until: t + loanTicks + tail }, messages: [...state.messages, grant] }
+    return { ...heard, lent: { seq: message.seq, until: t + loanTicks + tail }, messages: [...state.messages, grant] }
   }
 
   return { initial, next, invariants: { cap: ({ lenderFlights, borrowerFlights }) => lenderFlights.length + borrowerFlights.length <= 1 } }
