--- a/src/share/CustomerShare.ts
+++ b/src/share/CustomerShare.ts
@@ -135,6 +135,11 @@
     return this.computeOwn(nowMs).rate + this.held.sumValid(nowMs).rate
   }
 
+  /** Time in ms until one more request at the end of the queue would get a token at `rate` per second. */
+  estimateWaitMs (rate: number): number {
+    return Math.max(0, this.queued + 1 - this.tokens) * 1_000 / rate
+  }
+
   /** Permits held now, in use or free. */
   permitsHeld (nowMs: number): number {
     const own = Math.max(this.ownInFlight, this.ownPermits(nowMs))
--- a/src/share/ShareService.ts
+++ b/src/share/ShareService.ts
@@ -165,12 +165,12 @@
     const limit = share.blocker ?? 'rate'
     const exhausted = this.table.isExhausted(row, nowMs)
     const rate = Math.max(0.001, exhausted ? share.rateHeld(nowMs) : share.contract.rate)
-    const waitMs = (share.queued + 1) * 1_000 / rate
+    const waitMs = share.estimateWaitMs(rate)
     if (share.queued >= Math.max(1, share.contract.concurrency)) {
       return describeLimit({ limit, customer: row.customer, contract: share.contract, full: true, waitMs })
     }
     const endMs = findWaitEnd(request, nowMs)
-    if (limit !== 'rate' || !exhausted || nowMs + waitMs - 1_000 / rate <= endMs) return undefined
+    if (limit !== 'rate' || !exhausted || nowMs + waitMs <= endMs) return undefined
     return describeLimit({ limit, customer: row.customer, contract: share.contract, full: false, waitMs })
   }
 
--- a/src/share/ShareTable.ts
+++ b/src/share/ShareTable.ts
@@ -86,6 +86,7 @@
     this.contracts.clear()
     for (const contract of doc.contracts) this.contracts.set(contract.customer, contract)
     for (const row of this.rows) this.updateRow(row, nowMs)
+    this.checkRecovery()
     this.updateSettledVersion()
     return true
   }
@@ -215,7 +216,7 @@
       row.share.lent.grant(peer.name, peer.incarnation, seq, createAmount({ long }), nowMs)
     }
     if (announcement.complete) this.announced.add(peer.name)
-    if (this.listPeers().every((host) => this.announced.has(host))) this.endRecovery()
+    this.checkRecovery()
     return true
   }
 
@@ -383,6 +384,10 @@
     return [...names]
   }
 
+  private checkRecovery (): void {
+    if (this.listPeers().every((host) => this.announced.has(host))) this.endRecovery()
+  }
+
   private endRecovery (): void {
     if (!this.recovering) return
     this.recovering = false
--- a/test/share/ShareCluster.ts
+++ b/test/share/ShareCluster.ts
@@ -52,7 +52,7 @@
     const members = this.doc.hosts.map(({ name, zone }): Member => {
       const entryIncarnation = this.incarnations.get(name) ?? 1
       const digest = {
-        host: name, entryIncarnation, seq: 1, appliedVersion: 1, serving: true, leaving: false, inFlight: 0, loads: [], leavingEndpoints: [], drainInFlight: {}, uses: []
+        host: name, entryIncarnation, seq: 1, appliedVersion: this.services.get(name)?.appliedVersion ?? 0, serving: true, leaving: false, inFlight: 0, loads: [], leavingEndpoints: [], drainInFlight: {}, uses: []
       }
       return { host: name, zone, incarnation: entryIncarnation, seq: 1, state: 'alive', configVersion: 1, digest }
     })
