Give the views of the share tests the field isFirstStart

Change: the views say false, which is what a missing field meant, so the tests check the same as before. Conclusion: the build and the 18 share tests pass.

--- a/test/share/ShareCluster.ts
+++ b/test/share/ShareCluster.ts
@@ -57,7 +57,7 @@
       return { host: name, zone, incarnation: entryIncarnation, seq: 1, state: 'alive', configVersion: 1, digest }
     })
     for (const service of this.services.values()) {
-      service.setView({ seq: 1, contactAgeMs: 0, configVersion: 1, members, leavingEndpoints: [], leavingHosts: [] })
+      service.setView({ seq: 1, contactAgeMs: 0, configVersion: 1, members, leavingEndpoints: [], leavingHosts: [], isFirstStart: false })
     }
   }
 
