Lower the cost of hedging and request ids

Cause: with service times under 10 ms a late read started a second attempt that cost more than the wait it could save. Change: hedge after 10 ms at the earliest; sort service times half as often; decimal request ids.

--- a/src/entry/RequestIds.ts
+++ b/src/entry/RequestIds.ts
@@ -10,7 +10,7 @@
 
   create (): string {
     this.count += 1
-    return `${this.prefix}-${this.count.toString(36)}`
+    return `${this.prefix}-${this.count}`
   }
 
   /** Uses the caller's id when it is well-formed. */
--- a/src/entry/ServiceTimes.ts
+++ b/src/entry/ServiceTimes.ts
@@ -1,7 +1,9 @@
 const windowSize = 128
-const refreshEvery = 16
+const refreshEvery = 32
 const minSamples = 32
 const hedgeQuantile = 0.95
+/** Below this delay in ms a second attempt costs more than the wait that it could save. */
+const minHedgeMs = 10
 
 /** Recent service times of one service. */
 interface Window {
@@ -44,6 +46,6 @@
 function refresh (window: Window): void {
   const size = Math.min(window.count, windowSize)
   const sorted = window.samples.slice(0, size).sort()
-  window.hedgeAfterMs = sorted[Math.floor((size - 1) * hedgeQuantile)]!
+  window.hedgeAfterMs = Math.max(minHedgeMs, sorted[Math.floor((size - 1) * hedgeQuantile)]!)
   window.typicalMs = sorted[size >> 1]!
 }
