--- a/src/entry/ConnectionRow.ts
+++ b/src/entry/ConnectionRow.ts
@@ -5,4 +5,6 @@
 export interface ConnectionRow {
   readonly socket: Socket
   readonly open: Set<ServerResponse>
+  /** The host has ended the connection; a request that arrives on it now is not run. */
+  isEnded: boolean
 }
