--- a/src/entry/EntryDaemon.ts
+++ b/src/entry/EntryDaemon.ts
@@ -18,6 +18,8 @@
 import { EntryGateway } from './EntryGateway.js'
 import type { CreateEntryModules, EntryModules } from './EntryModules.js'
 import { explainRequest } from './explainRequest.js'
+import type { OperationMetrics } from './OperationMetrics.js'
+import { OperationSystem } from './OperationSystem.js'
 import { PeerLinks } from './PeerLinks.js'
 import { PlannedStop } from './PlannedStop.js'
 import { ProbeSystem } from './ProbeSystem.js'
@@ -27,9 +29,11 @@
 /** What the daemon is made of. */
 interface EntryDaemonOptions {
   readonly settings: Settings
+  /** Start of the process in ms since the Unix epoch, raised above every earlier one of the host. */
+  readonly incarnation: number
   readonly clock: Clock
   readonly createLog: (module: string) => Logger
-  readonly metrics: RequestMetrics
+  readonly metrics: RequestMetrics & OperationMetrics
   readonly registry: Registry
   readonly createModules: CreateEntryModules
   /** The host is idle after a drain that was cancelled since; only a new process state may serve again. */
@@ -60,7 +64,7 @@
     const { settings, clock, createLog } = options
     const dial = new DialMap(settings.dial)
     this.log = createLog('entry')
-    this.self = { name: settings.host, role: 'entry', incarnation: Math.round(clock.wallMs()) }
+    this.self = { name: settings.host, role: 'entry', incarnation: options.incarnation }
     const identity = { self: this.self, clusterKey: settings.clusterKey, dial, clock }
     this.peers = new PeerLinks(identity)
     this.modules = options.createModules({ host: settings.host, incarnation: this.self.incarnation, clock, messenger: this.peers })
@@ -84,7 +88,9 @@
       modules: this.modules,
       logger: this.log,
       announce: () => this.digest.run(clock.nowMs()),
-      stopTimeoutMs: settings.stopTimeoutMs
+      stopTimeoutMs: settings.stopTimeoutMs,
+      clock,
+      metrics: options.metrics
     })
   }
 
@@ -208,6 +214,7 @@
       new ModuleSystem('claim', claim),
       new ModuleSystem('steer', steer),
       new ProbeSystem(steer, this.gateway.endpointClient),
+      new OperationSystem(steer, this.options.metrics),
       this.digest
     ]
     return new Scheduler(this.options.clock, systems, (system, error) => {
--- a/src/entry/HttpFront.ts
+++ b/src/entry/HttpFront.ts
@@ -116,21 +116,25 @@
   }
 
   private track (socket: Socket): void {
-    const row = { socket, open: 0, isEnded: false }
+    const row: ConnectionRow = { socket, open: new Set(), isEnded: false }
     this.rows.set(socket, row)
-    socket.once('close', () => this.rows.delete(socket))
+    socket.once('close', () => {
+      this.rows.delete(socket)
+      // Node closes the answer that is being written, but not those of pipelined requests behind it.
+      setImmediate(() => { for (const res of row.open) res.emit('close') })
+    })
   }
 
   private receive (req: IncomingMessage, res: ServerResponse, expectation: 'none' | 'continue' | 'other'): void {
     const row = this.rows.get(req.socket)
     // Its caller has been told that it was not run.
     if (row?.isEnded === true) return
-    if (row !== undefined) row.open += 1
+    row?.open.add(res)
     this.openRequests += 1
     res.once('close', () => {
       this.openRequests -= 1
       if (row === undefined) return
-      row.open -= 1
+      row.open.delete(res)
       if (this.isClosingIdle) this.endIdle(row)
     })
     this.options.onRequest(req, res, expectation)
@@ -142,7 +146,7 @@
    * an earlier one with the same key may have run.
    */
   private endIdle (row: ConnectionRow): void {
-    if (row.open > 0 || row.isEnded) return
+    if (row.open.size > 0 || row.isEnded) return
     row.isEnded = true
     this.endWithRefusal(row.socket, createFailure('hostLeaving', {
       outcome: Outcome.unknown,
@@ -151,7 +155,7 @@
   }
 
   private refuseRaw (error: Error & { code?: string }, socket: Socket): void {
-    const isBusy = (this.rows.get(socket)?.open ?? 0) > 0
+    const isBusy = (this.rows.get(socket)?.open.size ?? 0) > 0
     if (isBusy || !socket.writable || error.code === 'ECONNRESET') {
       socket.destroy()
       return
