Bound the search for dead hosts per heartbeat

Cause: each heartbeat looked at all configured hosts for dead ones, so a host's cost grew with the deployment: 1.2% of a core at 700 hosts, 2.6% at 7,000. Change: at most 256 hosts are looked at per heartbeat, in turn.

--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -28,6 +28,8 @@
 }
 
 const deadTriesPerBeat = 4
+/** Hosts that are looked at for dead ones per heartbeat, so that the cost does not grow with the number of hosts. */
+const scannedPerBeat = 256
 const helperFreshMs = 1_000
 const stallMs = 1_000
 const idlePeerMs = 30_000
@@ -216,7 +218,7 @@
   private listDeadTries (watched: ReadonlySet<string>): string[] {
     const { hosts } = this.topology
     const tries: string[] = []
-    for (let i = 0; i < hosts.length && tries.length < deadTriesPerBeat; i += 1) {
+    for (let i = 0; i < Math.min(hosts.length, scannedPerBeat) && tries.length < deadTriesPerBeat; i += 1) {
       this.deadCursor = (this.deadCursor + 1) % hosts.length
       const host = hosts[this.deadCursor]!
       if (host !== this.host && !watched.has(host) && !this.isNotDead(host)) tries.push(host)
