--- a/test/control/OperatorServer.test.ts
+++ b/test/control/OperatorServer.test.ts
@@ -41,6 +41,7 @@
   const drains = (await group.call('b-1', 'GET', '/admin/v1/drains')).body.drains as Array<Record<string, unknown>>
   expect(drains.map(({ name, by, inFlight, complete }) => ({ name, by, inFlight, complete }))).toEqual([{ name: 'stock-b', by: 'anna', inFlight: 4, complete: false }])
   expect((await group.call('b-1', 'DELETE', '/admin/v1/drains/upstream/stock-b')).status).toEqual(200)
+  await group.until(() => group.see('b-1', 'a-1')?.configVersion === 4, 2_000)
   const config = (await group.call('b-1', 'GET', '/admin/v1/config')).body
   expect({ version: config.version, hosts: config.hosts }).toEqual({
     version: 4,
--- a/test/share/ShareCluster.ts
+++ b/test/share/ShareCluster.ts
@@ -52,12 +52,12 @@
     const members = this.doc.hosts.map(({ name, zone }): Member => {
       const entryIncarnation = this.incarnations.get(name) ?? 1
       const digest = {
-        host: name, entryIncarnation, seq: 1, appliedVersion: 1, serving: true, leaving: false, inFlight: 0, loads: [], leavingEndpoints: [], drainInFlight: {}, uses: []
+        host: name, entryIncarnation, seq: 1, appliedVersion: this.services.get(name)?.appliedVersion ?? 0, serving: true, leaving: false, inFlight: 0, loads: [], leavingEndpoints: [], drainInFlight: {}, uses: []
       }
       return { host: name, zone, incarnation: entryIncarnation, seq: 1, state: 'alive', configVersion: 1, digest }
     })
     for (const service of this.services.values()) {
-      service.setView({ seq: 1, contactAgeMs: 0, configVersion: 1, members, leavingEndpoints: [], leavingHosts: [], isFirstStart: false })
+      service.setView({ seq: 1, contactAgeMs: 0, configVersion: 1, isFirstStart: false, members, leavingEndpoints: [], leavingHosts: [] })
     }
   }
 
