--- a/src/common/runDaemon.ts
+++ b/src/common/runDaemon.ts
@@ -32,6 +32,8 @@
 }
 
 async function startDaemon (options: DaemonOptions, settings: Settings): Promise<void> {
+  // A reader of the log that goes away must not end a process that serves traffic.
+  for (const stream of [process.stdout, process.stderr]) stream.on('error', () => {})
   const clock = new SystemClock()
   const createModuleLogger = createLogger({ clock, levels: settings.log, host: settings.host, process: options.name })
   const logger = createModuleLogger('daemon')
--- a/src/entry/EntryGateway.ts
+++ b/src/entry/EntryGateway.ts
@@ -54,6 +54,7 @@
   readonly internal: HttpFront
   readonly endpointClient: UpstreamClient
   private readonly hostClient: UpstreamClient
+  private readonly lookupClient: HttpUpstreamClient
   private readonly authenticator: Authenticator
   private readonly times = new ServiceTimes()
 
@@ -61,6 +62,7 @@
     const { clock, dial } = options
     this.endpointClient = new HttpUpstreamClient({ dial, clock, maxIdle: maxIdlePerEndpoint })
     this.hostClient = new HttpUpstreamClient({ dial, clock, maxIdle: maxIdlePerHost })
+    this.lookupClient = new HttpUpstreamClient({ dial, clock, maxIdle: maxIdlePerHost, isOwnHostTls: options.tls !== undefined })
     this.authenticator = new Authenticator(new CredentialThrottle(clock))
     const context = this.createContext()
     this.callers = this.createCallerFront(context)
@@ -89,6 +91,7 @@
     this.internal.closeAll()
     this.endpointClient.close()
     this.hostClient.close()
+    this.lookupClient.close()
   }
 
   private createContext (): AttemptContext {
@@ -110,7 +113,7 @@
     const { state, authenticator } = this
     const ids = new RequestIds()
     const pipeline = new RequestPipeline({ context, admission, claims, answerHeaders: () => state.answerHeaders })
-    const lookup = new LookupProxy({ client: this.hostClient, address: `${address}:${ports.lookup}`, state })
+    const lookup = new LookupProxy({ client: this.lookupClient, address: `${address}:${ports.lookup}`, state })
     const handler = new CallerHandler({ clock, state, authenticator, pipeline, lookup, ids, metrics, logger })
     return new HttpFront({
       limits,
--- a/src/entry/HttpUpstreamClient.ts
+++ b/src/entry/HttpUpstreamClient.ts
@@ -4,6 +4,7 @@
 import { ConnectLimitAgent } from './ConnectLimitAgent.js'
 import { HttpExchange } from './HttpExchange.js'
 import type { UpstreamCall } from './UpstreamCall.js'
+import { OwnHostTlsAgent } from './OwnHostTlsAgent.js'
 import { UpstreamClient } from './UpstreamClient.js'
 import type { UpstreamRequest } from './UpstreamRequest.js'
 
@@ -13,6 +14,8 @@
   readonly clock: Clock
   /** Idle connections kept to one address. */
   readonly maxIdle: number
+  /** The destination is another process of this host that speaks TLS. */
+  readonly isOwnHostTls?: boolean
 }
 
 /** Sends requests over HTTP/1.1, on kept connections unless a request wants a fresh one. */
@@ -21,7 +24,9 @@
 
   constructor (private readonly options: HttpUpstreamOptions) {
     super()
-    this.agent = new ConnectLimitAgent({ keepAlive: true, scheduling: 'lifo', maxFreeSockets: options.maxIdle })
+    this.agent = options.isOwnHostTls === true
+      ? new OwnHostTlsAgent()
+      : new ConnectLimitAgent({ keepAlive: true, scheduling: 'lifo', maxFreeSockets: options.maxIdle })
   }
 
   override start (request: UpstreamRequest): UpstreamCall {
--- /dev/null
+++ b/test/entry/LookupProxy.test.ts
@@ -0,0 +1,30 @@
+import { createServer, request } from 'node:https'
+import { test } from 'node:test'
+import { expect } from 'earl'
+import { Bench, credential } from './fakes.js'
+import { testCertificates } from './testCertificates.js'
+
+const address = '127.22.9.1'
+const certificate = testCertificates[0]
+
+async function look (): Promise<string> {
+  return await new Promise((resolve, reject) => {
+    const req = request({ host: address, port: 8_080, path: '/v1/lookup', rejectUnauthorized: false, headers: { authorization: `Bearer ${credential}` } }, (res) => {
+      res.on('data', (chunk: Buffer) => resolve(`${res.statusCode} ${chunk.toString()}`))
+    })
+    req.on('error', reject)
+    req.end()
+  })
+}
+
+// Guards against lookups on the callers' port that fail when both ports speak TLS.
+test('a lookup is passed on by TLS', async () => {
+  const lookup = createServer(certificate, (req, res) => res.end(req.url))
+  await new Promise<void>((resolve) => lookup.listen(8_083, address, resolve))
+  const bench = await new Bench(address, {}, 'h', certificate).start()
+  const answer = await look()
+  await bench.stop()
+  lookup.closeAllConnections()
+  await new Promise((resolve) => lookup.close(resolve))
+  expect(answer).toEqual('200 /v1/lookup?client=127.0.0.1')
+})
