--- a/dev/slopes/SlopeAgent.ts
+++ b/dev/slopes/SlopeAgent.ts
@@ -12,6 +12,8 @@
 import { createSlopeDigest } from './createSlopeDigest.js'
 
 const clusterKey = 'slope-cluster-key-that-is-long-enough'
+/** More would make one process too slow for the larger sizes; a real digest has up to 64. */
+const busyCustomers = 4
 const answerTimeoutMs = 1_000
 /** Every how many frames the size is taken, so that counting bytes costs little. */
 const sampleEvery = 16
@@ -42,7 +44,7 @@
   /** Changes the own digest, as an entry process with traffic does on each tick. */
   changeDigest (): void {
     this.seq += 1
-    this.membership.table.setReport({ digest: createSlopeDigest(this.spec.name, this.seq) })
+    this.membership.table.setReport({ digest: createSlopeDigest(this.spec.name, this.seq, busyCustomers) })
   }
 
   tick (): void {
--- a/dev/slopes/createSlopeDigest.ts
+++ b/dev/slopes/createSlopeDigest.ts
@@ -1,10 +1,9 @@
 import type { Digest } from '../../src/model/Digest.js'
 
 const services = 3
-const customers = 16
 
-/** A digest of a busy host; `seq` makes each one different. */
-export function createSlopeDigest (host: string, seq: number): Digest {
+/** A digest of a host with `customers` busy customers; `seq` makes each one different. */
+export function createSlopeDigest (host: string, seq: number, customers: number): Digest {
   return {
     host,
     entryIncarnation: 1_700_000_000_000,
--- a/dev/slopes/measureConfigDocument.ts
+++ b/dev/slopes/measureConfigDocument.ts
@@ -39,7 +39,7 @@
     version: 1,
     zones: Array.from({ length: 6 }, (_, index) => ({ name: `z-${index}`, region: `r-${index % 3}` })),
     hosts,
-    services: [{ name: 'stock', path: 'stock', routes: [] }],
+    services: [{ name: 'stock', path: 'stock', routes: [{ methods: [], prefix: '', workClass: 'interactive', idempotent: true, defaultDeadlineMs: 3_000, maxBodyBytes: 65_536 }] }],
     endpoints: Array.from({ length: 44 }, (_, index) => ({
       name: `stock-${index}`, service: 'stock', zone: `z-${index % 6}`, address: `127.61.1.1:${9_001 + index}`, slots: 4, maxConnections: 400
     })),
--- a/dev/slopes/measureMemberMemory.ts
+++ b/dev/slopes/measureMemberMemory.ts
@@ -6,6 +6,7 @@
 const sizes = [500, 1_000, 2_000, 4_000]
 const targetNodes = 7_000
 const zones = 55
+const busyCustomers = 16
 const aliveState = 0
 
 /** Heap that the member table of one agent takes, with a digest of 16 busy customers for each node. */
@@ -20,7 +21,7 @@
   const table = new MemberTable({ host: 'self', zone: 'z-0', incarnation: 1 })
   for (const { name, zone } of hosts) {
     // Each row is decoded from a frame of its own, so its strings are its own as well.
-    const report = JSON.parse(JSON.stringify({ incarnation: 1, no: 1, digest: createSlopeDigest(name, 1) })) as { incarnation: number, no: number, digest: ReturnType<typeof createSlopeDigest> }
+    const report = JSON.parse(JSON.stringify({ incarnation: 1, no: 1, digest: createSlopeDigest(name, 1, busyCustomers) })) as { incarnation: number, no: number, digest: ReturnType<typeof createSlopeDigest> }
     table.merge([name, zone, 1, 1, aliveState, 1, report], name, 0)
   }
   const used = readHeap() - before
