--- a/src/claim/ClaimHome.ts
+++ b/src/claim/ClaimHome.ts
@@ -46,7 +46,7 @@
     /** False for a process that is known to be gone. */
     private readonly isCurrent: (executor: Executor) => boolean
   ) {
-    this.completeFromMs = options.clock.nowMs() + claimLimits.retentionMs
+    this.completeFromMs = options.clock.nowMs() + claimLimits.memoryMs
   }
 
   get waiting (): number {
@@ -95,6 +95,14 @@
     }
   }
 
+  /** True when this home has complete memory of the key and has not granted it. */
+  isUnused (customer: string, key: string): boolean {
+    const parsed = this.parse({ customer, key })
+    if (parsed === undefined || this.table.get(parsed.id) !== undefined) return false
+    if (parsed.bound !== undefined && parsed.bound.incarnation !== this.options.incarnation) return false
+    return this.isComplete(parsed, this.options.clock.nowMs())
+  }
+
   /** Takes over the complete memory of the process that ran before on this host. */
   load (rows: readonly HandoverRow[], memory: Memory): void {
     const nowMs = this.options.clock.nowMs()
@@ -142,7 +150,7 @@
     return this.frozen ? decide('stopping') : undefined
   }
 
-  /** True when a key that the table does not know was certainly not granted within the retention time. */
+  /** True when a key that the table does not know was certainly not granted within the time of its memory. */
   private isComplete (key: ClaimKey, nowMs: number): boolean {
     if (key.bound !== undefined) return true
     return nowMs >= this.completeFromMs && this.map.hadSameHome(key, this.options.host)
--- a/src/entry/AnswerWriter.ts
+++ b/src/entry/AnswerWriter.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { AttemptResult } from '../steer/AttemptResult.js'
 import { copyAnswerHeaders } from './copyAnswerHeaders.js'
+import { endAfterBody } from './endAfterBody.js'
 import type { OpenAnswer } from './OpenAnswer.js'
 
 /** How an answer is passed on. */
@@ -12,6 +13,8 @@
   readonly reserveBytes?: ((bytes: number) => number) | undefined
 }
 
+const shortBytes = 8_192
+
 /** Passes one answer on: whole when it is held, else with back-pressure and at most one chunk in memory. */
 export class AnswerWriter {
   private resolve!: (isWhole: boolean) => void
@@ -46,7 +49,14 @@
     const all = hasBody ? replaceLength(headers, body.length) : headers
     all.push(...this.options.headers)
     this.res.writeHead(status, all)
-    this.res.end(body.length === 0 ? undefined : body)
+    if (!this.res.req.complete) {
+      if (body.length > 0) this.res.write(body)
+      endAfterBody(this.res)
+      return true
+    }
+    // Node sends a short string together with the headers; a buffer costs a second chunk in the write.
+    if (body.length > 0 && body.length <= shortBytes) this.res.end(body.toString('latin1'), 'latin1')
+    else this.res.end(body.length === 0 ? undefined : body)
     return true
   }
 
--- a/src/entry/CallerHandler.ts
+++ b/src/entry/CallerHandler.ts
@@ -69,6 +69,7 @@
     const routed = expectation === 'other' ? refuseExpectation() : this.route(req, names)
     if (names.id === '') names.id = this.options.ids.create()
     if (routed.isErr()) return this.refuse(req, res, names, applyKey(names, routed.error))
+    if (this.options.state.refusesWork) return this.refuse(req, res, names, applyKey(names, createFailure('hostLeaving')))
     this.serve(req, res, names, routed.value, startMs).catch((error: unknown) => this.fail(req, res, names, error))
   }
 
@@ -97,6 +98,7 @@
     const request = createRequest(req, names.id, routed, scope)
     const { route, headers } = routed
     const result = await pipeline.run({ request, req, res, maxBodyBytes: route.maxBodyBytes, expectsContinue: headers.expectsContinue })
+    if (scope.reason === 'caller') return
     if (result.isErr()) this.refuse(req, res, names, result.error)
     else logger.debug('request-answered', { id: names.id, service: names.service, customer: names.customer, status: res.statusCode })
   }
--- a/src/entry/PlannedStop.ts
+++ b/src/entry/PlannedStop.ts
@@ -1,6 +1,9 @@
+import type { Clock } from '../common/Clock.js'
 import type { Logger } from '../common/Logger.js'
+import { DrainKind } from '../model/DrainKind.js'
 import type { EntryGateway } from './EntryGateway.js'
 import type { EntryModules } from './EntryModules.js'
+import type { OperationMetrics } from './OperationMetrics.js'
 
 /** What a planned stop works on. */
 interface PlannedStopOptions {
@@ -10,9 +13,11 @@
   /** Tells other hosts at once that this host is leaving. */
   readonly announce: () => void
   readonly stopTimeoutMs: number
+  readonly clock: Clock
+  readonly metrics: OperationMetrics
 }
 
-/** Time in ms for callers to learn that the host is leaving before it takes no further connections. */
+/** Time in ms for callers to learn that the host is leaving before it takes no further work. */
 const noticeMs = 1_500
 /** Time in ms for short requests to end before claims are handed over; uploads go on after it. */
 const graceMs = 1_000
@@ -37,19 +42,26 @@
   }
 
   private async stop (): Promise<void> {
-    const { gateway, modules, logger, stopTimeoutMs } = this.options
+    const { gateway, modules, logger, stopTimeoutMs, clock, metrics } = this.options
+    const startMs = clock.nowMs()
     logger.info('leaving', { inFlight: gateway.inFlight })
     gateway.state.isLeaving = true
     this.options.announce()
     await sleep(noticeMs)
-    gateway.callers.closeListener()
+    // New connections are still taken and refused: closing the listener would reset those in its backlog.
+    gateway.state.refusesWork = true
     gateway.callers.closeIdle()
     // A request that has no claim yet gets none once the claims are handed over.
     await this.waitUntilEmpty(graceMs)
     await this.handOver(modules)
     const isEmpty = await this.waitUntilEmpty(stopTimeoutMs)
-    if (!isEmpty) logger.warn('stop-timeout', { inFlight: gateway.inFlight })
+    if (isEmpty) metrics.drained(DrainKind.host, clock.nowMs() - startMs)
+    else logger.warn('stop-timeout', { inFlight: gateway.inFlight })
+    gateway.internal.closeListener()
     gateway.internal.closeIdle()
+    // A forward may have arrived between the two.
+    if (isEmpty) await this.waitUntilEmpty(stopTimeoutMs)
+    gateway.callers.closeListener()
     await sleep(settleMs)
     logger.info('left', { inFlight: gateway.inFlight })
   }
--- a/src/entry/RequestPipeline.ts
+++ b/src/entry/RequestPipeline.ts
@@ -35,7 +35,6 @@
   readonly expectsContinue: boolean
 }
 
-const noHeaders: readonly string[] = []
 const noExclusions: ReadonlySet<string> = new Set()
 /** Time in ms kept of a claim for the way from a slot to the write. */
 const claimMarginMs = 300
@@ -56,20 +55,20 @@
     })
     if (admitted.isErr()) return err(claim.settleFailure(admitted.error))
     const permit = admitted.value
-    if (res.closed) permit.release()
+    if (res.closed || exchange.req.socket.destroyed) permit.release()
     else res.once('close', () => permit.release())
     const result = await this.serve(exchange, claim, permit)
     return result.mapErr((failure) => claim.settleFailure(failure))
   }
 
   private async serve (exchange: Exchange, claim: ClaimStep, permit: Permit): Promise<Result<void, Failure>> {
-    const body = await this.readBody(exchange)
-    if (body.isErr()) return err(body.error)
     const { request } = exchange
+    const body = request.body.length === 0 ? undefined : await this.readBody(exchange)
+    if (body?.isErr() === true) return err(body.error)
     // Bulk work may wait long for a slot, so it takes its claim only when it has one.
     const claimsFirst = request.workClass !== WorkClass.bulk
-    const claimed = claimsFirst ? await claim.ensure() : ok()
-    if (claimed.isErr()) return this.replayOrFail(exchange, claim, claimed.error)
+    const claimed = claimsFirst && claim.isNeeded ? await claim.ensure() : undefined
+    if (claimed?.isErr() === true) return this.replayOrFail(exchange, claim, claimed.error)
     const loop = new AttemptLoop(this.options.context, request, this.createPlan(request, claim, permit, claimsFirst))
     const answered = await loop.run()
     if (answered.isErr()) return this.replayOrFail(exchange, claim, answered.error)
@@ -79,7 +78,6 @@
 
   private async readBody (exchange: Exchange): Promise<Result<void, Failure>> {
     const { request, req, res, expectsContinue, maxBodyBytes } = exchange
-    if (request.body.length === 0) return ok()
     const body = await readRequestBody(req, {
       length: request.body.length,
       maxBytes: maxBodyBytes,
@@ -97,11 +95,11 @@
     const latestStartMs = scope.deadlineAtMs - times.typicalMs(service)
     const isBulk = request.workClass === WorkClass.bulk
     return {
-      choose: async (steerRequest) => await steering.choose(steerRequest),
+      choose: (steerRequest) => steering.choose(steerRequest),
       allowsRegion: (region) => allowsRegion(permit, region),
       enterRegion: (region) => permit.enterRegion(region),
       leaveRegion: (region) => permit.leaveRegion(region),
-      prepareAttempt: async () => await claim.ensure(),
+      prepareAttempt: claim.isNeeded ? async () => await claim.ensure() : undefined,
       mayWrite: () => claim.isUsable() && scope.reason === undefined,
       writeUntilMs: () => claim.writeUntilMs,
       waitUntilMs: claimsFirst ? Math.min(latestStartMs, claim.writeUntilMs - claimMarginMs) : latestStartMs,
@@ -130,8 +128,8 @@
   }
 
   private listAnswerHeaders (exchange: Exchange): readonly string[] {
-    const state = exchange.req.complete ? this.options.answerHeaders() : closeHeaders
-    return ['Shunt-Request-Id', exchange.request.id, ...(state.length === 0 ? noHeaders : state)]
+    const state = this.options.answerHeaders()
+    return ['Shunt-Request-Id', exchange.request.id, ...(state.length === 0 && !exchange.req.complete ? closeHeaders : state)]
   }
 }
 
