Lower the cost of a request: abort signals and ownership only when needed

Cause: the profile of the entry process showed 3% for an abort signal per request and a check of all endpoints on each tick of 10 ms. Change: admission reads the signal only when a request waits; ownership is checked ten times a second without news.

--- a/src/share/ShareService.ts
+++ b/src/share/ShareService.ts
@@ -78,7 +78,7 @@
     const nowMs = this.clock.nowMs()
     const row = this.table.open(request.customer, nowMs)
     if (row === undefined) return err(createFailure('unknownItem', { message: `no contract names customer "${request.customer}"` }))
-    if (request.signal.aborted || request.deadlineAtMs <= nowMs) return err(createFailure('deadlineExceeded'))
+    if (request.deadlineAtMs <= nowMs) return err(createFailure('deadlineExceeded'))
     row.share.arrivals.add(nowMs)
     row.share.lastUsedMs = nowMs
     this.active.add(row.customer)
@@ -177,7 +177,9 @@
     return describeLimit({ limit, customer: row.customer, contract: share.contract, full: false, waitMs })
   }
 
+  /** The signal is only read here: callers make it when it is first used, and most requests never wait. */
   private async enqueue (row: ShareRow, request: AdmissionRequest, nowMs: number): Promise<Result<Permit, Failure>> {
+    if (request.signal.aborted) return err(createFailure('deadlineExceeded', { message: 'the caller has gone' }))
     return await new Promise((resolve) => {
       const queue = this.queues.get(row.customer) ?? new AdmissionQueue<Waiting>()
       this.queues.set(row.customer, queue)
--- a/src/steer/SteerService.ts
+++ b/src/steer/SteerService.ts
@@ -42,6 +42,8 @@
 
 const retryAfterMs = 1_000
 const idleMoveMs = 60_000
+/** Time in ms between checks of ownership without news; only the age of the view can change it. */
+const ownershipIntervalMs = 100
 
 /** Steering over the endpoints that this host owns and the owners that the view describes. */
 export class SteerService extends Steering {
@@ -55,6 +57,7 @@
   private doc: ConfigDoc | undefined
   private view: View | undefined
   private viewAtMs = -Infinity
+  private ownershipAtMs = -Infinity
   private isLeaving = false
   private region = ''
 
@@ -90,7 +93,7 @@
 
   /** Ends waits that are over and places requests that fit now. */
   tick (nowMs: number): void {
-    this.updateOwnership(nowMs)
+    if (nowMs - this.ownershipAtMs >= ownershipIntervalMs) this.updateOwnership(nowMs)
     for (const queue of this.queues) {
       for (const waiting of queue.removeExpired(nowMs)) waiting.settle(err(this.refuse(this.explainWait(waiting))))
       this.dispatch(queue, nowMs)
@@ -237,6 +240,7 @@
   }
 
   private updateOwnership (nowMs: number): void {
+    this.ownershipAtMs = nowMs
     if (this.doc === undefined) return
     const isViewFresh = nowMs - this.viewAtMs <= steerLimits.viewMaxAgeMs
     this.endpoints.update({ doc: this.doc, view: this.view, isViewFresh, isLeaving: this.isLeaving })
