Measure slopes of shares, lookups and the block table

Cause: npm run slopes left out the lookup table at its full size, the ranking of hosts and the cost of caps. Change: three more groups with the sizes of the target.

--- a/dev/slopes.ts
+++ b/dev/slopes.ts
@@ -1,15 +1,25 @@
 import { Command } from 'commander'
 import { fitLine } from './slopes/fitLine.js'
+import { measureBlockTable } from './slopes/measureBlockTable.js'
 import { measureConfigDocument } from './slopes/measureConfigDocument.js'
 import { measureHeartbeats } from './slopes/measureHeartbeats.js'
+import { measureLookups } from './slopes/measureLookups.js'
 import { measureMemberMemory } from './slopes/measureMemberMemory.js'
+import { measureShares } from './slopes/measureShares.js'
 import type { Slope } from './slopes/Slope.js'
+import { withTarget } from './slopes/withTarget.js'
+
+const targetNodes = 7_000
+const targetBlocks = 4_700_000
 
 /** Groups of slopes by name; a new group has a file of its own in `dev/slopes/`. */
 const groups: Readonly<Record<string, () => Promise<Slope[]>>> = {
   heartbeats: measureHeartbeats,
   config: measureConfigDocument,
-  members: measureMemberMemory
+  members: measureMemberMemory,
+  shares: measureShares,
+  lookups: async () => withTarget(measureLookups(), targetNodes),
+  blocks: async () => withTarget(await measureBlockTable(), targetBlocks)
 }
 
 const program = new Command()
--- /dev/null
+++ b/dev/slopes/measureShares.ts
@@ -0,0 +1,104 @@
+import { ok } from 'neverthrow'
+import { ManualClock } from '../../src/common/ManualClock.js'
+import { PeerMessenger } from '../../src/common/PeerMessenger.js'
+import { defaultPorts } from '../../src/config/defaultPorts.js'
+import type { ConfigDoc } from '../../src/model/ConfigDoc.js'
+import type { Contract } from '../../src/model/Contract.js'
+import { ShareService } from '../../src/share/ShareService.js'
+import type { Slope } from './Slope.js'
+
+/** Customers with traffic at one host within a second. */
+const sizes = [500, 1_000, 2_000, 4_000]
+/** About a thousand callers' customers are expected per operator; a host at the target serves a few times that. */
+const targetCustomers = 5_000
+const host = 'host-0'
+const admissions = 20_000
+const ticks = 100
+const tickMs = 10
+
+/** Costs with `size` customers. */
+interface ShareCosts {
+  readonly size: number
+  readonly admitUs: number
+  readonly tickMsUsed: number
+  readonly heapMiB: number
+}
+
+/** A peer that lends nothing; loans then cost what they cost when a cap is used up. */
+class EmptyMessenger extends PeerMessenger {
+  override async request () {
+    return ok({ t: 'loan_grant', amount: { rate: 0, burst: 0, short: 0, long: 0, upload: 0 }, renewed: [] })
+  }
+
+  override notify (): boolean {
+    return true
+  }
+}
+
+/** Costs of caps at one host: an admission, a tick, and the state of a customer with traffic. */
+export async function measureShares (): Promise<Slope[]> {
+  const rows: ShareCosts[] = []
+  for (const size of sizes) rows.push({ size, ...await measureSize(size) })
+  const toSlope = (name: string, unit: string, value: (row: ShareCosts) => number): Slope =>
+    ({ name, unit, target: targetCustomers, points: rows.map((row) => ({ size: row.size, value: value(row) })) })
+  return [
+    toSlope('admission_by_active_customers', 'us', ({ admitUs }) => admitUs),
+    toSlope('share_tick_by_active_customers', 'ms', ({ tickMsUsed }) => tickMsUsed),
+    toSlope('share_heap_by_active_customers', 'MiB', ({ heapMiB }) => heapMiB)
+  ]
+}
+
+async function measureSize (size: number): Promise<Omit<ShareCosts, 'size'>> {
+  const clock = new ManualClock()
+  const doc = createDoc(size)
+  const before = readHeap()
+  const service = new ShareService({ host, incarnation: 1, clock, messenger: new EmptyMessenger() })
+  service.setConfig(doc)
+  service.setView({ seq: 1, contactAgeMs: 0, configVersion: 1, isFirstStart: true, members: [], leavingEndpoints: [], leavingHosts: [] })
+  clock.advance(1_000)
+  await admitAll(service, clock, size, size)
+  const heapMiB = (readHeap() - before) / 1_048_576
+  const startMs = performance.now()
+  await admitAll(service, clock, size, admissions)
+  const admitUs = (performance.now() - startMs) * 1_000 / admissions
+  const tickStartMs = performance.now()
+  for (let index = 0; index < ticks; index += 1) {
+    clock.advance(tickMs)
+    service.tick(clock.nowMs())
+  }
+  return { admitUs, tickMsUsed: (performance.now() - tickStartMs) / ticks, heapMiB }
+}
+
+async function admitAll (service: ShareService, clock: ManualClock, customers: number, count: number): Promise<void> {
+  const { signal } = new AbortController()
+  for (let index = 0; index < count; index += 1) {
+    const admitted = await service.admit({ customer: `customer-${index % customers}`, workClass: 'interactive', deadlineAtMs: clock.nowMs() + 3_000, signal })
+    if (admitted.isErr()) throw new Error(admitted.error.message)
+    admitted.value.release()
+  }
+}
+
+function createDoc (size: number): ConfigDoc {
+  const contracts = Array.from({ length: size }, (_, index): Contract => ({
+    customer: `customer-${index}`,
+    version: 1,
+    credentialHashes: [],
+    services: [],
+    rate: 100_000,
+    burst: 100_000,
+    concurrency: 100,
+    uploadBytesPerSecond: 1_000_000,
+    regionShare: 0.8,
+    moveStep: 0.2,
+    priority: 1
+  }))
+  const hosts = Array.from({ length: 7 }, (_, index) => ({ name: `host-${index}`, zone: `zone-${index}`, address: `10.0.0.${index + 1}`, ports: defaultPorts }))
+  const zones = hosts.map(({ zone }) => ({ name: zone, region: 'region' }))
+  return { lineage: 'slopes', version: 1, zones, hosts, services: [], endpoints: [], links: [], objective: { latency: 1, headroom: 0 }, contracts, drains: [], priorCaps: [] }
+}
+
+function readHeap (): number {
+  if (globalThis.gc === undefined) throw new Error('run with --expose-gc')
+  globalThis.gc()
+  return process.memoryUsage().heapUsed
+}
