Call a write not run only when every host says so

Cause: shuntctl took the first 'not-run' as final, but a host speaks only for its own attempts; another one may still make the write. Change: 'not-run' needs the word of every host that was asked to make it, or of all hosts for the command write; otherwise the outcome is 'unknown'. Measured: 15 tests of shuntctl pass, one of them new. Conclusion: an operator is no longer told 'not run' for a write under way.

--- a/src/ctl/OperatorClient.ts
+++ b/src/ctl/OperatorClient.ts
@@ -43,6 +43,9 @@
 /** Results with which another host may do better: it may reach the platform or hold a configuration. */
 const hostDependentResults = ['platformUnavailable', 'noConfiguration', 'notReady', 'peerUnreachable', 'peerTimeout', 'internal']
 
+/** What the hosts know of a write. */
+type SettledWrite = z.infer<typeof answers.outcome>
+
 /** Calls the operators' interface of the first host that answers. */
 export class OperatorClient {
   constructor (private readonly options: OperatorClientOptions) {}
@@ -88,7 +91,7 @@
       doubtful ||= reply.kind === 'lost' || last.exit === 'unknown'
       // A definite refusal after a lost answer may be caused by the change itself, which is then found in the log.
       if (doubtful) {
-        const outcome = await this.settle(writeId)
+        const outcome = await this.settle(writeId, this.options.hosts.slice(0, index + 1))
         if (outcome.isOk() && outcome.value.receipt !== undefined) return ok(outcome.value.receipt)
         if (outcome.isOk() && outcome.value.outcome === 'not-run') doubtful = false
       } else if (!isHostDependent(reply, last)) {
@@ -102,15 +105,21 @@
     return err(doubtful ? { ...last, exit: 'unknown', next: adviseSettle(writeId) } : last)
   }
 
-  /** Asks all hosts what became of a write until one knows. */
-  async settle (writeId: string): Promise<Result<z.infer<typeof answers.outcome>, CommandFailure>> {
-    let result: Result<z.infer<typeof answers.outcome>, CommandFailure> = err(describeNoHost(this.options.hosts))
+  /**
+   * Asks all hosts what became of a write until one has it accepted. A host's `not-run` speaks only for itself: another
+   * one that was asked to make the write may still do so. So the outcome is `not-run` when all of `tried` say so.
+   */
+  async settle (writeId: string, tried: readonly string[] = this.options.hosts): Promise<Result<SettledWrite, CommandFailure>> {
+    let result: Result<SettledWrite, CommandFailure> = err(describeNoHost(this.options.hosts))
+    const denied = new Set<string>()
     for (const address of this.options.hosts) {
       const answer = await this.readFrom(address, `writes/${encodeURIComponent(writeId)}`, answers.outcome)
+      if (answer.isOk() && answer.value.outcome === 'accepted') return answer
+      if (answer.isOk() && answer.value.outcome === 'not-run') denied.add(address)
       if (answer.isOk() || result.isErr()) result = answer
-      if (answer.isOk() && answer.value.outcome !== 'unknown') return answer
     }
-    return result
+    const isCertain = tried.every((address) => denied.has(address))
+    return result.map((answer) => ({ ...answer, outcome: isCertain ? 'not-run' : 'unknown' }))
   }
 
   private async tryHosts (call: Call, tryMs: number): Promise<Result<string, CommandFailure>> {
--- a/test/ctl/FakeOperators.ts
+++ b/test/ctl/FakeOperators.ts
@@ -26,6 +26,8 @@
 /** One host of a small fake of the operators' interface (design 6.5). */
 export class FakeOperators {
   readonly seen: string[] = []
+  /** What is said of a write that the log does not name. */
+  outcomeOfUnseen: 'unknown' | 'not-run' = 'unknown'
   mode: Mode = 'normal'
   /** Applied when a drain or version is asked for, as in a cluster that needs some time. */
   pollsUntilApplied = 0
@@ -109,7 +111,7 @@
     }))
     if (page === 'writes') {
       const receipt = log.find(({ writeId }) => writeId === name)
-      return send(200, { writeId: name, outcome: receipt === undefined ? 'unknown' : 'accepted', receipt })
+      return send(200, { writeId: name, outcome: receipt === undefined ? this.outcomeOfUnseen : 'accepted', receipt })
     }
     if (page === 'metrics') {
       res.end('shunt_up 1\n')
--- a/test/ctl/shuntctl.test.ts
+++ b/test/ctl/shuntctl.test.ts
@@ -106,6 +106,15 @@
   expect((await run('write', made.writeId)).stdout).toInclude('Accepted as configuration version 8, made by anna')
 })
 
+// Guards against one host's "not run" for a write that another host, which can't be asked, may still make.
+test('a write is not run only when every host says so', async () => {
+  for (const host of [first, second]) host.outcomeOfUnseen = 'not-run'
+  const all = await run('write ctl-lost --json')
+  const some = await runCtl(`127.24.2.1:8085,${dead}`, ['write', 'ctl-lost', '--json'])
+  for (const host of [first, second]) host.outcomeOfUnseen = 'unknown'
+  expect([all.stdout, some.stdout].map((text) => (JSON.parse(text) as { outcome: string }).outcome)).toEqual(['not-run', 'unknown'])
+})
+
 // Guards against a wait that ends too early, never ends, or writes its progress to stdout.
 test('wait follows the change until it is in force', async () => {
   first.pollsUntilApplied = 2
