Wait for a region instead of refusing when its last place was just taken

Cause: on Kimberley 47 requests of a customer at its cap were refused with 2004: several requests passed the check of the region share before the first of them entered the region. Change: the request chooses again after 5 ms until its wait is over. Conclusion: the check and the entry are now one loop.

--- a/src/entry/AttemptLoop.ts
+++ b/src/entry/AttemptLoop.ts
@@ -15,6 +15,8 @@
 
 /** Bytes of head that a forwarded request costs on a link besides its body. */
 const headBytes = 512
+/** Time in ms until a place in a region that was just taken is asked for again. */
+const regionRetryMs = 5
 
 /** Chooses targets and makes attempts until a request is answered or may not be tried again. */
 export class AttemptLoop {
@@ -47,9 +49,23 @@
     }
   }
 
+  /** Chooses a target and enters its region; waits when another request took the last place there meanwhile. */
   private async chooseTarget (waitUntilMs: number): Promise<Result<SteerTarget, Failure>> {
+    for (;;) {
+      const target = await this.choose(waitUntilMs)
+      if (target.isErr()) return target
+      const isOver = this.request.scope.reason !== undefined
+      if (!isOver && this.plan.enterRegion(target.value.region)) return target
+      target.value.release(AttemptResult.cancelled, 0)
+      if (isOver) return err(createFailure('deadlineExceeded'))
+      if (this.context.clock.nowMs() + regionRetryMs >= waitUntilMs) return err(createFailure('regionShareCap'))
+      await new Promise((resolve) => setTimeout(resolve, regionRetryMs))
+    }
+  }
+
+  private async choose (waitUntilMs: number): Promise<Result<SteerTarget, Failure>> {
     const { customer, service, workClass, priority, moveStep, scope } = this.request
-    const target = await this.plan.choose({
+    return await this.plan.choose({
       customer,
       service,
       workClass,
@@ -60,14 +76,6 @@
       allowsRegion: this.plan.allowsRegion,
       get signal () { return scope.signal }
     })
-    return target.andThen((reserved) => this.enter(reserved))
-  }
-
-  private enter (target: SteerTarget): Result<SteerTarget, Failure> {
-    const isOver = this.request.scope.reason !== undefined
-    if (!isOver && this.plan.enterRegion(target.region)) return ok(target)
-    target.release(AttemptResult.cancelled, 0)
-    return err(createFailure(isOver ? 'deadlineExceeded' : 'regionShareCap'))
   }
 
   private async attempt (target: SteerTarget): Promise<Result<OpenAnswer, AttemptFailure>> {
--- a/test/entry/RequestPipeline.test.ts
+++ b/test/entry/RequestPipeline.test.ts
@@ -275,3 +275,12 @@
   expect((await call(address, '/orders', order)).headers['shunt-outcome']).toEqual('unknown')
   server.close()
 })
+
+// Guards against a refusal within the region share when another request took the last place a moment before.
+test('a full region is waited for', async () => {
+  aim(9_001)
+  admission.regionRefusals = 3
+  const answer = await call(address, '/stock')
+  admission.regionRefusals = 0
+  expect([answer.status, steering.results]).toEqual([200, ['cancelled', 'cancelled', 'cancelled', 'ok']])
+})
--- a/test/entry/fakes.ts
+++ b/test/entry/fakes.ts
@@ -38,14 +38,21 @@
 
 export class FakePermit extends Permit {
   released = 0
+  /** Times that the region is full before it has room. */
+  regionRefusals = 0
   constructor (public uploadWaitMs: number) { super() }
-  override enterRegion (): boolean { return true }
+  override enterRegion (): boolean {
+    this.regionRefusals -= 1
+    return this.regionRefusals < 0
+  }
+
   override leaveRegion (): void {}
   override reserveUploadBytes (): number { return this.uploadWaitMs }
   override release (): void { this.released += 1 }
 }
 
 export class FakeAdmission extends Admission {
+  regionRefusals = 0
   refuse: ResultName | undefined
   retries = Infinity
   uploadWaitMs = 0
@@ -53,6 +60,7 @@
   async admit (): Promise<Result<Permit, Failure>> {
     if (this.refuse !== undefined) return err(createFailure(this.refuse, { retryAfterMs: 1_500 }))
     const permit = new FakePermit(this.uploadWaitMs)
+    permit.regionRefusals = this.regionRefusals
     this.permits.push(permit)
     return ok(permit)
   }
