--- a/dev/callers/Caller.ts
+++ b/dev/callers/Caller.ts
@@ -63,12 +63,12 @@
     let repeats = 0
     for (;;) {
       const verdict = await this.attempt(call)
-      if (verdict.kind === 'end') return this.describe(call, verdict)
+      if (verdict.kind === 'end') return this.describeCall(call, verdict)
       if (verdict.result === 'broken') failures += 1
       else repeats += 1
       const leftMs = intendedMs + call.deadlineMs - performance.now()
       const given = failures >= maxFailures || repeats > (this.options.stream.repeats ?? defaultRepeats)
-      if (given || verdict.waitMs >= leftMs) return this.describe(call, verdict)
+      if (given || verdict.waitMs >= leftMs) return this.describeCall(call, verdict)
       if (verdict.waitMs > 0) await new Promise((resolve) => setTimeout(resolve, verdict.waitMs))
     }
   }
@@ -164,7 +164,7 @@
       (hash === undefined || head.receivedHash === hash)
   }
 
-  private describe (call: Call, { result, code }: { readonly result: CallRecord['result'], readonly code: number }): CallRecord {
+  private describeCall (call: Call, { result, code }: { readonly result: CallRecord['result'], readonly code: number }): CallRecord {
     const { customer, region, kind, service } = this.options.stream
     const latencyMs = performance.now() - call.intendedMs
     return {
--- a/dev/upstream/Truth.ts
+++ b/dev/upstream/Truth.ts
@@ -97,10 +97,10 @@
       duplicateKeys: listDuplicates(this.runsByKey),
       duplicateRequests: listDuplicates(this.runsByRequest),
       arrivals: Object.fromEntries([...this.arrivals].map(([name, counts]) => [name, fillGaps(counts)])),
-      customerPeaks: describe(this.customers),
-      customerRegionPeaks: describe(this.customerRegions),
+      customerPeaks: describePeaks(this.customers),
+      customerRegionPeaks: describePeaks(this.customerRegions),
       endpointPeaks: Object.fromEntries([...this.endpoints].map(([name, gauge]) => [name, gauge.peak])),
-      regionServicePeaks: describe(this.regionServices)
+      regionServicePeaks: describePeaks(this.regionServices)
     }
   }
 
@@ -145,7 +145,7 @@
   return [...records].filter(([, { runs, idempotent }]) => runs > 1 && !idempotent).map(([id, { runs }]) => ({ id, runs }))
 }
 
-function describe (gauges: Map<string, Gauge>): Record<string, { peak: number, peaks: number[] }> {
+function describePeaks (gauges: Map<string, Gauge>): Record<string, { peak: number, peaks: number[] }> {
   return Object.fromEntries([...gauges].map(([name, { peak, peaks }]) => [name, { peak, peaks: fillGaps(peaks) }]))
 }
 
--- a/src/lookup/BlockFile.ts
+++ b/src/lookup/BlockFile.ts
@@ -1,5 +1,6 @@
 import { unwatchFile, watchFile } from 'node:fs'
 import { EventEmitter } from 'node:events'
+import type { Clock } from '../common/Clock.js'
 import type { BlockTable } from './BlockTable.js'
 import { loadBlockTable } from './loadBlockTable.js'
 import { parseAddress } from './parseAddress.js'
@@ -19,7 +20,7 @@
   private loading = false
   private changed = false
 
-  constructor (private readonly file: string, private readonly checkIntervalMs: number = defaultCheckIntervalMs) {
+  constructor (private readonly file: string, private readonly clock: Clock, private readonly checkIntervalMs: number = defaultCheckIntervalMs) {
     super()
   }
 
@@ -54,14 +55,14 @@
   private async loadChanges (): Promise<void> {
     while (this.changed) {
       this.changed = false
-      const startMs = performance.now()
+      const startMs = this.clock.nowMs()
       const result = await loadBlockTable(this.file)
       if (result.isErr()) {
         this.emit('failed', result.error)
         continue
       }
       this.table = result.value
-      this.emit('loaded', result.value, performance.now() - startMs)
+      this.emit('loaded', result.value, this.clock.nowMs() - startMs)
     }
   }
 }
--- a/src/lookup/LookupDaemon.ts
+++ b/src/lookup/LookupDaemon.ts
@@ -31,7 +31,7 @@
     const { settings, clock, createModuleLogger } = context
     const registry = createRegistry({ host: settings.host, process: 'shunt-lookup' })
     const metrics = new LookupMetrics(registry, clock)
-    this.blocks = settings.blocksFile === undefined ? undefined : new BlockFile(settings.blocksFile)
+    this.blocks = settings.blocksFile === undefined ? undefined : new BlockFile(settings.blocksFile, clock)
     this.service = new LookupService({
       clock,
       ranking: new NearestRanking(),
@@ -53,7 +53,7 @@
       blocks: () => this.blocks?.current?.blockCount ?? 0
     })
     const health = new HealthRoutes({ registry, findObstacle: () => this.findObstacle() })
-    const routes = new LookupRoutes({ service: this.service, throttle: new CredentialThrottle(clock), metrics, ownAddress: settings.address })
+    const routes = new LookupRoutes({ service: this.service, throttle: new CredentialThrottle(clock), metrics, clock, ownAddress: settings.address })
     this.listener = new HttpListener({
       limits: settings.limits,
       tls: settings.tls,
--- a/src/lookup/LookupRoutes.ts
+++ b/src/lookup/LookupRoutes.ts
@@ -3,6 +3,7 @@
 import { err } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import { createFailure } from '../common/createFailure.js'
+import type { Clock } from '../common/Clock.js'
 import type { CredentialThrottle } from '../common/CredentialThrottle.js'
 import type { Failure } from '../common/Failure.js'
 import { hashCredential } from '../common/hashCredential.js'
@@ -20,6 +21,7 @@
   readonly service: LookupService
   readonly throttle: CredentialThrottle
   readonly metrics: LookupMetrics
+  readonly clock: Clock
   /** Own address, from which the entry process passes on look-ups of many callers; it is never throttled. */
   readonly ownAddress: string
 }
@@ -32,7 +34,7 @@
   handle (req: IncomingMessage, res: ServerResponse): boolean {
     const url = parseUrl(req.url ?? '')
     if (url?.pathname !== '/v1/lookup') return false
-    const startMs = performance.now()
+    const startMs = this.options.clock.nowMs()
     const requestId = readRequestId(req)
     const result = this.answer(req, url)
     if (result.isErr()) {
@@ -41,7 +43,7 @@
       return true
     }
     sendJson(res, 200, result.value, { 'Shunt-Request-Id': requestId, 'Cache-Control': `private, max-age=${Math.floor(result.value.ttlMs / 1_000)}` })
-    this.options.metrics.answered(performance.now() - startMs)
+    this.options.metrics.answered(this.options.clock.nowMs() - startMs)
     return true
   }
 
--- a/test/lookup/blocks.test.ts
+++ b/test/lookup/blocks.test.ts
@@ -4,6 +4,7 @@
 import { join } from 'node:path'
 import { test } from 'node:test'
 import { expect } from 'earl'
+import { SystemClock } from '../../src/common/SystemClock.js'
 import fc from 'fast-check'
 import { BlockFile } from '../../src/lookup/BlockFile.js'
 import { BlockTableBuilder } from '../../src/lookup/BlockTableBuilder.js'
@@ -79,7 +80,7 @@
     renameSync(`${path}.new`, path)
   }
   replace('10.0.0.0/8 north\n')
-  const file = new BlockFile(path, 50)
+  const file = new BlockFile(path, new SystemClock(), 50)
   file.start()
   await once(file, 'loaded')
   expect([file.findSite('10.1.2.3'), file.findSite('11.1.2.3'), file.findSite('fe80::1')]).toEqual(['north', undefined, undefined])
