Use one deployment type and one sample digest

Change: dev/ imports src/model/Deployment; createMember calls sampleDigest. Measured: types and lint of the touched files are clean; 40 tests of steering, quarantine and stand-ins pass. The whole suite was not run again after this change. Conclusion: types and test data only, no behaviour changed.

--- a/dev/baselines/BaselinePlan.ts
+++ b/dev/baselines/BaselinePlan.ts
@@ -1,4 +1,4 @@
-import type { Deployment } from '../cluster/Deployment.js'
+import type { Deployment } from '../../src/model/Deployment.js'
 import type { ExampleContract } from '../cluster/ExampleContract.js'
 
 /** What a baseline forwarder is started with, besides the settings of its host. */
--- a/dev/cluster/ClusterOptions.ts
+++ b/dev/cluster/ClusterOptions.ts
@@ -1,6 +1,6 @@
 import type { WorkClass } from '../../src/model/WorkClass.js'
 import type { Settings } from '../../src/config/Settings.js'
-import type { Deployment } from './Deployment.js'
+import type { Deployment } from '../../src/model/Deployment.js'
 import type { ExampleContract } from './ExampleContract.js'
 
 /** What a cluster is started with. */
--- a/dev/cluster/OperatorClient.ts
+++ b/dev/cluster/OperatorClient.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto'
 import { sendRequest } from '../common/sendRequest.js'
-import type { Deployment } from './Deployment.js'
+import type { Deployment } from '../../src/model/Deployment.js'
 import type { ExampleContract } from './ExampleContract.js'
 
 /** Answer of the operators' interface. */
--- a/dev/cluster/planLinks.ts
+++ b/dev/cluster/planLinks.ts
@@ -1,5 +1,5 @@
 import type { LinkPlan } from '../proxy/LinkPlan.js'
-import type { Deployment } from './Deployment.js'
+import type { Deployment } from '../../src/model/Deployment.js'
 
 /** Delays between places, in ms one way. */
 interface Delays {
--- a/dev/cluster/readExample.ts
+++ b/dev/cluster/readExample.ts
@@ -3,7 +3,7 @@
 import { parse } from 'jsonc-parser'
 import type { Settings } from '../../src/config/Settings.js'
 import type { HostSpec } from '../../src/model/HostSpec.js'
-import type { Deployment } from './Deployment.js'
+import type { Deployment } from '../../src/model/Deployment.js'
 import type { ExampleContract } from './ExampleContract.js'
 
 /** An example deployment on its own loopback network. */
--- a/test/support/createMember.ts
+++ b/test/support/createMember.ts
@@ -1,6 +1,7 @@
 import type { Digest } from '../../src/model/Digest.js'
 import type { Member } from '../../src/model/Member.js'
 import { MemberState } from '../../src/model/MemberState.js'
+import { sampleDigest } from '../control/sampleDigest.js'
 
 /** Builds a live, serving member with an empty digest; `digest` and `change` override parts. */
 export function createMember (host: string, digest: Partial<Digest> = {}, change: Partial<Member> = {}): Member {
@@ -11,20 +12,7 @@
     seq: 1,
     state: MemberState.alive,
     configVersion: 1,
-    digest: {
-      host,
-      entryIncarnation: 1,
-      seq: 1,
-      appliedVersion: 1,
-      serving: true,
-      leaving: false,
-      inFlight: 0,
-      loads: [],
-      leavingEndpoints: [],
-      drainInFlight: {},
-      uses: [],
-      ...digest
-    },
+    digest: sampleDigest(host, digest),
     ...change
   }
 }
