--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  ...neostandard({ ts: true, ignores: ['dist/**', 'node_modules/**'] }),
+  ...neostandard({ ts: true, ignores: ['dist/**', 'target/**', 'node_modules/**'] }),
   {
     files: ['**/*.ts'],
     rules: {
--- /dev/null
+++ b/src/budget/ColdBudget.ts
@@ -0,0 +1,42 @@
+import { rankByRendezvous } from '../common/rankByRendezvous.js'
+import { Table } from '../common/Table.js'
+
+/** Hosts that may send to one cold endpoint. */
+const sendersPerEndpoint = 3
+
+/** Share of the rate that is used; the rest covers hosts that see other members. */
+const safety = 0.9
+
+/** When this host may send to a cold endpoint again. */
+interface ColdRow {
+  nextAtMs: number
+}
+
+/**
+ * Bounds the requests to a cold endpoint over all hosts. A few hosts, chosen by rendezvous hashing of the endpoint,
+ * share its rate evenly and never send two requests at once, so the sum holds without messages between them.
+ */
+export class ColdBudget {
+  private readonly rows = new Table<ColdRow>()
+
+  constructor (
+    private readonly host: string,
+    /** Names of the hosts that may send now, this one included. */
+    private readonly listHosts: () => readonly string[]
+  ) {}
+
+  /** Takes leave to send one request to a cold endpoint. */
+  take (endpoint: string, perSecond: number, nowMs: number): boolean {
+    const row = this.rows.ensure(endpoint, () => ({ nextAtMs: nowMs }))
+    if (nowMs < row.nextAtMs || perSecond <= 0) return false
+    const senders = rankByRendezvous(endpoint, this.listHosts()).slice(0, sendersPerEndpoint)
+    if (!senders.includes(this.host)) return false
+    row.nextAtMs = nowMs + 1_000 * sendersPerEndpoint / (perSecond * safety)
+    return true
+  }
+
+  /** Forgets endpoints that are gone. */
+  retain (isKnown: (endpoint: string) => boolean): void {
+    this.rows.deleteWhere((_row, endpoint) => !isKnown(endpoint))
+  }
+}
--- /dev/null
+++ b/src/cluster/CatalogFollower.ts
@@ -0,0 +1,82 @@
+import type { Clock } from '../common/Clock.js'
+import type { Logger } from '../common/Logger.js'
+import type { Catalog } from './Catalog.js'
+import type { CatalogStore } from './CatalogStore.js'
+import type { CatalogTable } from './CatalogTable.js'
+import { clusterLimits } from './clusterLimits.js'
+import type { StoreFailure } from './StoreFailure.js'
+import type { StoreHealth } from './StoreHealth.js'
+
+/** What following a table needs. */
+interface FollowerOptions {
+  readonly store: CatalogStore
+  readonly catalog: Catalog
+  readonly health: StoreHealth
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly random: () => number
+}
+
+/** Keeps the copy of one table in step with the store. */
+export class CatalogFollower {
+  private isStopped = false
+  private backoffMs: number = clusterLimits.minBackoffMs
+  private needsRead = true
+
+  constructor (private readonly table: CatalogTable, private readonly options: FollowerOptions) {}
+
+  /** Runs until it is stopped. */
+  async run (): Promise<void> {
+    while (!this.isStopped) {
+      const pauseMs = await this.step()
+      if (pauseMs > 0) await new Promise((resolve) => setTimeout(resolve, pauseMs))
+    }
+  }
+
+  stop (): void {
+    this.isStopped = true
+  }
+
+  /** Makes one call and returns the ms to wait before the next. */
+  private async step (): Promise<number> {
+    return this.needsRead ? await this.read() : await this.follow()
+  }
+
+  private async read (): Promise<number> {
+    const { store, catalog, clock } = this.options
+    const page = await store.read(this.table)
+    if (page.isErr()) return this.noteFailure(page.error)
+    this.noteSuccess()
+    catalog.replace(this.table, page.value, clock.nowMs(), 'store')
+    this.needsRead = false
+    return 0
+  }
+
+  private async follow (): Promise<number> {
+    const { store, catalog, clock } = this.options
+    const after = catalog.resumeAfter(this.table)
+    const page = await store.follow(this.table, after, clusterLimits.followWaitMs)
+    if (page.isErr()) return this.noteFailure(page.error)
+    this.noteSuccess()
+    catalog.change(this.table, after, page.value, clock.nowMs(), 'store')
+    return page.value.rows.length > 0 ? clusterLimits.gatherMs : 0
+  }
+
+  private noteSuccess (): void {
+    this.backoffMs = clusterLimits.minBackoffMs
+    this.options.health.noteSuccess(this.options.clock.nowMs())
+  }
+
+  private noteFailure (failure: StoreFailure): number {
+    const { logger, health, random } = this.options
+    if (failure.kind === 'historyGone') {
+      logger.info('history-gone', { table: this.table })
+      this.needsRead = true
+      return 0
+    }
+    if (health.noteFailure()) logger.warn('store-lost', { table: this.table, kind: failure.kind, reason: failure.message })
+    const pauseMs = this.backoffMs * (0.5 + random())
+    this.backoffMs = Math.min(clusterLimits.maxBackoffMs, this.backoffMs * 2)
+    return pauseMs
+  }
+}
--- /dev/null
+++ b/src/cluster/CatalogRow.ts
@@ -0,0 +1,7 @@
+import type { CatalogEntry } from './CatalogEntry.js'
+
+/** One row of a table; without an entry it was removed or cannot be used. */
+export interface CatalogRow {
+  readonly key: string
+  readonly entry: CatalogEntry | undefined
+}
--- /dev/null
+++ b/src/cluster/Heartbeat.ts
@@ -0,0 +1,16 @@
+import type { CatalogPage } from './CatalogPage.js'
+import type { CatalogTable } from './CatalogTable.js'
+import type { HostRecord } from './HostRecord.js'
+
+/** What hosts tell each other a few times a second. */
+export interface Heartbeat {
+  readonly host: HostRecord
+  readonly isReady: boolean
+  readonly isLeaving: boolean
+  /** Versions of the tables that the sender has. */
+  readonly versions: Readonly<Record<CatalogTable, number>>
+  /** Requests in flight by endpoint, only those that are not 0. */
+  readonly loads: ReadonlyArray<readonly [endpoint: string, inFlight: number]>
+  /** Tables of which the receiver has an older version. */
+  readonly pages: ReadonlyArray<readonly [table: CatalogTable, page: CatalogPage]>
+}
--- /dev/null
+++ b/src/cluster/PeerMesh.ts
@@ -0,0 +1,151 @@
+import type { Clock } from '../common/Clock.js'
+import { DialMap } from '../common/DialMap.js'
+import type { Logger } from '../common/Logger.js'
+import { FrameClient } from '../wire/FrameClient.js'
+import { FrameServer } from '../wire/FrameServer.js'
+import type { Message } from '../wire/Message.js'
+import type { Catalog } from './Catalog.js'
+import { CatalogTable } from './CatalogTable.js'
+import { clusterLimits } from './clusterLimits.js'
+import type { Heartbeat } from './Heartbeat.js'
+import type { HostRecord } from './HostRecord.js'
+import type { PeerRow } from './PeerRow.js'
+import type { PeerTable } from './PeerTable.js'
+
+/** What the links to other hosts need. */
+interface PeerMeshOptions {
+  readonly self: HostRecord
+  readonly clusterKey: string
+  /** Addresses of a few hosts that may help a host that has not reached the store. */
+  readonly seeds: readonly string[]
+  readonly catalog: Catalog
+  readonly peers: PeerTable
+  readonly clock: Clock
+  readonly logger: Logger
+  /** State of this host for its heartbeats. */
+  readonly describe: () => Pick<Heartbeat, 'isReady' | 'isLeaving' | 'loads'>
+}
+
+const tables = Object.values(CatalogTable)
+
+/**
+ * Heartbeats between hosts. Each asks every other one a few times a second; question and answer carry the sender's
+ * state and the tables of which the other side has an older version. So a host that the store turns away, or that
+ * starts while the store is down, learns from its peers.
+ */
+export class PeerMesh {
+  private readonly server: FrameServer
+  private readonly client: FrameClient
+  private timer: NodeJS.Timeout | undefined
+  private nextSeedAtMs = 0
+
+  constructor (private readonly options: PeerMeshOptions) {
+    const { self, clusterKey, clock } = options
+    const identity = { name: self.name, role: 'entry', incarnation: self.incarnation } as const
+    this.server = new FrameServer({ self: identity, clusterKey, onMessage: (message) => this.answer(message) })
+    this.client = new FrameClient({ self: identity, clusterKey, dial: new DialMap(), clock, onMessage: () => undefined })
+  }
+
+  async start (): Promise<void> {
+    const { host, port } = new DialMap().resolve(this.options.self.peerAddress)
+    await this.server.listen(host, port)
+    this.timer = setInterval(() => this.tick(), clusterLimits.tickMs)
+  }
+
+  async stop (): Promise<void> {
+    clearInterval(this.timer)
+    this.client.close()
+    await this.server.close()
+  }
+
+  /** Tells every other host at once that this one's state has changed. */
+  announce (): void {
+    for (const row of this.options.peers) row.nextBeatAtMs = 0
+    this.tick()
+  }
+
+  private tick (): void {
+    const nowMs = this.options.clock.nowMs()
+    for (const row of this.options.peers) {
+      if (row.isBeating || nowMs < row.nextBeatAtMs) continue
+      row.nextBeatAtMs = nowMs + this.intervalFor(row)
+      this.beat(row).catch((error: unknown) => this.options.logger.error('heartbeat-failed', { peer: row.record.name, error: String(error) }))
+    }
+    this.askSeeds(nowMs)
+  }
+
+  private intervalFor (row: PeerRow): number {
+    return row.record.region === this.options.self.region ? clusterLimits.nearBeatMs : clusterLimits.farBeatMs
+  }
+
+  private async beat (row: PeerRow): Promise<void> {
+    row.isBeating = true
+    await this.exchange(row.record.peerAddress, row)
+    row.isBeating = false
+  }
+
+  /** A host without a configuration asks the seeds, whose names it may not know. */
+  private askSeeds (nowMs: number): void {
+    const { catalog, seeds, self } = this.options
+    if (catalog.versionOf(CatalogTable.orders) >= 0 || nowMs < this.nextSeedAtMs) return
+    this.nextSeedAtMs = nowMs + clusterLimits.nearBeatMs
+    for (const seed of seeds) {
+      if (seed === self.peerAddress) continue
+      this.exchange(seed, undefined).catch((error: unknown) => this.options.logger.error('seed-failed', { seed, error: String(error) }))
+    }
+  }
+
+  private async exchange (address: string, row: PeerRow | undefined): Promise<void> {
+    const known = row === undefined ? undefined : this.knownVersions.get(row.record.name)
+    const reply = await this.client.request(address, encode(this.createBeat(known)), clusterLimits.beatTimeoutMs)
+    if (reply.isErr()) {
+      // A connection may have gone silent without a reset.
+      this.client.drop(address)
+      return
+    }
+    this.receive(reply.value)
+  }
+
+  private answer (message: Message): Message | undefined {
+    const beat = this.receive(message)
+    return beat === undefined ? undefined : encode(this.createBeat(beat.versions))
+  }
+
+  private receive (message: Message): Heartbeat | undefined {
+    const { catalog, clock, peers, logger } = this.options
+    if (message.t !== 'beat') return undefined
+    const beat = message.beat as Heartbeat
+    const nowMs = clock.nowMs()
+    const wasHeard = peers.get(beat.host.name)?.heardAtMs
+    const row = peers.receive(beat, nowMs)
+    if (row === undefined) return beat
+    if (wasHeard === undefined || nowMs - wasHeard >= clusterLimits.deadAfterMs) logger.info('peer-up', { peer: beat.host.name, incarnation: beat.host.incarnation })
+    this.knownVersions.set(beat.host.name, beat.versions)
+    for (const [table, page] of beat.pages) catalog.replace(table, page, nowMs, beat.host.name)
+    return beat
+  }
+
+  /** Versions that other hosts had at their last heartbeat. */
+  private readonly knownVersions = new Map<string, Heartbeat['versions']>()
+
+  private createBeat (theirs: Heartbeat['versions'] | undefined): Heartbeat {
+    const { self, catalog, describe } = this.options
+    const versions = { orders: 0, endpoints: 0, hosts: 0 }
+    for (const table of tables) versions[table] = catalog.versionOf(table)
+    return { host: self, versions, pages: this.listPagesFor(theirs), ...describe() }
+  }
+
+  private listPagesFor (theirs: Heartbeat['versions'] | undefined): Heartbeat['pages'] {
+    const { catalog, clock } = this.options
+    if (theirs === undefined) return []
+    const nowMs = clock.nowMs()
+    return tables
+      .filter((table) => theirs[table] < catalog.versionOf(table))
+      .filter((table) => theirs[table] < 0 || catalog.ageOf(table, nowMs) >= clusterLimits.shareAfterMs)
+      .map((table) => [table, catalog.exportPage(table)] as const)
+  }
+}
+
+function encode (beat: Heartbeat): Message {
+  return { t: 'beat', beat }
+}
--- /dev/null
+++ b/src/cluster/PeerRow.ts
@@ -0,0 +1,16 @@
+import type { HostRecord } from './HostRecord.js'
+
+/** What this host knows about another one; times are monotonic ms. */
+export interface PeerRow {
+  record: HostRecord
+  /** When a heartbeat of it came last; undefined before the first. */
+  heardAtMs: number | undefined
+  nextBeatAtMs: number
+  isBeating: boolean
+  /** It serves callers and is not leaving, by its own word. */
+  isReady: boolean
+  isLeaving: boolean
+  incarnation: number
+  /** Its requests in flight by endpoint. */
+  loads: ReadonlyMap<string, number>
+}
--- /dev/null
+++ b/src/cluster/clusterLimits.ts
@@ -0,0 +1,21 @@
+/** Figures of the links between hosts and to the store. */
+export const clusterLimits = {
+  /** Time in ms for which the store is asked to hold a question for changes. */
+  followWaitMs: 10_000,
+  /** Time in ms in which further changes are gathered before the next question. */
+  gatherMs: 100,
+  /** Shortest and longest time in ms between tries of a store that fails. */
+  minBackoffMs: 150,
+  maxBackoffMs: 1_000,
+  /** Time in ms between heartbeats to hosts of the own region and of others. */
+  nearBeatMs: 250,
+  farBeatMs: 500,
+  /** Time in ms for the answer to a heartbeat; a connection that misses it is opened anew. */
+  beatTimeoutMs: 1_000,
+  /** Time in ms without a heartbeat after which a host counts as down. */
+  deadAfterMs: 2_000,
+  /** Age in ms of a version from which hosts that don't have it are sent the table. */
+  shareAfterMs: 250,
+  /** Time in ms between checks for due heartbeats. */
+  tickMs: 50
+} as const
--- /dev/null
+++ b/src/endpoints/EndpointRow.ts
@@ -0,0 +1,32 @@
+import type { EndpointRecord } from './EndpointRecord.js'
+
+/** What this host knows about an endpoint; times are monotonic ms. */
+export interface EndpointRow {
+  record: EndpointRecord
+  readonly region: string
+  /** Requests of this host in flight there. */
+  inFlight: number
+  /** Requests of others there by the endpoint's last report, and when it came. */
+  reportedForeign: number
+  reportedAtMs: number
+  /** Requests of the other hosts there by their heartbeats. */
+  peerInFlight: number
+  /** Cold until this time. */
+  coldUntilMs: number
+  /** Gets no request before a health check has succeeded. */
+  isSuspect: boolean
+  nextProbeAtMs: number
+  isProbing: boolean
+  /** Failed attempts in a row. */
+  failures: number
+  /** Moving share of attempts that failed, 0 to 1. */
+  failureShare: number
+  /** Gets no request until this time because of failed attempts. */
+  ejectedUntilMs: number
+  /** Treated as full until this time because it shed a request. */
+  shedUntilMs: number
+  /** Moving mean of the time in ms that an attempt took; 0 before the first. */
+  serviceMs: number
+  /** The registry has no entry for it any more: since when, or undefined. */
+  missingSinceMs: number | undefined
+}
--- /dev/null
+++ b/src/endpoints/EndpointTable.ts
@@ -0,0 +1,105 @@
+import { Table } from '../common/Table.js'
+import { endpointLimits } from './endpointLimits.js'
+import type { EndpointRecord } from './EndpointRecord.js'
+import type { EndpointRow } from './EndpointRow.js'
+
+/** How a table follows the registry. */
+interface UpdateContext {
+  readonly nowMs: number
+  /** Entries may have lapsed while the store was away, so a missing one is not yet taken as gone. */
+  readonly mayHaveLapsed: boolean
+}
+
+/** The endpoints that the registry names, by incarnation. */
+export class EndpointTable {
+  private readonly rows = new Table<EndpointRow>()
+  private byService = new Map<string, EndpointRow[]>()
+  private changes = 0
+
+  constructor (private readonly findRegion: (zone: string) => string) {}
+
+  /** Rises with every change of the set of usable endpoints. */
+  get generation (): number {
+    return this.changes
+  }
+
+  get size (): number {
+    return this.rows.size
+  }
+
+  get (id: string): EndpointRow | undefined {
+    return this.rows.get(id)
+  }
+
+  /** Endpoints of a service that are neither draining nor gone. */
+  listService (service: string): readonly EndpointRow[] {
+    return this.byService.get(service) ?? []
+  }
+
+  [Symbol.iterator] (): IterableIterator<EndpointRow> {
+    return this.rows[Symbol.iterator]()
+  }
+
+  /** Takes in all entries of the registry. */
+  update (records: readonly EndpointRecord[], context: UpdateContext): void {
+    const named = new Set(records.map((record) => record.id))
+    for (const record of records) this.updateRow(record, context.nowMs)
+    for (const row of this.rows) {
+      if (named.has(row.record.id)) continue
+      row.missingSinceMs ??= context.nowMs
+    }
+    this.expireMissing(context)
+    this.rebuild()
+  }
+
+  /** Drops missing endpoints for good once they can't be lapsed entries. */
+  expireMissing (context: UpdateContext): void {
+    if (context.mayHaveLapsed) return
+    const removed = this.rows.deleteWhere((row) => row.missingSinceMs !== undefined)
+    if (removed > 0) this.rebuild()
+  }
+
+  private updateRow (record: EndpointRecord, nowMs: number): void {
+    const existing = this.rows.get(record.id)
+    if (existing === undefined || existing.record.bornAtMs !== record.bornAtMs || existing.record.address !== record.address) {
+      this.rows.set(record.id, createRow(record, this.findRegion(record.zone), nowMs))
+      return
+    }
+    const becameColder = record.coldMs > 0 && record.coldMs !== existing.record.coldMs
+    if (becameColder) existing.coldUntilMs = nowMs + record.coldMs
+    existing.record = record
+    existing.missingSinceMs = undefined
+  }
+
+  private rebuild (): void {
+    this.changes += 1
+    this.byService = new Map()
+    for (const row of this.rows) {
+      if (row.record.isDraining) continue
+      const group = this.byService.get(row.record.service) ?? []
+      group.push(row)
+      this.byService.set(row.record.service, group)
+    }
+  }
+}
+
+function createRow (record: EndpointRecord, region: string, nowMs: number): EndpointRow {
+  return {
+    record,
+    region,
+    inFlight: 0,
+    reportedForeign: 0,
+    reportedAtMs: -endpointLimits.reportValidMs,
+    peerInFlight: 0,
+    coldUntilMs: nowMs + record.coldMs,
+    isSuspect: false,
+    nextProbeAtMs: 0,
+    isProbing: false,
+    failures: 0,
+    failureShare: 0,
+    ejectedUntilMs: 0,
+    shedUntilMs: 0,
+    serviceMs: 0,
+    missingSinceMs: undefined
+  }
+}
--- /dev/null
+++ b/src/endpoints/endpointLimits.ts
@@ -0,0 +1,23 @@
+/** Figures of the endpoint policy. */
+export const endpointLimits = {
+  /** Failed attempts in a row after which an endpoint must pass a health check. */
+  suspectFailures: 3,
+  /** Time in ms between health checks of a suspect endpoint. */
+  probeIntervalMs: 500,
+  /** Time in ms for one health check. */
+  probeTimeoutMs: 1_000,
+  /** Weight of one attempt in the moving shares and means. */
+  smoothing: 0.1,
+  /** Share of failed attempts from which an endpoint is ejected. */
+  ejectShare: 0.3,
+  /** Time in ms of an ejection. */
+  ejectMs: 2_000,
+  /** Largest share of a service's endpoints that may be ejected at once. */
+  maxEjectedShare: 0.4,
+  /** Time in ms for which an endpoint counts as full after it shed a request. */
+  shedPauseMs: 150,
+  /** Age in ms up to which an endpoint's own load report is used. */
+  reportValidMs: 300,
+  /** Time in ms after the return of the store in which lapsed entries may come back. */
+  lapseGraceMs: 2_000
+} as const
--- a/src/entry/ConnectLimitAgent.ts
+++ b/src/entry/ConnectLimitAgent.ts
@@ -1,4 +1,5 @@
 import { Agent } from 'node:http'
+import type { AgentOptions } from 'node:http'
 import { createConnectTimeout } from './createConnectTimeout.js'
 import { entryLimits } from './entryLimits.js'
 
@@ -6,9 +7,13 @@
 
 /** An agent whose connections must be made within the connect time-out. */
 export class ConnectLimitAgent extends Agent {
+  constructor (options: AgentOptions, private readonly connectTimeoutMs: number = entryLimits.connectTimeoutMs) {
+    super(options)
+  }
+
   override createConnection (...args: Parameters<CreateConnection>): ReturnType<CreateConnection> {
     const socket = super.createConnection(...args)
-    const timer = setTimeout(() => socket?.destroy(createConnectTimeout()), entryLimits.connectTimeoutMs)
+    const timer = setTimeout(() => socket?.destroy(createConnectTimeout()), this.connectTimeoutMs)
     const clear = (): void => clearTimeout(timer)
     socket?.once('connect', clear)
     socket?.once('close', clear)
--- /dev/null
+++ b/src/entry/GuardedAgent.ts
@@ -0,0 +1,21 @@
+import type { ClientRequest } from 'node:http'
+import type { Socket } from 'node:net'
+import { ConnectLimitAgent } from './ConnectLimitAgent.js'
+
+/** An agent that closes an idle connection on which bytes arrive: they would be read as the answer to the next request. */
+export class GuardedAgent extends ConnectLimitAgent {
+  override keepSocketAlive (socket: Socket): boolean {
+    const isKept = super.keepSocketAlive(socket) as unknown as boolean
+    if (isKept) socket.on('data', destroyOnData)
+    return isKept
+  }
+
+  override reuseSocket (socket: Socket, req: ClientRequest): void {
+    socket.off('data', destroyOnData)
+    super.reuseSocket(socket, req)
+  }
+}
+
+function destroyOnData (this: Socket): void {
+  this.destroy()
+}
--- a/src/entry/HttpExchange.ts
+++ b/src/entry/HttpExchange.ts
@@ -11,7 +11,7 @@
 import { AttemptResult } from '../steer/AttemptResult.js'
 import type { AttemptFailure } from './AttemptFailure.js'
 import { createConnectTimeout } from './createConnectTimeout.js'
-import { entryLimits } from './entryLimits.js'
+import type { ExchangePolicy } from './ExchangePolicy.js'
 import { findHeader } from './findHeader.js'
 import { UploadPump } from './UploadPump.js'
 import type { UpstreamAnswer } from './UpstreamAnswer.js'
@@ -43,7 +43,8 @@
   constructor (
     private readonly request: UpstreamRequest,
     private readonly destination: { readonly host: string, readonly port: number },
-    private readonly agent: Agent
+    private readonly agent: Agent,
+    private readonly policy: ExchangePolicy
   ) {
     this.reply = new Promise((resolve) => { this.resolve = resolve })
     if (request.fresh) this.connectFresh()
@@ -60,7 +61,7 @@
   private connectFresh (): void {
     const socket = connect({ ...this.destination, noDelay: true })
     this.socket = socket
-    const timer = setTimeout(() => socket.destroy(createConnectTimeout()), entryLimits.connectTimeoutMs)
+    const timer = setTimeout(() => socket.destroy(createConnectTimeout()), this.policy.connectTimeoutMs)
     socket.once('error', this.onConnectFailure)
     socket.once('close', () => clearTimeout(timer))
     socket.once('connect', () => {
@@ -96,7 +97,7 @@
   // A flat array of headers is written as it is, without Node's table of single headers.
   private buildHeaders (): string[] {
     const { headers, body, method } = this.request
-    const all = [...headers, 'Host', `${this.destination.host}:${this.destination.port}`]
+    const all = [...headers, 'Host', this.request.hostHeader ?? `${this.destination.host}:${this.destination.port}`]
     if (body.length === undefined) all.push('Transfer-Encoding', 'chunked')
     else if (body.length > 0 || (method !== 'GET' && method !== 'HEAD')) all.push('Content-Length', String(body.length))
     return all
@@ -134,7 +135,7 @@
 
   /** A kept connection that the other side closed while idle says nothing about the endpoint. */
   private isStale (): boolean {
-    return this.outgoing?.reusedSocket === true && this.incoming === undefined && !this.settled &&
+    return this.policy.retriesStale && this.outgoing?.reusedSocket === true && this.incoming === undefined && !this.settled &&
       !this.retriedStale && this.request.body.isReplayable && !this.request.fresh
   }
 
@@ -146,6 +147,11 @@
   private readonly onResponse = (incoming: IncomingMessage): void => {
     if (this.settled) return this.destroy()
     this.incoming = incoming
+    // A second answer to an earlier request may come where the answer to this one is due.
+    if (this.request.isOwnAnswer?.(incoming.rawHeaders) === false) {
+      this.fail('upstreamReset', AttemptResult.broken)
+      return this.destroy()
+    }
     incoming.on('error', () => this.fail('upstreamTruncated', AttemptResult.broken))
     if (this.hasNoBody(incoming)) {
       incoming.resume()
@@ -153,11 +159,12 @@
     }
     const length = findHeader(incoming.rawHeaders, 'content-length')
     // The end of a body without length or chunks cannot be told from a broken connection.
-    if (length === undefined && findHeader(incoming.rawHeaders, 'transfer-encoding') === undefined) {
+    const isUnframed = length === undefined && findHeader(incoming.rawHeaders, 'transfer-encoding') === undefined
+    if (isUnframed && !this.policy.acceptsUnframed) {
       this.fail('upstreamTruncated', AttemptResult.broken)
       return this.destroy()
     }
-    if (Number(length) > entryLimits.maxHeldBytes) {
+    if (Number(length) > this.policy.maxHeldBytes) {
       incoming.pause()
       return this.succeed(noBytes, incoming)
     }
@@ -172,7 +179,7 @@
   private readonly onData = (chunk: Buffer): void => {
     this.chunks.push(chunk)
     this.bytes += chunk.length
-    if (this.bytes <= entryLimits.maxHeldBytes) return
+    if (this.bytes <= this.policy.maxHeldBytes) return
     const incoming = this.incoming!
     incoming.off('data', this.onData)
     incoming.off('end', this.onEnd)
--- a/src/entry/HttpFront.ts
+++ b/src/entry/HttpFront.ts
@@ -23,6 +23,8 @@
   /** `expectation` is set when the request has an `Expect` header. */
   readonly onRequest: (req: IncomingMessage, res: ServerResponse, expectation: 'none' | 'continue' | 'other') => void
   readonly createRequestId: () => string
+  /** Ends idle connections without the refusal that a crossing request would get as its answer. */
+  readonly endsIdleSilently?: boolean
   /** A request was refused before it could be read. */
   readonly onRefused: (name: ResultName) => void
 }
@@ -77,6 +79,11 @@
     if ('setSecureContext' in server) (server as unknown as { setSecureContext: (tls: object) => void }).setSecureContext(tls)
   }
 
+  /** Time in ms after which a kept connection without a request is closed. */
+  setIdleTimeout (ms: number): void {
+    this.server.keepAliveTimeout = ms
+  }
+
   /** Takes no further connections; open ones go on. */
   closeListener (): void {
     // The method of `http.Server` would destroy idle connections, with a reset when a request is on its way.
@@ -148,6 +155,10 @@
   private endIdle (row: ConnectionRow): void {
     if (row.open.size > 0 || row.isEnded) return
     row.isEnded = true
+    if (this.options.endsIdleSilently === true) {
+      row.socket.end()
+      return
+    }
     this.endWithRefusal(row.socket, createFailure('hostLeaving', {
       outcome: Outcome.unknown,
       message: 'The host is leaving and did not read this request; repeat it at another host, with the same key if it has one.'
--- a/src/entry/HttpUpstreamClient.ts
+++ b/src/entry/HttpUpstreamClient.ts
@@ -1,7 +1,9 @@
 import type { Agent } from 'node:http'
 import type { Clock } from '../common/Clock.js'
 import type { DialMap } from '../common/DialMap.js'
-import { ConnectLimitAgent } from './ConnectLimitAgent.js'
+import { defaultExchangePolicy } from './defaultExchangePolicy.js'
+import type { ExchangePolicy } from './ExchangePolicy.js'
+import { GuardedAgent } from './GuardedAgent.js'
 import { HttpExchange } from './HttpExchange.js'
 import type { UpstreamCall } from './UpstreamCall.js'
 import { OwnHostTlsAgent } from './OwnHostTlsAgent.js'
@@ -16,21 +18,24 @@
   readonly maxIdle: number
   /** The destination is another process of this host that speaks TLS. */
   readonly isOwnHostTls?: boolean
+  readonly policy?: ExchangePolicy
 }
 
 /** Sends requests over HTTP/1.1, on kept connections unless a request wants a fresh one. */
 export class HttpUpstreamClient extends UpstreamClient {
   private readonly agent: Agent
+  private readonly policy: ExchangePolicy
 
   constructor (private readonly options: HttpUpstreamOptions) {
     super()
+    this.policy = options.policy ?? defaultExchangePolicy
     this.agent = options.isOwnHostTls === true
       ? new OwnHostTlsAgent()
-      : new ConnectLimitAgent({ keepAlive: true, scheduling: 'lifo', maxFreeSockets: options.maxIdle })
+      : new GuardedAgent({ keepAlive: true, scheduling: 'lifo', maxFreeSockets: options.maxIdle }, this.policy.connectTimeoutMs)
   }
 
   override start (request: UpstreamRequest): UpstreamCall {
-    return new HttpExchange(request, this.options.dial.resolve(request.address), this.agent)
+    return new HttpExchange(request, this.options.dial.resolve(request.address), this.agent, this.policy)
   }
 
   override close (): void {
--- a/src/entry/UpstreamRequest.ts
+++ b/src/entry/UpstreamRequest.ts
@@ -6,6 +6,10 @@
   readonly address: string
   readonly method: string
   readonly path: string
+  /** Value of the `Host` header; the address when absent. */
+  readonly hostHeader?: string
+  /** Tells from the headers of an answer whether it belongs to this request; every answer does when absent. */
+  readonly isOwnAnswer?: (headers: readonly string[]) => boolean
   /** All headers but `Host` and those of the body, names and values in turn. */
   readonly headers: readonly string[]
   readonly body: RequestBody
--- a/src/entry/formatRefusal.ts
+++ b/src/entry/formatRefusal.ts
@@ -15,7 +15,7 @@
 const defaultRetryAfterMs = 1_000
 
 /** Formats a refusal as callers see it: headers, and a JSON body with the same content. */
-export function formatRefusal (failure: Failure, requestId: string): FormattedRefusal {
+export function formatRefusal (failure: Failure, requestId: string, formatRetryAfter = formatWholeSeconds): FormattedRefusal {
   const { code, status } = resultCodes[failure.name]
   const mayRetry = failure.outcome === Outcome.notRun && retryStatuses.has(status)
   const retryAfterMs = failure.retryAfterMs ?? (mayRetry ? defaultRetryAfterMs : undefined)
@@ -27,6 +27,10 @@
     'Shunt-Code', String(code),
     'Shunt-Outcome', failure.outcome
   ]
-  if (retryAfterMs !== undefined) headers.push('Retry-After', String(Math.max(1, Math.ceil(retryAfterMs / 1_000))))
+  if (retryAfterMs !== undefined) headers.push('Retry-After', formatRetryAfter(retryAfterMs))
   return { status, headers, body }
 }
+
+function formatWholeSeconds (ms: number): string {
+  return String(Math.max(1, Math.ceil(ms / 1_000)))
+}
--- a/src/entry/readRequestBody.ts
+++ b/src/entry/readRequestBody.ts
@@ -12,6 +12,8 @@
   /** Declared length; undefined for a chunked body. */
   readonly length: number | undefined
   readonly maxBytes: number
+  /** Bodies up to this many bytes are read completely; 64 KiB when absent. */
+  readonly maxHeldBytes?: number
   readonly scope: RequestScope
   /** Tells a caller that waits with `Expect: 100-continue` to send the body. */
   readonly begin: () => void
@@ -20,14 +22,14 @@
 const noBytes = Buffer.alloc(0)
 
 /**
- * Reads a body of up to 64 KiB completely. A longer one is left on the connection, apart from what had to be read
+ * Reads a body up to the held bytes completely. A longer one is left on the connection, apart from what had to be read
  * to learn its length. Failures: `bodyTooLarge`, `requestTimeout`, `deadlineExceeded`, `badRequest` when it broke off.
  */
 export async function readRequestBody (req: IncomingMessage, options: ReadOptions): Promise<Result<RequestBody, Failure>> {
-  const { length, maxBytes } = options
+  const { length, maxBytes, maxHeldBytes = entryLimits.maxHeldBytes } = options
   if (length === 0) return ok(new RequestBody(noBytes, 0, undefined, maxBytes))
   if (length !== undefined && length > maxBytes) return err(createFailure('bodyTooLarge'))
-  if (length !== undefined && length > entryLimits.maxHeldBytes) return ok(new RequestBody(noBytes, length, req, maxBytes, options.begin))
+  if (length !== undefined && length > maxHeldBytes) return ok(new RequestBody(noBytes, length, req, maxBytes, options.begin))
   options.begin()
   return await new Promise((resolve) => new BodyReader(req, options, resolve).start())
 }
@@ -58,7 +60,7 @@
     this.chunks.push(chunk)
     this.bytes += chunk.length
     if (this.bytes > this.options.maxBytes) return this.settle(err(createFailure('bodyTooLarge')))
-    if (this.bytes <= entryLimits.maxHeldBytes) return
+    if (this.bytes <= (this.options.maxHeldBytes ?? entryLimits.maxHeldBytes)) return
     this.req.pause()
     this.settle(ok(new RequestBody(Buffer.concat(this.chunks), this.options.length, this.req, this.options.maxBytes)))
   }
--- a/src/entry/writeRefusal.ts
+++ b/src/entry/writeRefusal.ts
@@ -10,6 +10,8 @@
   readonly close: boolean
   /** Further headers, names and values in turn. */
   readonly headers: readonly string[]
+  /** Value of `Retry-After`; whole seconds when absent. */
+  readonly formatRetryAfter?: ((ms: number) => string) | undefined
 }
 
 /** Sends a refusal. */
@@ -18,7 +20,7 @@
     res.destroy()
     return
   }
-  const { status, headers, body } = formatRefusal(failure, options.requestId)
+  const { status, headers, body } = formatRefusal(failure, options.requestId, options.formatRetryAfter)
   const hasUnreadBody = !req.complete
   const all = [...headers, ...options.headers]
   if (options.close || hasUnreadBody) all.push('Connection', 'close')
--- /dev/null
+++ b/src/host/ClusterState.ts
@@ -0,0 +1,91 @@
+import type { Logger } from '../common/Logger.js'
+import { Catalog } from '../cluster/Catalog.js'
+import { CatalogTable } from '../cluster/CatalogTable.js'
+import type { PeerTable } from '../cluster/PeerTable.js'
+import type { StoreHealth } from '../cluster/StoreHealth.js'
+import type { Clock } from '../common/Clock.js'
+import { endpointLimits } from '../endpoints/endpointLimits.js'
+import type { EndpointTable } from '../endpoints/EndpointTable.js'
+import type { RoutingTable } from '../routing/RoutingTable.js'
+
+/** Tables that shared facts are put into. */
+interface ClusterStateOptions {
+  readonly routing: RoutingTable
+  readonly endpoints: EndpointTable
+  readonly peers: PeerTable
+  readonly health: StoreHealth
+  readonly clock: Clock
+  readonly logger: Logger
+  /** Called after another configuration has come into force. */
+  readonly onConfig: () => void
+}
+
+/** Puts what the catalog says into force. */
+export class ClusterState {
+  readonly catalog = new Catalog((table, source) => this.apply(table, source))
+  /** Zones whose endpoints get no requests. */
+  readonly evacuated = new Set<string>()
+
+  constructor (private readonly options: ClusterStateOptions) {}
+
+  /** Configuration and endpoints are known. */
+  get isComplete (): boolean {
+    return this.options.routing.config !== undefined && this.catalog.versionOf(CatalogTable.endpoints) >= 0
+  }
+
+  /** Drops endpoints whose entries did not come back after the store returned. */
+  expireLapsed (nowMs: number): void {
+    this.options.endpoints.expireMissing({ nowMs, mayHaveLapsed: this.mayHaveLapsed(nowMs) })
+  }
+
+  private apply (table: CatalogTable, source: string): void {
+    if (table === CatalogTable.orders) this.applyOrders(source)
+    if (table === CatalogTable.endpoints) this.applyEndpoints(source)
+    if (table === CatalogTable.hosts) this.applyHosts()
+  }
+
+  private applyOrders (source: string): void {
+    const { routing, logger, onConfig } = this.options
+    const entries = this.catalog.entries(CatalogTable.orders)
+    for (const entry of entries) {
+      if (entry.kind !== 'routing' || !routing.apply(entry.config)) continue
+      logger.info('config-applied', { version: entry.config.version, routes: entry.config.routes.length, source })
+      onConfig()
+    }
+    this.applyEvacuations(new Set(entries.filter((entry) => entry.kind === 'evacuation').map((entry) => entry.zone)))
+  }
+
+  private applyEvacuations (zones: ReadonlySet<string>): void {
+    const { endpoints, logger } = this.options
+    for (const zone of zones) {
+      if (this.evacuated.has(zone)) continue
+      this.evacuated.add(zone)
+      logger.info('zone-evacuated', { zone })
+    }
+    for (const zone of this.evacuated) {
+      if (zones.has(zone)) continue
+      this.evacuated.delete(zone)
+      // Its endpoints may have become cold meanwhile, which a health check tells.
+      for (const row of endpoints) if (row.record.zone === zone) Object.assign(row, { isSuspect: true, nextProbeAtMs: 0 })
+      logger.info('zone-taken-back', { zone })
+    }
+  }
+
+  private applyEndpoints (source: string): void {
+    const { endpoints, clock, logger } = this.options
+    const nowMs = clock.nowMs()
+    const records = this.catalog.entries(CatalogTable.endpoints).flatMap((entry) => entry.kind === 'endpoint' ? [entry.endpoint] : [])
+    endpoints.update(records, { nowMs, mayHaveLapsed: this.mayHaveLapsed(nowMs) })
+    const draining = records.filter((record) => record.isDraining).length
+    logger.info('endpoints-changed', { version: this.catalog.versionOf(CatalogTable.endpoints), known: records.length, draining, source })
+  }
+
+  private applyHosts (): void {
+    for (const entry of this.catalog.entries(CatalogTable.hosts)) if (entry.kind === 'host') this.options.peers.learn(entry.host)
+  }
+
+  private mayHaveLapsed (nowMs: number): boolean {
+    const { health } = this.options
+    return health.isDown || health.sinceReturnMs(nowMs) < endpointLimits.lapseGraceMs
+  }
+}
--- /dev/null
+++ b/src/host/EndpointAttempt.ts
@@ -0,0 +1,103 @@
+import type { EndpointRow } from '../endpoints/EndpointRow.js'
+import { noteAttempt } from '../endpoints/noteAttempt.js'
+import { noteReport } from '../endpoints/noteReport.js'
+import { Outcome } from '../common/Outcome.js'
+import type { ResultName } from '../common/ResultName.js'
+import type { OpenAnswer } from '../entry/OpenAnswer.js'
+import type { UpstreamAnswer } from '../entry/UpstreamAnswer.js'
+import type { UpstreamCall } from '../entry/UpstreamCall.js'
+import { AttemptResult } from '../steer/AttemptResult.js'
+import { WorkKind } from '../routing/WorkKind.js'
+import type { HostContext } from './HostContext.js'
+import type { ServedRequest } from './ServedRequest.js'
+
+/** How an attempt ended. */
+type AttemptEnd =
+  | { readonly kind: 'answer', readonly open: OpenAnswer }
+  | { readonly kind: 'failure', readonly name: ResultName, readonly outcome: Outcome }
+
+const firstErrorStatus = 500
+
+/** One attempt at one endpoint. The endpoint counts as busy until the attempt ends. */
+export class EndpointAttempt {
+  readonly end: Promise<AttemptEnd>
+  private readonly startMs: number
+  private readonly call: UpstreamCall
+  private isReleased = false
+
+  constructor (
+    private readonly context: HostContext,
+    private readonly request: ServedRequest,
+    readonly row: EndpointRow
+  ) {
+    this.startMs = context.clock.nowMs()
+    row.inFlight += 1
+    this.call = this.startCall()
+    request.scope.addHook(this.onCancel)
+    this.end = this.complete()
+  }
+
+  private startCall (): UpstreamCall {
+    const { request, row, context } = this
+    return context.client.start({
+      address: row.record.address,
+      method: request.method,
+      path: request.path,
+      hostHeader: request.hostHeader,
+      headers: [...request.headers, ...context.dialect.createHeaders(row.record.id, request.scope.leftMs)],
+      body: request.body,
+      // On a connection of its own it is certain whether the request was sent before a failure.
+      fresh: request.route.kind !== WorkKind.idempotent,
+      isOwnAnswer: (headers) => context.dialect.isAnswerTo(request.id, headers),
+      mayWrite: () => request.scope.reason === undefined,
+      reserveBytes: () => 0
+    })
+  }
+
+  private readonly onCancel = (): void => {
+    this.call.cancel(this.request.scope.reason === 'deadline' ? 'timeout' : 'cancelled')
+  }
+
+  private async complete (): Promise<AttemptEnd> {
+    const reply = await this.call.reply
+    if (reply.isErr()) {
+      const { failure, result } = reply.error
+      this.release(result)
+      return { kind: 'failure', name: failure.name, outcome: failure.outcome }
+    }
+    return this.inspect(reply.value)
+  }
+
+  private inspect (answer: UpstreamAnswer): AttemptEnd {
+    const { context, row } = this
+    const remark = context.dialect.readRemark(answer.status, answer.headers)
+    if (remark.isNotExecuted) {
+      this.release(AttemptResult.shed)
+      if (answer.rest !== undefined) this.call.cancel('cancelled')
+      if (remark.isMisdirected) row.isSuspect = true
+      return { kind: 'failure', name: 'upstreamShed', outcome: Outcome.notRun }
+    }
+    const result = answer.status >= firstErrorStatus ? AttemptResult.broken : AttemptResult.ok
+    if (answer.rest === undefined) this.release(result)
+    if (remark.load !== undefined) noteReport(row, remark.load, context.clock.nowMs())
+    return { kind: 'answer', open: this.open(answer) }
+  }
+
+  private open (answer: UpstreamAnswer): OpenAnswer {
+    return {
+      answer,
+      reserveBytes: () => 0,
+      abort: () => this.call.cancel('cancelled'),
+      finish: (result) => this.release(result)
+    }
+  }
+
+  private release (result: AttemptResult): void {
+    if (this.isReleased) return
+    this.isReleased = true
+    this.request.scope.removeHook(this.onCancel)
+    this.row.inFlight -= 1
+    const nowMs = this.context.clock.nowMs()
+    noteAttempt(this.row, result, nowMs - this.startMs, nowMs)
+  }
+}
--- /dev/null
+++ b/src/host/HealthChecker.ts
@@ -0,0 +1,68 @@
+import { request } from 'node:http'
+import { AttemptResult } from '../steer/AttemptResult.js'
+import { createConnectTimeout } from '../entry/createConnectTimeout.js'
+import { DialMap } from '../common/DialMap.js'
+import { endpointLimits } from '../endpoints/endpointLimits.js'
+import type { EndpointRow } from '../endpoints/EndpointRow.js'
+import type { EndpointTable } from '../endpoints/EndpointTable.js'
+import type { Clock } from '../common/Clock.js'
+import type { Logger } from '../common/Logger.js'
+import { System } from '../common/System.js'
+import type { RoutingTable } from '../routing/RoutingTable.js'
+import type { Dialect } from './Dialect.js'
+
+/** What health checks need. */
+interface HealthCheckerOptions {
+  readonly endpoints: EndpointTable
+  readonly routing: RoutingTable
+  readonly dialect: Dialect
+  readonly clock: Clock
+  readonly logger: Logger
+}
+
+const okStatus = 200
+
+/** Checks suspect endpoints until one answers as itself; healthy ones prove it by their answers. */
+export class HealthChecker extends System {
+  override readonly name = 'health'
+
+  constructor (private readonly options: HealthCheckerOptions) {
+    super()
+  }
+
+  override run (nowMs: number): void {
+    for (const row of this.options.endpoints) {
+      if (!row.isSuspect || row.isProbing || nowMs < row.nextProbeAtMs || row.record.isDraining) continue
+      row.isProbing = true
+      this.probe(row)
+    }
+  }
+
+  private probe (row: EndpointRow): void {
+    const { routing, dialect } = this.options
+    const { host, port } = new DialMap().resolve(row.record.address)
+    const path = routing.findService(row.record.service)?.healthPath ?? '/'
+    const req = request({ host, port, path, agent: false })
+    const timer = setTimeout(() => req.destroy(createConnectTimeout()), endpointLimits.probeTimeoutMs)
+    req.on('error', () => {})
+    req.on('close', () => {
+      clearTimeout(timer)
+      row.isProbing = false
+      row.nextProbeAtMs = this.options.clock.nowMs() + endpointLimits.probeIntervalMs
+    })
+    req.on('response', (res) => {
+      res.resume()
+      const health = dialect.readHealth(res.rawHeaders)
+      if (res.statusCode === okStatus && health.endpoint === row.record.id) this.accept(row, health.coldMs)
+    })
+    req.end()
+  }
+
+  private accept (row: EndpointRow, coldMs: number): void {
+    const nowMs = this.options.clock.nowMs()
+    row.isSuspect = false
+    row.failures = 0
+    row.coldUntilMs = Math.max(row.coldUntilMs, nowMs + coldMs)
+    this.options.logger.info('endpoint-up', { endpoint: row.record.id, result: AttemptResult.ok, coldMs })
+  }
+}
--- /dev/null
+++ b/src/host/HostContext.ts
@@ -0,0 +1,25 @@
+import type { RetryBudget } from '../budget/RetryBudget.js'
+import type { Clock } from '../common/Clock.js'
+import type { EndpointTable } from '../endpoints/EndpointTable.js'
+import type { UpstreamClient } from '../entry/UpstreamClient.js'
+import type { Placer } from '../placing/Placer.js'
+import type { RoutingTable } from '../routing/RoutingTable.js'
+import type { WeightedPicker } from '../routing/WeightedPicker.js'
+import type { Dialect } from './Dialect.js'
+import type { HostMetrics } from './HostMetrics.js'
+import type { RequestLog } from './RequestLog.js'
+
+/** What requests are served with. */
+export interface HostContext {
+  readonly clock: Clock
+  readonly dialect: Dialect
+  readonly routing: RoutingTable
+  readonly picker: WeightedPicker
+  readonly endpoints: EndpointTable
+  readonly placer: Placer
+  readonly retries: RetryBudget
+  readonly client: UpstreamClient
+  readonly metrics: HostMetrics
+  readonly log: RequestLog
+  readonly random: () => number
+}
--- /dev/null
+++ b/src/host/HostMetrics.ts
@@ -0,0 +1,62 @@
+import { Counter, Gauge } from 'prom-client'
+import type { Registry } from 'prom-client'
+import type { Clock } from '../common/Clock.js'
+import { resultCodes } from '../common/resultCodes.js'
+import type { ResultName } from '../common/ResultName.js'
+import { QuantileGauge } from '../metrics/QuantileGauge.js'
+
+/** Figures that are read when metrics are fetched. */
+interface HostGauges {
+  readonly countInFlight: () => number
+  readonly countConnections: () => number
+  readonly countPeers: () => number
+  readonly configVersion: () => number
+  readonly isStoreDown: () => boolean
+}
+
+/** Metrics of a host process. */
+export class HostMetrics {
+  private readonly refusals: Counter
+  private readonly retries: Counter
+  private readonly completions: Counter
+  private readonly suppressed: Counter
+  private readonly latency: QuantileGauge
+
+  constructor (private readonly registry: Registry, clock: Clock) {
+    const registers = [registry]
+    this.refusals = new Counter({ name: 'shunt_refused_total', help: 'Requests refused, by result code', labelNames: ['code', 'name', 'route'], registers })
+    this.retries = new Counter({ name: 'shunt_retried_total', help: 'Further attempts, by the result code of the failed one', labelNames: ['code', 'name', 'service'], registers })
+    this.completions = new Counter({ name: 'shunt_completed_total', help: 'Answers of endpoints passed on', labelNames: ['service', 'status'], registers })
+    this.suppressed = new Counter({ name: 'shunt_log_lines_suppressed_total', help: 'Request lines over the bound of the log', registers })
+    this.latency = new QuantileGauge({ name: 'shunt_latency_ms', help: 'Time from a request\'s headers to its answer, last 1 to 2 minutes', registry, clock, label: 'service' })
+  }
+
+  observe (gauges: HostGauges): void {
+    this.addGauge('shunt_in_flight', 'Requests without a complete answer', gauges.countInFlight)
+    this.addGauge('shunt_caller_connections', 'Open connections of callers', gauges.countConnections)
+    this.addGauge('shunt_peers_alive', 'Other hosts that were heard lately', gauges.countPeers)
+    this.addGauge('shunt_config_version', 'Version of the configuration in force', gauges.configVersion)
+    this.addGauge('shunt_store_down', '1 while the store cannot be reached', () => gauges.isStoreDown() ? 1 : 0)
+  }
+
+  refused (name: ResultName, route: string): void {
+    this.refusals.inc({ code: resultCodes[name].code, name, route })
+  }
+
+  retried (name: ResultName, service: string): void {
+    this.retries.inc({ code: resultCodes[name].code, name, service })
+  }
+
+  completed (service: string, status: number, elapsedMs: number): void {
+    this.completions.inc({ service, status })
+    this.latency.record(service, elapsedMs)
+  }
+
+  lineSuppressed (): void {
+    this.suppressed.inc()
+  }
+
+  private addGauge (name: string, help: string, read: () => number): void {
+    const gauge: Gauge = new Gauge({ name, help, registers: [this.registry], collect: () => gauge.set(read()) })
+  }
+}
--- /dev/null
+++ b/src/host/HostProcess.ts
@@ -0,0 +1,273 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Registry } from 'prom-client'
+import { ColdBudget } from '../budget/ColdBudget.js'
+import { RetryBudget } from '../budget/RetryBudget.js'
+import { CatalogFollower } from '../cluster/CatalogFollower.js'
+import type { CatalogStore } from '../cluster/CatalogStore.js'
+import { CatalogTable } from '../cluster/CatalogTable.js'
+import { clusterLimits } from '../cluster/clusterLimits.js'
+import type { HostRecord } from '../cluster/HostRecord.js'
+import { PeerMesh } from '../cluster/PeerMesh.js'
+import { PeerTable } from '../cluster/PeerTable.js'
+import { StoreHealth } from '../cluster/StoreHealth.js'
+import type { Clock } from '../common/Clock.js'
+import { DialMap } from '../common/DialMap.js'
+import type { Logger } from '../common/Logger.js'
+import { Scheduler } from '../common/Scheduler.js'
+import { System } from '../common/System.js'
+import { EndpointTable } from '../endpoints/EndpointTable.js'
+import { HttpFront } from '../entry/HttpFront.js'
+import { HttpUpstreamClient } from '../entry/HttpUpstreamClient.js'
+import { Placer } from '../placing/Placer.js'
+import { RoutingTable } from '../routing/RoutingTable.js'
+import { WeightedPicker } from '../routing/WeightedPicker.js'
+import { ClusterState } from './ClusterState.js'
+import type { Dialect } from './Dialect.js'
+import { HealthChecker } from './HealthChecker.js'
+import { hostLimits } from './hostLimits.js'
+import { HostMetrics } from './HostMetrics.js'
+import type { HostSettings } from './HostSettings.js'
+import { listCallerAddresses } from './listCallerAddresses.js'
+import { RequestHandler } from './RequestHandler.js'
+import { RequestLog } from './RequestLog.js'
+import { SideServer } from './SideServer.js'
+
+/** What a host process is made of. */
+interface HostProcessOptions {
+  readonly settings: HostSettings
+  readonly store: CatalogStore
+  readonly dialect: Dialect
+  readonly clock: Clock
+  readonly registry: Registry
+  readonly createLog: (module: string) => Logger
+  readonly random: () => number
+}
+
+const pollMs = 20
+
+/** The one process of a host: callers' requests, look-ups, readiness, and the links to the store and to other hosts. */
+export class HostProcess {
+  private readonly log: Logger
+  private readonly self: HostRecord
+  private readonly routing = new RoutingTable()
+  private readonly health = new StoreHealth()
+  private readonly endpoints: EndpointTable
+  private readonly peers: PeerTable
+  private readonly state: ClusterState
+  private readonly mesh: PeerMesh
+  private readonly client: HttpUpstreamClient
+  private readonly handler: RequestHandler
+  private readonly front: HttpFront
+  private readonly sides: readonly SideServer[]
+  private readonly followers: readonly CatalogFollower[]
+  private readonly scheduler: Scheduler
+  private isLeaving = false
+
+  constructor (private readonly options: HostProcessOptions) {
+    const { settings, clock, createLog, dialect, random } = options
+    this.log = createLog('host')
+    this.self = {
+      name: settings.name,
+      zone: settings.zone,
+      region: settings.region,
+      callerAddress: settings.listen.callers,
+      peerAddress: settings.listen.peers,
+      incarnation: clock.wallMs()
+    }
+    this.endpoints = new EndpointTable((zone) => settings.regionOfZone[zone] ?? '')
+    this.peers = new PeerTable(settings.name)
+    this.state = new ClusterState({
+      routing: this.routing,
+      endpoints: this.endpoints,
+      peers: this.peers,
+      health: this.health,
+      clock,
+      logger: createLog('cluster'),
+      onConfig: () => this.front.setIdleTimeout(this.routing.config!.limits.idleTimeoutMs)
+    })
+    this.mesh = new PeerMesh({
+      self: this.self,
+      clusterKey: settings.clusterKey,
+      seeds: settings.seeds,
+      catalog: this.state.catalog,
+      peers: this.peers,
+      clock,
+      logger: createLog('peers'),
+      describe: () => ({ isReady: this.isReady, isLeaving: this.isLeaving, loads: this.listLoads() })
+    })
+    this.client = new HttpUpstreamClient({
+      dial: new DialMap(),
+      clock,
+      maxIdle: hostLimits.maxIdlePerEndpoint,
+      policy: { connectTimeoutMs: hostLimits.connectTimeoutMs, maxHeldBytes: hostLimits.maxHeldBytes, acceptsUnframed: true, retriesStale: false }
+    })
+    const metrics = new HostMetrics(options.registry, clock)
+    this.handler = this.createHandler(metrics)
+    this.front = this.createFront(metrics)
+    this.sides = [
+      new SideServer(settings.listen.readiness, (req, res) => this.answerReadiness(req, res)),
+      new SideServer(settings.listen.directory, (req, res) => this.answerLookup(req, res)),
+      new SideServer(settings.listen.metrics, (_req, res) => this.answerMetrics(res))
+    ]
+    const follower = { store: options.store, catalog: this.state.catalog, health: this.health, clock, logger: createLog('store'), random }
+    this.followers = Object.values(CatalogTable).map((table) => new CatalogFollower(table, follower))
+    const checker = new HealthChecker({ endpoints: this.endpoints, routing: this.routing, dialect, clock, logger: createLog('endpoints') })
+    this.scheduler = new Scheduler(clock, [checker, new UpkeepSystem((nowMs) => this.keepUp(nowMs))], (system, error) => {
+      this.log.error('tick-failed', { system: system.name, error: error instanceof Error ? error.stack : String(error) })
+    })
+    metrics.observe({
+      countInFlight: () => this.front.inFlight,
+      countConnections: () => this.front.connections,
+      countPeers: () => this.peers.listAlive(clock.nowMs()).length,
+      configVersion: () => this.routing.config?.version ?? 0,
+      isStoreDown: () => this.health.isDown
+    })
+  }
+
+  get isReady (): boolean {
+    return this.state.isComplete && !this.isLeaving
+  }
+
+  async start (): Promise<void> {
+    const { host, port } = new DialMap().resolve(this.options.settings.listen.callers)
+    for (const follower of this.followers) this.watch('follow', follower.run())
+    this.watch('register', this.register())
+    await this.mesh.start()
+    for (const side of this.sides) await side.listen()
+    await this.front.listen(host, port)
+    this.scheduler.start(hostLimits.tickMs)
+    this.log.info('listening', { address: this.options.settings.listen.callers, incarnation: this.self.incarnation })
+  }
+
+  /** Leaves without cutting a request: tells everybody first, then waits for requests in flight. */
+  async stop (): Promise<void> {
+    const startMs = this.options.clock.nowMs()
+    const endMs = startMs + this.options.settings.bounds.graceMs - hostLimits.stopMarginMs
+    this.isLeaving = true
+    this.handler.isLeaving = true
+    this.mesh.announce()
+    await sleep(hostLimits.stopNoticeMs)
+    this.front.closeListener()
+    this.front.closeIdle()
+    while (this.front.inFlight > 0 && this.options.clock.nowMs() < endMs) await sleep(pollMs)
+    this.log.info('left', { inFlight: this.front.inFlight, ms: Math.round(this.options.clock.nowMs() - startMs) })
+    this.scheduler.stop()
+    for (const follower of this.followers) follower.stop()
+    for (const side of this.sides) side.close()
+    await this.mesh.stop()
+  }
+
+  /** Registers this host, again and again until the store has taken it. */
+  private async register (): Promise<void> {
+    for (;;) {
+      const result = await this.options.store.registerHost(this.self)
+      if (result.isOk()) break
+      this.log.warn('register-failed', { reason: result.error.message })
+      await sleep(clusterLimits.maxBackoffMs)
+    }
+    this.log.info('registered', { peerAddress: this.self.peerAddress })
+  }
+
+  private createHandler (metrics: HostMetrics): RequestHandler {
+    const { clock, dialect, random, settings, createLog } = this.options
+    const { routing, endpoints, state } = this
+    const { retryRatio, retryWindowMs, retrySlack } = settings.bounds
+    const cold = new ColdBudget(settings.name, () => this.listHostNames())
+    return new RequestHandler({
+      clock,
+      dialect,
+      routing,
+      picker: new WeightedPicker(),
+      endpoints,
+      placer: new Placer({ endpoints, routing, cold, evacuated: state.evacuated, random }),
+      retries: new RetryBudget({ ratio: retryRatio, windowMs: retryWindowMs, slack: retrySlack }, () => this.countKnownHosts()),
+      client: this.client,
+      metrics,
+      log: new RequestLog(clock, createLog('request'), () => metrics.lineSuppressed()),
+      random
+    })
+  }
+
+  private createFront (metrics: HostMetrics): HttpFront {
+    return new HttpFront({
+      limits: {
+        maxConnections: hostLimits.maxConnections,
+        maxHeaderBytes: hostLimits.maxHeaderBytes,
+        headersTimeoutMs: hostLimits.defaultIdleTimeoutMs,
+        idleTimeoutMs: hostLimits.defaultIdleTimeoutMs
+      },
+      endsIdleSilently: true,
+      onRequest: (req, res) => this.handler.handle(req, res),
+      createRequestId: () => '',
+      onRefused: (name) => metrics.refused(name, '')
+    })
+  }
+
+  private answerReadiness (req: IncomingMessage, res: ServerResponse): void {
+    const status = this.options.dialect.isReadinessCheck(req) ? this.isReady ? 200 : 503 : 404
+    res.writeHead(status).end()
+  }
+
+  private answerLookup (req: IncomingMessage, res: ServerResponse): void {
+    const { dialect, clock, settings } = this.options
+    const lookup = dialect.readLookup(req)
+    const serving = this.peers.listAlive(clock.nowMs()).filter((row) => row.isReady && !row.isLeaving).map((row) => row.record)
+    if (this.isReady) serving.push(this.self)
+    const addresses = lookup === undefined ? [] : listCallerAddresses(serving, lookup.region)
+    if (addresses.length === 0) {
+      res.writeHead(lookup === undefined ? 404 : 503).end()
+      return
+    }
+    const body = dialect.formatLookup(addresses, Math.min(hostLimits.lookupTtlMs, settings.bounds.maxTtlMs))
+    res.writeHead(200, { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body) }).end(body)
+  }
+
+  private answerMetrics (res: ServerResponse): void {
+    const { registry } = this.options
+    this.watch('metrics', registry.metrics().then((text) => {
+      res.writeHead(200, { 'Content-Type': registry.contentType, 'Content-Length': Buffer.byteLength(text) }).end(text)
+    }))
+  }
+
+  private keepUp (nowMs: number): void {
+    this.state.expireLapsed(nowMs)
+    const sums = this.peers.sumLoads(nowMs)
+    for (const row of this.endpoints) row.peerInFlight = sums.get(row.record.id) ?? 0
+  }
+
+  private listLoads (): Array<readonly [string, number]> {
+    const loads: Array<readonly [string, number]> = []
+    for (const row of this.endpoints) if (row.inFlight > 0) loads.push([row.record.id, row.inFlight])
+    return loads
+  }
+
+  /** Names of the live hosts, this one included. */
+  private listHostNames (): string[] {
+    return [this.self.name, ...this.peers.listAlive(this.options.clock.nowMs()).map((row) => row.record.name)]
+  }
+
+  private countKnownHosts (): number {
+    return [...this.peers].length + 1
+  }
+
+  private watch (task: string, work: Promise<void>): void {
+    work.catch((error: unknown) => this.log.error('task-failed', { task, error: error instanceof Error ? error.stack : String(error) }))
+  }
+}
+
+/** Runs the periodic upkeep of the host's tables. */
+class UpkeepSystem extends System {
+  override readonly name = 'upkeep'
+
+  constructor (private readonly keepUp: (nowMs: number) => void) {
+    super()
+  }
+
+  override run (nowMs: number): void {
+    this.keepUp(nowMs)
+  }
+}
+
+async function sleep (ms: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, ms))
+}
--- /dev/null
+++ b/src/host/HostSettings.ts
@@ -0,0 +1,24 @@
+import type { HostBounds } from './HostBounds.js'
+
+/** Checked settings of a host process on the platform. */
+export interface HostSettings {
+  readonly name: string
+  readonly address: string
+  readonly zone: string
+  readonly region: string
+  /** Region of each zone. */
+  readonly regionOfZone: Readonly<Record<string, string>>
+  readonly listen: {
+    /** `a.b.c.d:port` for callers, readiness checks, look-ups, other hosts and metrics. */
+    readonly callers: string
+    readonly readiness: string
+    readonly directory: string
+    readonly peers: string
+    readonly metrics: string
+  }
+  /** Peer addresses of a few hosts that may be up. */
+  readonly seeds: readonly string[]
+  /** Separates deployments on the links between hosts. */
+  readonly clusterKey: string
+  readonly bounds: HostBounds
+}
--- /dev/null
+++ b/src/host/RequestHandler.ts
@@ -0,0 +1,137 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { createFailure } from '../common/createFailure.js'
+import type { Failure } from '../common/Failure.js'
+import { AnswerWriter } from '../entry/AnswerWriter.js'
+import type { OpenAnswer } from '../entry/OpenAnswer.js'
+import { findHeader } from '../entry/findHeader.js'
+import { readRequestBody } from '../entry/readRequestBody.js'
+import { RequestScope } from '../entry/RequestScope.js'
+import { writeRefusal } from '../entry/writeRefusal.js'
+import type { Route } from '../routing/Route.js'
+import { AttemptSeries } from './AttemptSeries.js'
+import { copyRequestHeaders } from './copyRequestHeaders.js'
+import type { HostContext } from './HostContext.js'
+import { hostLimits } from './hostLimits.js'
+import type { ServedRequest } from './ServedRequest.js'
+
+/** A caller's request on its way through the host. */
+interface Exchange {
+  readonly req: IncomingMessage
+  readonly res: ServerResponse
+  readonly id: string
+  readonly startMs: number
+}
+
+/** Serves callers' requests; every failure becomes a numbered refusal. */
+export class RequestHandler {
+  /** Answers ask callers to use another connection. */
+  isLeaving = false
+
+  constructor (private readonly context: HostContext) {}
+
+  handle (req: IncomingMessage, res: ServerResponse): void {
+    const exchange = { req, res, id: this.context.dialect.readRequestId(req.rawHeaders), startMs: this.context.clock.nowMs() }
+    this.serve(exchange).catch((error: unknown) => {
+      this.context.log.write('request-failed', { id: exchange.id, error: error instanceof Error ? error.stack : String(error) })
+      res.destroy()
+    })
+  }
+
+  private async serve (exchange: Exchange): Promise<void> {
+    const route = this.findRoute(exchange.req)
+    if (route.isErr()) return this.refuse(exchange, route.error, '')
+    const scope = this.openScope(exchange, route.value)
+    try {
+      await this.serveRoute(exchange, route.value, scope)
+    } finally {
+      scope.close()
+    }
+  }
+
+  private findRoute (req: IncomingMessage): Result<Route, Failure> {
+    const { routing } = this.context
+    if (routing.config === undefined) return err(createFailure('notReady', { retryAfterMs: hostLimits.notReadyRetryMs }))
+    const host = (req.headers.host ?? '').toLowerCase()
+    const path = (req.url ?? '').split('?', 1)[0]!
+    const route = routing.find(host, path)
+    return route === undefined ? err(createFailure('unknownService')) : ok(route)
+  }
+
+  private openScope ({ req, res, startMs }: Exchange, route: Route): RequestScope {
+    const { dialect, clock } = this.context
+    const leftMs = Math.min(dialect.readDeadlineMs(req.rawHeaders) ?? hostLimits.defaultDeadlineMs, route.timeoutMs)
+    const scope = new RequestScope(clock, startMs + leftMs)
+    res.once('close', () => { if (!res.writableFinished) scope.cancel('caller') })
+    return scope
+  }
+
+  private async serveRoute (exchange: Exchange, route: Route, scope: RequestScope): Promise<void> {
+    const request = await this.readRequest(exchange, route, scope)
+    if (request.isErr()) return this.refuse(exchange, request.error, route.name)
+    const series = new AttemptSeries(this.context, request.value)
+    const open = await series.run()
+    if (scope.reason === 'caller') {
+      if (open.isOk()) open.value.abort()
+      this.log(exchange, 'caller-left', { route: route.name, endpoint: series.lastEndpoint, attempts: series.count })
+      return
+    }
+    const fields = { route: route.name, service: request.value.service, endpoint: series.lastEndpoint, attempts: series.count }
+    if (open.isErr()) return this.refuse(exchange, open.error, route.name, fields)
+    await this.answer(exchange, request.value, open.value, fields)
+  }
+
+  private async readRequest ({ req, id }: Exchange, route: Route, scope: RequestScope): Promise<Result<ServedRequest, Failure>> {
+    const { dialect, routing, picker } = this.context
+    const limits = routing.config?.limits
+    const declared = findHeader(req.rawHeaders, 'content-length')
+    const isChunked = findHeader(req.rawHeaders, 'transfer-encoding') !== undefined
+    const body = await readRequestBody(req, {
+      length: isChunked ? undefined : Number(declared ?? 0),
+      maxBytes: limits?.bodyBytes ?? hostLimits.maxBodyBytes,
+      maxHeldBytes: hostLimits.maxHeldBytes,
+      scope,
+      begin: () => {}
+    })
+    return body.map((value) => ({
+      id,
+      method: req.method ?? 'GET',
+      path: req.url ?? '/',
+      hostHeader: req.headers.host ?? '',
+      headers: copyRequestHeaders(req.rawHeaders, dialect.ownHeaders),
+      body: value,
+      route,
+      service: picker.pick(route),
+      object: route.hasAffinity ? dialect.readObject(req.rawHeaders) : undefined,
+      scope
+    }))
+  }
+
+  private async answer (exchange: Exchange, request: ServedRequest, open: OpenAnswer, fields: Record<string, string | number>): Promise<void> {
+    const { req, res, startMs } = exchange
+    const { status } = open.answer
+    const headers = this.isLeaving ? ['Connection', 'close'] : []
+    const isWhole = await new AnswerWriter(res, open, { headers, isHead: req.method === 'HEAD' }).write()
+    const elapsedMs = Math.round(this.context.clock.nowMs() - startMs)
+    this.context.metrics.completed(request.service, status, elapsedMs)
+    this.log(exchange, 'answered', { ...fields, status, whole: isWhole })
+  }
+
+  private refuse (exchange: Exchange, failure: Failure, route: string, fields: Record<string, string | number> = {}): void {
+    const { req, res, id } = exchange
+    this.context.metrics.refused(failure.name, route)
+    this.log(exchange, 'refused', { route, ...fields, code: failure.name, outcome: failure.outcome, reason: failure.message, retryAfterMs: failure.retryAfterMs })
+    writeRefusal(req, res, failure, {
+      requestId: id,
+      close: this.isLeaving,
+      headers: [],
+      formatRetryAfter: (ms) => this.context.dialect.formatRetryAfter(ms)
+    })
+  }
+
+  private log (exchange: Exchange, event: string, fields: Record<string, string | number | boolean | undefined>): void {
+    const { clock, log, routing } = this.context
+    log.write(event, { id: exchange.id, ...fields, ms: Math.round(clock.nowMs() - exchange.startMs), config: routing.config?.version })
+  }
+}
--- /dev/null
+++ b/src/host/SideServer.ts
@@ -0,0 +1,26 @@
+import { createServer } from 'node:http'
+import type { RequestListener, Server } from 'node:http'
+import { DialMap } from '../common/DialMap.js'
+
+/** A small HTTP port beside the callers' one. */
+export class SideServer {
+  private readonly server: Server
+
+  constructor (private readonly address: string, onRequest: RequestListener) {
+    this.server = createServer(onRequest)
+  }
+
+  /** Rejects when the address can't be bound. */
+  async listen (): Promise<void> {
+    const { host, port } = new DialMap().resolve(this.address)
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject)
+      this.server.listen(port, host, resolve)
+    })
+  }
+
+  close (): void {
+    this.server.close()
+    this.server.closeAllConnections()
+  }
+}
--- a/src/wire/FrameClient.ts
+++ b/src/wire/FrameClient.ts
@@ -67,6 +67,11 @@
     }
   }
 
+  /** Closes the connection to an address; the next use opens another. */
+  drop (address: string): void {
+    this.links.get(address)?.connection?.close(undefined)
+  }
+
   close (): void {
     this.retain(new Set())
   }
