Place by object order with a load bound; keep a slowly moving share in the region

Cause: with one order over all regions two thirds of the requests crossed a region (70 ms there and back), which is late at Kimberley Road's 250 ms. An unframed answer that ends by a reset is no longer taken as whole.

--- a/src/cluster/Heartbeat.ts
+++ b/src/cluster/Heartbeat.ts
@@ -11,6 +11,10 @@
   readonly versions: Readonly<Record<CatalogTable, number>>
   /** Requests in flight by endpoint, only those that are not 0. */
   readonly loads: ReadonlyArray<readonly [endpoint: string, inFlight: number]>
+  /** Requests a second that the sender receives, by service. */
+  readonly demands: ReadonlyArray<readonly [service: string, perSecond: number]>
+  /** Shares of the sender's requests that stay in its region, by service. */
+  readonly localShares: ReadonlyArray<readonly [service: string, share: number]>
   /** Tables of which the receiver has an older version. */
   readonly pages: ReadonlyArray<readonly [table: CatalogTable, page: CatalogPage]>
 }
--- a/src/cluster/PeerMesh.ts
+++ b/src/cluster/PeerMesh.ts
@@ -23,7 +23,7 @@
   readonly clock: Clock
   readonly logger: Logger
   /** State of this host for its heartbeats. */
-  readonly describe: () => Pick<Heartbeat, 'isReady' | 'isLeaving' | 'loads'>
+  readonly describe: () => Omit<Heartbeat, 'host' | 'versions' | 'pages'>
 }
 
 const tables = Object.values(CatalogTable)
--- a/src/cluster/PeerRow.ts
+++ b/src/cluster/PeerRow.ts
@@ -11,6 +11,10 @@
   isReady: boolean
   isLeaving: boolean
   incarnation: number
+  /** Requests a second that it receives, by service. */
+  demands: ReadonlyArray<readonly [service: string, perSecond: number]>
+  /** Its shares of requests that stay in its region, by service. */
+  localShares: ReadonlyArray<readonly [service: string, share: number]>
   /** Its requests in flight by endpoint. */
   loads: ReadonlyMap<string, number>
 }
--- a/src/cluster/PeerTable.ts
+++ b/src/cluster/PeerTable.ts
@@ -35,6 +35,8 @@
     row.isReady = beat.isReady
     row.isLeaving = beat.isLeaving
     row.loads = new Map(beat.loads)
+    row.demands = beat.demands
+    row.localShares = beat.localShares
     return row
   }
 
@@ -62,6 +64,8 @@
     isReady: false,
     isLeaving: false,
     incarnation: record.incarnation,
-    loads: new Map()
+    loads: new Map(),
+    demands: [],
+    localShares: []
   }
 }
--- a/src/endpoints/EndpointTable.ts
+++ b/src/endpoints/EndpointTable.ts
@@ -36,6 +36,11 @@
     return this.byService.get(service) ?? []
   }
 
+  /** Services that have endpoints. */
+  listServices (): string[] {
+    return [...this.byService.keys()]
+  }
+
   [Symbol.iterator] (): IterableIterator<EndpointRow> {
     return this.rows[Symbol.iterator]()
   }
--- a/src/entry/HttpExchange.ts
+++ b/src/entry/HttpExchange.ts
@@ -39,6 +39,9 @@
   private settled = false
   private mayHaveLeft = false
   private retriedStale = false
+  /** The answer has neither length nor chunks and ends with its connection. */
+  private isUnframed = false
+  private wasReset = false
 
   constructor (
     private readonly request: UpstreamRequest,
@@ -159,11 +162,12 @@
     }
     const length = findHeader(incoming.rawHeaders, 'content-length')
     // The end of a body without length or chunks cannot be told from a broken connection.
-    const isUnframed = length === undefined && findHeader(incoming.rawHeaders, 'transfer-encoding') === undefined
-    if (isUnframed && !this.policy.acceptsUnframed) {
+    this.isUnframed = length === undefined && findHeader(incoming.rawHeaders, 'transfer-encoding') === undefined
+    if (this.isUnframed && !this.policy.acceptsUnframed) {
       this.fail('upstreamTruncated', AttemptResult.broken)
       return this.destroy()
     }
+    if (this.isUnframed) this.watchEnd(incoming.socket)
     if (Number(length) > this.policy.maxHeldBytes) {
       incoming.pause()
       return this.succeed(noBytes, incoming)
@@ -181,6 +185,11 @@
     this.bytes += chunk.length
     if (this.bytes <= this.policy.maxHeldBytes) return
     const incoming = this.incoming!
+    // Its end could not be told from a reset once its first part has been passed on.
+    if (this.isUnframed) {
+      this.fail('upstreamTruncated', AttemptResult.broken)
+      return this.destroy()
+    }
     incoming.off('data', this.onData)
     incoming.off('end', this.onEnd)
     incoming.pause()
@@ -188,10 +197,18 @@
   }
 
   private readonly onEnd = (): void => {
-    if (!this.incoming!.complete) return this.fail('upstreamTruncated', AttemptResult.broken)
+    if (!this.incoming!.complete || (this.isUnframed && this.wasReset)) return this.fail('upstreamTruncated', AttemptResult.broken)
     this.succeed(this.chunks.length === 1 ? this.chunks[0]! : Buffer.concat(this.chunks), undefined)
   }
 
+  /**
+   * The system reports a reset that arrives together with the last bytes as an ordinary end. A connection that was reset
+   * has no peer any more, which tells the two apart.
+   */
+  private watchEnd (socket: Socket): void {
+    socket.prependOnceListener('end', () => { this.wasReset = socket.remoteAddress === undefined })
+  }
+
   private succeed (body: Buffer, rest: IncomingMessage | undefined): void {
     if (this.settled) return
     this.settled = true
--- a/src/host/AttemptSeries.ts
+++ b/src/host/AttemptSeries.ts
@@ -41,6 +41,7 @@
   async run (): Promise<Result<OpenAnswer, Failure>> {
     const { context, request } = this
     context.retries.noteRequest(request.service, context.clock.nowMs())
+    context.demand.note(request.service, context.clock.nowMs())
     let fault: AttemptFault | undefined
     let unwanted: OpenAnswer | undefined
     for (;;) {
@@ -54,7 +55,7 @@
       this.attempts += 1
       this.lastEndpoint = row.record.id
       const end = await new EndpointAttempt(context, request, row).end
-      this.excluded.add(row.record.id)
+      this.excluded.add(this.lastEndpoint)
       if (end.kind === 'answer') {
         this.runs += 1
         if (!this.mayReplace(end.open)) return ok(end.open)
--- a/src/host/EndpointAttempt.ts
+++ b/src/host/EndpointAttempt.ts
@@ -28,7 +28,7 @@
   constructor (
     private readonly context: HostContext,
     private readonly request: ServedRequest,
-    readonly row: EndpointRow
+    private readonly row: EndpointRow
   ) {
     this.startMs = context.clock.nowMs()
     row.inFlight += 1
--- a/src/host/HostContext.ts
+++ b/src/host/HostContext.ts
@@ -5,6 +5,7 @@
 import type { Placer } from '../placing/Placer.js'
 import type { RoutingTable } from '../routing/RoutingTable.js'
 import type { WeightedPicker } from '../routing/WeightedPicker.js'
+import type { DemandMeter } from '../placing/DemandMeter.js'
 import type { Dialect } from './Dialect.js'
 import type { HostMetrics } from './HostMetrics.js'
 import type { RequestLog } from './RequestLog.js'
@@ -17,6 +18,7 @@
   readonly picker: WeightedPicker
   readonly endpoints: EndpointTable
   readonly placer: Placer
+  readonly demand: DemandMeter
   readonly retries: RetryBudget
   readonly client: UpstreamClient
   readonly metrics: HostMetrics
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -18,7 +18,10 @@
 import { EndpointTable } from '../endpoints/EndpointTable.js'
 import { HttpFront } from '../entry/HttpFront.js'
 import { HttpUpstreamClient } from '../entry/HttpUpstreamClient.js'
+import { DemandMeter } from '../placing/DemandMeter.js'
 import { Placer } from '../placing/Placer.js'
+import { LocalShares } from '../placing/LocalShares.js'
+import { ShareSystem } from '../placing/ShareSystem.js'
 import { RoutingTable } from '../routing/RoutingTable.js'
 import { WeightedPicker } from '../routing/WeightedPicker.js'
 import { ClusterState } from './ClusterState.js'
@@ -54,6 +57,9 @@
   private readonly endpoints: EndpointTable
   private readonly peers: PeerTable
   private readonly state: ClusterState
+  private readonly demand: DemandMeter
+  private readonly shares = new LocalShares()
+  private readonly placer: Placer
   private readonly mesh: PeerMesh
   private readonly client: HttpUpstreamClient
   private readonly handler: RequestHandler
@@ -76,6 +82,7 @@
     }
     this.endpoints = new EndpointTable((zone) => settings.regionOfZone[zone] ?? '')
     this.peers = new PeerTable(settings.name)
+    this.demand = new DemandMeter(clock.nowMs())
     this.state = new ClusterState({
       routing: this.routing,
       endpoints: this.endpoints,
@@ -93,7 +100,7 @@
       peers: this.peers,
       clock,
       logger: createLog('peers'),
-      describe: () => ({ isReady: this.isReady, isLeaving: this.isLeaving, loads: this.listLoads() })
+      describe: () => ({ isReady: this.isReady, isLeaving: this.isLeaving, loads: this.listLoads(), demands: this.demand.list(clock.nowMs()), localShares: this.shares.list() })
     })
     this.client = new HttpUpstreamClient({
       dial: new DialMap(),
@@ -101,6 +108,7 @@
       maxIdle: hostLimits.maxIdlePerEndpoint,
       policy: { connectTimeoutMs: hostLimits.connectTimeoutMs, maxHeldBytes: hostLimits.maxHeldBytes, acceptsUnframed: true, retriesStale: false }
     })
+    this.placer = this.createPlacer()
     const metrics = new HostMetrics(options.registry, clock)
     this.handler = this.createHandler(metrics)
     this.front = this.createFront(metrics)
@@ -112,7 +120,7 @@
     const follower = { store: options.store, catalog: this.state.catalog, health: this.health, clock, logger: createLog('store'), random }
     this.followers = Object.values(CatalogTable).map((table) => new CatalogFollower(table, follower))
     const checker = new HealthChecker({ endpoints: this.endpoints, routing: this.routing, dialect, clock, logger: createLog('endpoints') })
-    this.scheduler = new Scheduler(clock, [checker, new UpkeepSystem((nowMs) => this.keepUp(nowMs))], (system, error) => {
+    this.scheduler = new Scheduler(clock, [checker, new UpkeepSystem((nowMs) => this.keepUp(nowMs)), this.createShares()], (system, error) => {
       this.log.error('tick-failed', { system: system.name, error: error instanceof Error ? error.stack : String(error) })
     })
     metrics.observe({
@@ -170,16 +178,16 @@
 
   private createHandler (metrics: HostMetrics): RequestHandler {
     const { clock, dialect, random, settings, createLog } = this.options
-    const { routing, endpoints, state } = this
+    const { routing, endpoints, placer, demand } = this
     const { retryRatio, retryWindowMs, retrySlack } = settings.bounds
-    const cold = new ColdBudget(settings.name, () => this.listHostNames())
     return new RequestHandler({
       clock,
       dialect,
       routing,
       picker: new WeightedPicker(),
       endpoints,
-      placer: new Placer({ endpoints, routing, cold, evacuated: state.evacuated, random }),
+      placer,
+      demand,
       retries: new RetryBudget({ ratio: retryRatio, windowMs: retryWindowMs, slack: retrySlack }, () => this.countKnownHosts()),
       client: this.client,
       metrics,
@@ -188,6 +196,18 @@
     })
   }
 
+  private createPlacer (): Placer {
+    const { endpoints, routing, shares, state } = this
+    const { settings, random } = this.options
+    const cold = new ColdBudget(settings.name, () => this.listHostNames())
+    return new Placer({ region: settings.region, endpoints, routing, cold, shares, evacuated: state.evacuated, random })
+  }
+
+  private createShares (): ShareSystem {
+    const { endpoints, peers, demand, shares, state } = this
+    return new ShareSystem({ region: this.self.region, endpoints, peers, demand, shares, evacuated: state.evacuated })
+  }
+
   private createFront (metrics: HostMetrics): HttpFront {
     return new HttpFront({
       limits: {
@@ -231,6 +251,7 @@
 
   private keepUp (nowMs: number): void {
     this.state.expireLapsed(nowMs)
+    this.placer.retain((endpoint) => this.endpoints.get(endpoint) !== undefined)
     const sums = this.peers.sumLoads(nowMs)
     for (const row of this.endpoints) row.peerInFlight = sums.get(row.record.id) ?? 0
   }
--- /dev/null
+++ b/src/placing/DemandMeter.ts
@@ -0,0 +1,25 @@
+import { SlidingCounter } from '../budget/SlidingCounter.js'
+
+/** Time in ms over which demand is averaged. */
+const windowMs = 4_000
+
+/** Requests a second that this host receives, by service. */
+export class DemandMeter {
+  private readonly counters = new Map<string, SlidingCounter>()
+  private readonly startMs: number
+
+  constructor (nowMs: number) {
+    this.startMs = nowMs
+  }
+
+  note (service: string, nowMs: number): void {
+    const counter = this.counters.get(service) ?? new SlidingCounter(windowMs)
+    this.counters.set(service, counter)
+    counter.add(nowMs)
+  }
+
+  list (nowMs: number): Array<readonly [service: string, perSecond: number]> {
+    const spanMs = Math.max(1_000, Math.min(windowMs, nowMs - this.startMs))
+    return [...this.counters].map(([service, counter]) => [service, counter.count(nowMs) * 1_000 / spanMs] as const)
+  }
+}
--- /dev/null
+++ b/src/placing/computeLocalShare.ts
@@ -0,0 +1,34 @@
+import { placeLimits } from './placeLimits.js'
+
+/** One region's part in a service. */
+interface RegionLoad {
+  readonly region: string
+  /** Requests a second that its hosts receive. */
+  readonly demand: number
+  /** Slots of its endpoints that can serve. */
+  readonly slots: number
+}
+
+/**
+ * Share of a region's requests that its own endpoints should serve. A region keeps its requests up to a load per slot
+ * somewhat over the mean of all regions; the factor is large while the service is calm, since then nobody needs the room.
+ * `use` is the share of all slots that is busy now.
+ */
+export function computeLocalShare (region: string, loads: readonly RegionLoad[], use: number): number {
+  const own = loads.find((load) => load.region === region)
+  if (own === undefined || own.slots === 0) return 0
+  if (own.demand === 0) return 1
+  const totalDemand = sum(loads.map((load) => load.demand))
+  const totalSlots = sum(loads.map((load) => load.slots))
+  const perSlot = totalDemand / totalSlots * chooseHeadroom(use)
+  return Math.min(1, perSlot * own.slots / own.demand)
+}
+
+function chooseHeadroom (use: number): number {
+  const { localUse, minHeadroom, maxHeadroom } = placeLimits
+  return Math.min(maxHeadroom, Math.max(minHeadroom, localUse / Math.max(use, localUse / maxHeadroom)))
+}
+
+function sum (values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0)
+}
