Hold requests for an object to its sharers under load; bound the wait by the objective

Change: beyond the sharers only while under 0.6 of the slots are busy; a request waits only where it can still be answered in time. Non-idempotent requests to other regions use kept connections, unless an answer broke lately.

--- a/src/cluster/CatalogEntry.ts
+++ b/src/catalog/CatalogEntry.ts
@@ -1,6 +1,6 @@
 import type { EndpointRecord } from '../endpoints/EndpointRecord.js'
 import type { RoutingConfig } from '../routing/RoutingConfig.js'
-import type { HostRecord } from './HostRecord.js'
+import type { HostRecord } from '../peers/HostRecord.js'
 
 /** What one row of a table says. */
 export type CatalogEntry =
--- a/src/cluster/CatalogFollower.ts
+++ b/src/catalog/CatalogFollower.ts
@@ -3,7 +3,7 @@
 import type { Catalog } from './Catalog.js'
 import type { CatalogStore } from './CatalogStore.js'
 import type { CatalogTable } from './CatalogTable.js'
-import { clusterLimits } from './clusterLimits.js'
+import { catalogLimits } from './catalogLimits.js'
 import type { StoreFailure } from './StoreFailure.js'
 import type { StoreHealth } from './StoreHealth.js'
 
@@ -20,7 +20,7 @@
 /** Keeps the copy of one table in step with the store. */
 export class CatalogFollower {
   private isStopped = false
-  private backoffMs: number = clusterLimits.minBackoffMs
+  private backoffMs: number = catalogLimits.minBackoffMs
   private needsRead = true
 
   constructor (private readonly table: CatalogTable, private readonly options: FollowerOptions) {}
@@ -55,15 +55,15 @@
   private async follow (): Promise<number> {
     const { store, catalog, clock } = this.options
     const after = catalog.resumeAfter(this.table)
-    const page = await store.follow(this.table, after, clusterLimits.followWaitMs)
+    const page = await store.follow(this.table, after, catalogLimits.followWaitMs)
     if (page.isErr()) return this.noteFailure(page.error)
     this.noteSuccess()
     catalog.change(this.table, after, page.value, clock.nowMs(), 'store')
-    return page.value.rows.length > 0 ? clusterLimits.gatherMs : 0
+    return page.value.rows.length > 0 ? catalogLimits.gatherMs : 0
   }
 
   private noteSuccess (): void {
-    this.backoffMs = clusterLimits.minBackoffMs
+    this.backoffMs = catalogLimits.minBackoffMs
     this.options.health.noteSuccess(this.options.clock.nowMs())
   }
 
@@ -76,7 +76,7 @@
     }
     if (health.noteFailure()) logger.warn('store-lost', { table: this.table, kind: failure.kind, reason: failure.message })
     const pauseMs = this.backoffMs * (0.5 + random())
-    this.backoffMs = Math.min(clusterLimits.maxBackoffMs, this.backoffMs * 2)
+    this.backoffMs = Math.min(catalogLimits.maxBackoffMs, this.backoffMs * 2)
     return pauseMs
   }
 }
--- a/src/cluster/CatalogStore.ts
+++ b/src/catalog/CatalogStore.ts
@@ -1,7 +1,7 @@
 import type { Result } from 'neverthrow'
 import type { CatalogPage } from './CatalogPage.js'
 import type { CatalogTable } from './CatalogTable.js'
-import type { HostRecord } from './HostRecord.js'
+import type { HostRecord } from '../peers/HostRecord.js'
 import type { StoreFailure } from './StoreFailure.js'
 
 /** The platform's store as this system uses it. Calls end by themselves within a bounded time. */
--- a/src/endpoints/EndpointRow.ts
+++ b/src/endpoints/EndpointRow.ts
@@ -25,8 +25,10 @@
   ejectedUntilMs: number
   /** Treated as full until this time because it shed a request. */
   shedUntilMs: number
-  /** Moving mean of the time in ms that an attempt took; 0 before the first. */
-  serviceMs: number
+  /** Until this time non-idempotent requests use connections of their own, because an answer was lost or wrong. */
+  freshUntilMs: number
+  /** Moving mean of the work in ms for one request, without the wait for a slot; 0 before the first. */
+  workMs: number
   /** The registry has no entry for it any more: since when, or undefined. */
   missingSinceMs: number | undefined
 }
--- a/src/endpoints/EndpointTable.ts
+++ b/src/endpoints/EndpointTable.ts
@@ -104,7 +104,8 @@
     failureShare: 0,
     ejectedUntilMs: 0,
     shedUntilMs: 0,
-    serviceMs: 0,
+    freshUntilMs: 0,
+    workMs: 0,
     missingSinceMs: undefined
   }
 }
--- a/src/endpoints/endpointLimits.ts
+++ b/src/endpoints/endpointLimits.ts
@@ -14,6 +14,8 @@
   ejectMs: 2_000,
   /** Largest share of a service's endpoints that may be ejected at once. */
   maxEjectedShare: 0.4,
+  /** Time in ms without kept connections for non-idempotent requests after a broken answer. */
+  distrustMs: 10_000,
   /** Time in ms for which an endpoint counts as full after it shed a request. */
   shedPauseMs: 150,
   /** Age in ms up to which an endpoint's own load report is used. */
--- a/src/host/AttemptSeries.ts
+++ b/src/host/AttemptSeries.ts
@@ -6,6 +6,7 @@
 import type { ResultName } from '../common/ResultName.js'
 import type { OpenAnswer } from '../entry/OpenAnswer.js'
 import { WorkKind } from '../routing/WorkKind.js'
+import type { PlaceRequest } from '../placing/PlaceRequest.js'
 import { EndpointAttempt } from './EndpointAttempt.js'
 import type { HostContext } from './HostContext.js'
 import { hostLimits } from './hostLimits.js'
@@ -69,9 +70,9 @@
     }
   }
 
-  private createPlaceRequest (): { route: ServedRequest['route'], service: string, object: string | undefined, excluded: ReadonlySet<string> } {
-    const { route, service, object } = this.request
-    return { route, service, object, excluded: this.excluded }
+  private createPlaceRequest (): PlaceRequest {
+    const { route, service, object, scope } = this.request
+    return { route, service, object, leftMs: scope.leftMs, excluded: this.excluded }
   }
 
   /** True when another attempt may give a better answer than an endpoint's error. */
--- a/src/host/EndpointAttempt.ts
+++ b/src/host/EndpointAttempt.ts
@@ -1,4 +1,5 @@
 import type { EndpointRow } from '../endpoints/EndpointRow.js'
+import { estimateLoad } from '../endpoints/estimateLoad.js'
 import { noteAttempt } from '../endpoints/noteAttempt.js'
 import { noteReport } from '../endpoints/noteReport.js'
 import { Outcome } from '../common/Outcome.js'
@@ -22,6 +23,7 @@
 export class EndpointAttempt {
   readonly end: Promise<AttemptEnd>
   private readonly startMs: number
+  private readonly loadAtStart: number
   private readonly call: UpstreamCall
   private isReleased = false
 
@@ -32,6 +34,7 @@
   ) {
     this.startMs = context.clock.nowMs()
     row.inFlight += 1
+    this.loadAtStart = estimateLoad(row, this.startMs)
     this.call = this.startCall()
     request.scope.addHook(this.onCancel)
     this.end = this.complete()
@@ -46,14 +49,23 @@
       hostHeader: request.hostHeader,
       headers: [...request.headers, ...context.dialect.createHeaders(row.record.id, request.scope.leftMs)],
       body: request.body,
-      // On a connection of its own it is certain whether the request was sent before a failure.
-      fresh: request.route.kind !== WorkKind.idempotent,
+      fresh: this.needsOwnConnection(),
       isOwnAnswer: (headers) => context.dialect.isAnswerTo(request.id, headers),
       mayWrite: () => request.scope.reason === undefined,
       reserveBytes: () => 0
     })
   }
 
+  /**
+   * On a connection of its own it is certain whether a request was sent before a failure, and no late answer to another
+   * request can come. To other regions that costs a round trip more, so there it is done only after a broken answer.
+   */
+  private needsOwnConnection (): boolean {
+    const { request, row, context } = this
+    if (request.route.kind === WorkKind.idempotent) return false
+    return row.region === context.region || row.freshUntilMs > this.startMs
+  }
+
   private readonly onCancel = (): void => {
     this.call.cancel(this.request.scope.reason === 'deadline' ? 'timeout' : 'cancelled')
   }
@@ -98,6 +110,6 @@
     this.request.scope.removeHook(this.onCancel)
     this.row.inFlight -= 1
     const nowMs = this.context.clock.nowMs()
-    noteAttempt(this.row, result, nowMs - this.startMs, nowMs)
+    noteAttempt(this.row, { result, elapsedMs: nowMs - this.startMs, loadAtStart: this.loadAtStart }, nowMs)
   }
 }
--- a/src/host/HostContext.ts
+++ b/src/host/HostContext.ts
@@ -12,6 +12,8 @@
 
 /** What requests are served with. */
 export interface HostContext {
+  /** Region of this host. */
+  readonly region: string
   readonly clock: Clock
   readonly dialect: Dialect
   readonly routing: RoutingTable
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -2,14 +2,14 @@
 import type { Registry } from 'prom-client'
 import { ColdBudget } from '../budget/ColdBudget.js'
 import { RetryBudget } from '../budget/RetryBudget.js'
-import { CatalogFollower } from '../cluster/CatalogFollower.js'
-import type { CatalogStore } from '../cluster/CatalogStore.js'
-import { CatalogTable } from '../cluster/CatalogTable.js'
-import { clusterLimits } from '../cluster/clusterLimits.js'
-import type { HostRecord } from '../cluster/HostRecord.js'
-import { PeerMesh } from '../cluster/PeerMesh.js'
-import { PeerTable } from '../cluster/PeerTable.js'
-import { StoreHealth } from '../cluster/StoreHealth.js'
+import { CatalogFollower } from '../catalog/CatalogFollower.js'
+import type { CatalogStore } from '../catalog/CatalogStore.js'
+import { CatalogTable } from '../catalog/CatalogTable.js'
+import { catalogLimits } from '../catalog/catalogLimits.js'
+import type { HostRecord } from '../peers/HostRecord.js'
+import { PeerMesh } from '../peers/PeerMesh.js'
+import { PeerTable } from '../peers/PeerTable.js'
+import { StoreHealth } from '../catalog/StoreHealth.js'
 import type { Clock } from '../common/Clock.js'
 import { DialMap } from '../common/DialMap.js'
 import type { Logger } from '../common/Logger.js'
@@ -171,7 +171,7 @@
       const result = await this.options.store.registerHost(this.self)
       if (result.isOk()) break
       this.log.warn('register-failed', { reason: result.error.message })
-      await sleep(clusterLimits.maxBackoffMs)
+      await sleep(catalogLimits.maxBackoffMs)
     }
     this.log.info('registered', { peerAddress: this.self.peerAddress })
   }
@@ -181,6 +181,7 @@
     const { routing, endpoints, placer, demand } = this
     const { retryRatio, retryWindowMs, retrySlack } = settings.bounds
     return new RequestHandler({
+      region: settings.region,
       clock,
       dialect,
       routing,
--- a/src/host/listCallerAddresses.ts
+++ b/src/host/listCallerAddresses.ts
@@ -1,4 +1,4 @@
-import type { HostRecord } from '../cluster/HostRecord.js'
+import type { HostRecord } from '../peers/HostRecord.js'
 
 /**
  * Addresses that a caller of a region should use: the serving hosts of its region, or all of them when its region has
--- a/src/cluster/Heartbeat.ts
+++ b/src/peers/Heartbeat.ts
@@ -1,5 +1,5 @@
-import type { CatalogPage } from './CatalogPage.js'
-import type { CatalogTable } from './CatalogTable.js'
+import type { CatalogPage } from '../catalog/CatalogPage.js'
+import type { CatalogTable } from '../catalog/CatalogTable.js'
 import type { HostRecord } from './HostRecord.js'
 
 /** What hosts tell each other a few times a second. */
--- a/src/cluster/PeerMesh.ts
+++ b/src/peers/PeerMesh.ts
@@ -4,9 +4,9 @@
 import { FrameClient } from '../wire/FrameClient.js'
 import { FrameServer } from '../wire/FrameServer.js'
 import type { Message } from '../wire/Message.js'
-import type { Catalog } from './Catalog.js'
-import { CatalogTable } from './CatalogTable.js'
-import { clusterLimits } from './clusterLimits.js'
+import type { Catalog } from '../catalog/Catalog.js'
+import { CatalogTable } from '../catalog/CatalogTable.js'
+import { peerLimits } from './peerLimits.js'
 import type { Heartbeat } from './Heartbeat.js'
 import type { HostRecord } from './HostRecord.js'
 import type { PeerRow } from './PeerRow.js'
@@ -49,7 +49,7 @@
   async start (): Promise<void> {
     const { host, port } = new DialMap().resolve(this.options.self.peerAddress)
     await this.server.listen(host, port)
-    this.timer = setInterval(() => this.tick(), clusterLimits.tickMs)
+    this.timer = setInterval(() => this.tick(), peerLimits.tickMs)
   }
 
   async stop (): Promise<void> {
@@ -75,7 +75,7 @@
   }
 
   private intervalFor (row: PeerRow): number {
-    return row.record.region === this.options.self.region ? clusterLimits.nearBeatMs : clusterLimits.farBeatMs
+    return row.record.region === this.options.self.region ? peerLimits.nearBeatMs : peerLimits.farBeatMs
   }
 
   private async beat (row: PeerRow): Promise<void> {
@@ -88,7 +88,7 @@
   private askSeeds (nowMs: number): void {
     const { catalog, seeds, self } = this.options
     if (catalog.versionOf(CatalogTable.orders) >= 0 || nowMs < this.nextSeedAtMs) return
-    this.nextSeedAtMs = nowMs + clusterLimits.nearBeatMs
+    this.nextSeedAtMs = nowMs + peerLimits.nearBeatMs
     for (const seed of seeds) {
       if (seed === self.peerAddress) continue
       this.exchange(seed, undefined).catch((error: unknown) => this.options.logger.error('seed-failed', { seed, error: String(error) }))
@@ -97,7 +97,7 @@
 
   private async exchange (address: string, row: PeerRow | undefined): Promise<void> {
     const known = row === undefined ? undefined : this.knownVersions.get(row.record.name)
-    const reply = await this.client.request(address, encode(this.createBeat(known)), clusterLimits.beatTimeoutMs)
+    const reply = await this.client.request(address, encode(this.createBeat(known)), peerLimits.beatTimeoutMs)
     if (reply.isErr()) {
       // A connection may have gone silent without a reset.
       this.client.drop(address)
@@ -119,7 +119,7 @@
     const wasHeard = peers.get(beat.host.name)?.heardAtMs
     const row = peers.receive(beat, nowMs)
     if (row === undefined) return beat
-    if (wasHeard === undefined || nowMs - wasHeard >= clusterLimits.deadAfterMs) logger.info('peer-up', { peer: beat.host.name, incarnation: beat.host.incarnation })
+    if (wasHeard === undefined || nowMs - wasHeard >= peerLimits.deadAfterMs) logger.info('peer-up', { peer: beat.host.name, incarnation: beat.host.incarnation })
     this.knownVersions.set(beat.host.name, beat.versions)
     for (const [table, page] of beat.pages) catalog.replace(table, page, nowMs, beat.host.name)
     return beat
@@ -141,7 +141,7 @@
     const nowMs = clock.nowMs()
     return tables
       .filter((table) => theirs[table] < catalog.versionOf(table))
-      .filter((table) => theirs[table] < 0 || catalog.ageOf(table, nowMs) >= clusterLimits.shareAfterMs)
+      .filter((table) => theirs[table] < 0 || catalog.ageOf(table, nowMs) >= peerLimits.shareAfterMs)
       .map((table) => [table, catalog.exportPage(table)] as const)
   }
 }
--- a/src/cluster/PeerTable.ts
+++ b/src/peers/PeerTable.ts
@@ -1,5 +1,5 @@
 import { Table } from '../common/Table.js'
-import { clusterLimits } from './clusterLimits.js'
+import { peerLimits } from './peerLimits.js'
 import type { Heartbeat } from './Heartbeat.js'
 import type { HostRecord } from './HostRecord.js'
 import type { PeerRow } from './PeerRow.js'
@@ -42,7 +42,7 @@
 
   /** Hosts that were heard lately. */
   listAlive (nowMs: number): PeerRow[] {
-    return [...this.rows].filter((row) => row.heardAtMs !== undefined && nowMs - row.heardAtMs < clusterLimits.deadAfterMs)
+    return [...this.rows].filter((row) => row.heardAtMs !== undefined && nowMs - row.heardAtMs < peerLimits.deadAfterMs)
   }
 
   /** Requests of the other live hosts at an endpoint. */
--- a/src/cluster/clusterLimits.ts
+++ b/src/peers/peerLimits.ts
@@ -1,12 +1,5 @@
-/** Figures of the links between hosts and to the store. */
-export const clusterLimits = {
-  /** Time in ms for which the store is asked to hold a question for changes. */
-  followWaitMs: 10_000,
-  /** Time in ms in which further changes are gathered before the next question. */
-  gatherMs: 100,
-  /** Shortest and longest time in ms between tries of a store that fails. */
-  minBackoffMs: 150,
-  maxBackoffMs: 1_000,
+/** Figures of the links between hosts. */
+export const peerLimits = {
   /** Time in ms between heartbeats to hosts of the own region and of others. */
   nearBeatMs: 250,
   farBeatMs: 500,
--- a/src/placing/PlaceRequest.ts
+++ b/src/placing/PlaceRequest.ts
@@ -6,6 +6,8 @@
   readonly service: string
   /** Object that the request concerns; undefined when it isn't known. */
   readonly object: string | undefined
+  /** Time in ms until the caller's deadline or the route's timeout. */
+  readonly leftMs: number
   /** Incarnations that must not be chosen again. */
   readonly excluded: ReadonlySet<string>
 }
--- a/src/placing/Placer.ts
+++ b/src/placing/Placer.ts
@@ -7,6 +7,7 @@
 import type { RoutingTable } from '../routing/RoutingTable.js'
 import { AffinityRanking } from './AffinityRanking.js'
 import type { LocalShares } from './LocalShares.js'
+import { measureUse } from './measureUse.js'
 import type { PlaceRequest } from './PlaceRequest.js'
 import { placeLimits } from './placeLimits.js'
 
@@ -22,13 +23,21 @@
   readonly random: () => number
 }
 
+/** One choice, with what holds for all endpoints that are looked at. */
+interface Choice {
+  readonly request: PlaceRequest
+  readonly nowMs: number
+  /** Median work in ms of the endpoints; 0 when none is known. */
+  readonly typicalMs: number
+}
+
 /** Largest value of `hashRendezvous`. */
 const hashRange = 2 ** 48
 
 /**
  * Chooses the endpoint of a request. Requests for one object go to the same few endpoints, which answer faster when they
- * have handled it lately; the load bound sends what is too much to the next ones in the order of the object. A share of
- * the objects is served by endpoints of the own region, the rest by those of all regions, in the same order everywhere.
+ * have handled it lately. While the service is calm, what is too much for them goes on in the order of the object; under
+ * load it does not, since every endpoint would then work for every object and none would be warm.
  */
 export class Placer {
   private readonly ranking = new AffinityRanking()
@@ -39,13 +48,16 @@
   choose (request: PlaceRequest, nowMs: number): EndpointRow | undefined {
     const usable = this.rank(request).filter((row) => this.mayServe(row, request))
     const healthy = selectHealthy(usable, nowMs)
-    const candidates = this.prefer(request, healthy.length > 0 ? healthy : usable.slice(0, placeLimits.lastResort))
-    const typicalMs = findTypicalServiceMs(candidates)
-    const sharers = request.object === undefined ? [] : candidates.slice(0, placeLimits.sharers)
-    return this.findBelow(sharers, 1, typicalMs, nowMs) ??
-      this.findBelow(sharers, placeLimits.sharerLoadPerSlot, typicalMs, nowMs) ??
-      this.findBelow(candidates, 1, typicalMs, nowMs) ??
-      findShortestQueue(candidates, typicalMs, nowMs)
+    const ranked = healthy.length > 0 ? healthy : usable.slice(0, placeLimits.lastResort)
+    const choice = { request, nowMs, typicalMs: findTypicalWorkMs(ranked) }
+    const isLocal = this.isLocal(request)
+    const sharers = request.object === undefined ? ranked : this.listSharers(ranked, isLocal)
+    const maySpread = measureUse(ranked, nowMs) < placeLimits.spreadUse
+    return this.findBelow(sharers.slice(0, placeLimits.sharers), 1, choice) ??
+      this.findBelow(sharers.slice(0, placeLimits.sharers), placeLimits.sharerLoadPerSlot, choice) ??
+      this.findBelow(sharers, 1, choice) ??
+      (maySpread ? this.findBelow(this.putLocalFirst(ranked, isLocal), 1, choice) : undefined) ??
+      findShortestQueue(sharers, choice)
   }
 
   /** True when some endpoint could ever serve the request. */
@@ -66,11 +78,23 @@
     return [...rows.slice(start), ...rows.slice(0, start)]
   }
 
-  /** Puts the endpoints of the own region first for the share of objects that stay in the region. */
-  private prefer (request: PlaceRequest, rows: readonly EndpointRow[]): readonly EndpointRow[] {
+  /** True for the share of the objects that the own region serves. */
+  private isLocal (request: PlaceRequest): boolean {
     const { region, shares, random } = this.options
     const point = request.object === undefined ? random() : hashRendezvous(request.object, region) / hashRange
-    if (point >= shares.get(request.service)) return rows
+    return point < shares.get(request.service)
+  }
+
+  /** The endpoints that share an object, the preferred ones first: those of the own region if it serves the object. */
+  private listSharers (ranked: readonly EndpointRow[], isLocal: boolean): readonly EndpointRow[] {
+    const common = ranked.slice(0, placeLimits.sharers)
+    const local = ranked.filter((row) => row.region === this.options.region).slice(0, placeLimits.sharers)
+    return [...new Set(isLocal ? [...local, ...common] : [...common, ...local])]
+  }
+
+  private putLocalFirst (rows: readonly EndpointRow[], isLocal: boolean): readonly EndpointRow[] {
+    if (!isLocal) return rows
+    const { region } = this.options
     return [...rows.filter((row) => row.region === region), ...rows.filter((row) => row.region !== region)]
   }
 
@@ -79,10 +103,10 @@
     return route.regions.length === 0 || route.regions.includes(row.region)
   }
 
-  private findBelow (rows: readonly EndpointRow[], perSlot: number, typicalMs: number, nowMs: number): EndpointRow | undefined {
-    return rows.find((row) => row.shedUntilMs <= nowMs &&
-      estimateLoad(row, nowMs) < countUsefulSlots(row, typicalMs) * perSlot &&
-      this.takeCold(row, nowMs))
+  private findBelow (rows: readonly EndpointRow[], perSlot: number, choice: Choice): EndpointRow | undefined {
+    return rows.find((row) => row.shedUntilMs <= choice.nowMs &&
+      estimateLoad(row, choice.nowMs) < countUsefulSlots(row, choice.typicalMs) * perSlot &&
+      this.takeCold(row, choice.nowMs))
   }
 
   private takeCold (row: EndpointRow, nowMs: number): boolean {
@@ -92,17 +116,21 @@
   }
 }
 
-/** The endpoint with the shortest queue for its size, if that is short enough. */
-function findShortestQueue (rows: readonly EndpointRow[], typicalMs: number, nowMs: number): EndpointRow | undefined {
+/** The endpoint with the shortest wait, if the request can still be answered in time there. */
+function findShortestQueue (rows: readonly EndpointRow[], { request, nowMs, typicalMs }: Choice): EndpointRow | undefined {
+  const { objectiveMs } = request.route
   let best: EndpointRow | undefined
-  let bestLoad: number = placeLimits.maxLoadPerSlot
+  let bestWaitMs = Infinity
   for (const row of rows) {
     if (row.shedUntilMs > nowMs || row.coldUntilMs > nowMs) continue
     const load = estimateLoad(row, nowMs) / countUsefulSlots(row, typicalMs)
-    if (load < bestLoad) {
-      best = row
-      bestLoad = load
-    }
+    if (load >= placeLimits.maxLoadPerSlot) continue
+    const workMs = Math.max(row.workMs, typicalMs)
+    const waitMs = Math.max(0, load - 1) * workMs
+    const mayWaitMs = Math.min(Math.max(objectiveMs * placeLimits.minWaitShare, objectiveMs - workMs), request.leftMs - workMs)
+    if (waitMs > mayWaitMs || waitMs >= bestWaitMs) continue
+    best = row
+    bestWaitMs = waitMs
   }
   return best
 }
@@ -114,14 +142,14 @@
   return calm.length >= alive.length * (1 - endpointLimits.maxEjectedShare) ? calm : alive
 }
 
-/** Median of the endpoints' service times in ms; 0 when none is known. */
-function findTypicalServiceMs (rows: readonly EndpointRow[]): number {
-  const known = rows.map((row) => row.serviceMs).filter((ms) => ms > 0).sort((a, b) => a - b)
+/** Median of the endpoints' work in ms; 0 when none is known. */
+function findTypicalWorkMs (rows: readonly EndpointRow[]): number {
+  const known = rows.map((row) => row.workMs).filter((ms) => ms > 0).sort((a, b) => a - b)
   return known[Math.floor(known.length / 2)] ?? 0
 }
 
 /** Slots of an endpoint, fewer when it is much slower than the others. */
 function countUsefulSlots (row: EndpointRow, typicalMs: number): number {
-  const isSlow = typicalMs > 0 && row.serviceMs > typicalMs * placeLimits.slowFactor
-  return isSlow ? Math.max(1, row.record.slots * typicalMs / row.serviceMs) : row.record.slots
+  const isSlow = typicalMs > 0 && row.workMs > typicalMs * placeLimits.slowFactor
+  return isSlow ? Math.max(1, row.record.slots * typicalMs / row.workMs) : row.record.slots
 }
--- a/src/placing/ShareSystem.ts
+++ b/src/placing/ShareSystem.ts
@@ -1,11 +1,11 @@
-import type { PeerTable } from '../cluster/PeerTable.js'
+import type { PeerTable } from '../peers/PeerTable.js'
 import { System } from '../common/System.js'
 import type { EndpointRow } from '../endpoints/EndpointRow.js'
 import type { EndpointTable } from '../endpoints/EndpointTable.js'
-import { estimateLoad } from '../endpoints/estimateLoad.js'
 import { computeLocalShare } from './computeLocalShare.js'
 import type { DemandMeter } from './DemandMeter.js'
 import type { LocalShares } from './LocalShares.js'
+import { measureUse } from './measureUse.js'
 
 /** What the shares are computed from. */
 interface ShareSystemOptions {
@@ -37,9 +37,7 @@
     const used = serving.length > 0 ? serving : rows
     const slots = sumSlotsByRegion(used)
     const loads = [...slots].map(([name, count]) => ({ region: name, slots: count, demand: demands.get(name) ?? 0 }))
-    const totalSlots = used.reduce((sum, row) => sum + row.record.slots, 0)
-    const busy = used.reduce((sum, row) => sum + Math.min(row.record.slots, estimateLoad(row, nowMs)), 0)
-    const target = computeLocalShare(region, loads, totalSlots === 0 ? 0 : busy / totalSlots)
+    const target = computeLocalShare(region, loads, measureUse(used, nowMs))
     shares.update(service, target, this.askPeers(service, nowMs), nowMs)
   }
 
--- /dev/null
+++ b/src/placing/measureUse.ts
@@ -0,0 +1,13 @@
+import type { EndpointRow } from '../endpoints/EndpointRow.js'
+import { estimateLoad } from '../endpoints/estimateLoad.js'
+
+/** Busy share of the slots of some endpoints, 0 to 1; 0 without slots. */
+export function measureUse (rows: readonly EndpointRow[], nowMs: number): number {
+  let slots = 0
+  let busy = 0
+  for (const row of rows) {
+    slots += row.record.slots
+    busy += Math.min(row.record.slots, estimateLoad(row, nowMs))
+  }
+  return slots === 0 ? 0 : busy / slots
+}
--- a/src/placing/placeLimits.ts
+++ b/src/placing/placeLimits.ts
@@ -1,11 +1,16 @@
 /** Figures of placing. */
 export const placeLimits = {
-  /** Load per slot from which an endpoint gets no further request. */
+  /** Load per slot from which an endpoint gets no further request, whatever its work takes. */
   maxLoadPerSlot: 2.5,
-  /** Endpoints that share an object before others are asked, and the load per slot up to which they are preferred. */
+  /** Endpoints of a region, and of all regions, that share an object before others are asked. */
   sharers: 2,
+  /** Load per slot up to which the first sharers are preferred to later ones. */
   sharerLoadPerSlot: 1.34,
-  /** Service time relative to the median from which an endpoint counts as slow. */
+  /** Busy share of a service's slots up to which requests go beyond the sharers of their object. */
+  spreadUse: 0.6,
+  /** Least share of the objective that a request may wait for a slot; more when its work leaves room. */
+  minWaitShare: 0.3,
+  /** Work time relative to the median from which an endpoint counts as slow. */
   slowFactor: 2,
   /** Endpoints that are still tried when none is healthy. */
   lastResort: 3,
--- /dev/null
+++ b/test/budget/SlidingCounter.test.ts
@@ -0,0 +1,15 @@
+import { expect } from 'earl'
+import { test } from 'node:test'
+import { SlidingCounter } from '../../src/budget/SlidingCounter.js'
+
+// Guards against events that stay in a window for ever or leave it too early.
+test('counts the last window only', () => {
+  const counter = new SlidingCounter(1_000)
+  counter.add(100)
+  counter.add(600, 3)
+  expect(counter.count(900)).toEqual(4)
+  expect(counter.count(1_200)).toEqual(3)
+  expect(counter.count(5_000)).toEqual(0)
+  counter.add(5_000)
+  expect(counter.count(5_000)).toEqual(1)
+})
--- /dev/null
+++ b/test/support/createRoute.ts
@@ -0,0 +1,19 @@
+import type { Route } from '../../src/routing/Route.js'
+
+/** Builds a route of service `stock` for tests. */
+export function createRoute (change: Partial<Route> = {}): Route {
+  return {
+    name: 'r-1',
+    host: 'shop.example',
+    prefix: '/stock/',
+    kind: 'idempotent',
+    parts: [{ service: 'stock', weight: 1 }],
+    timeoutMs: 2_000,
+    objectiveMs: 500,
+    priority: 1,
+    maxAttempts: 2,
+    hasAffinity: true,
+    regions: [],
+    ...change
+  }
+}
