Test the host process with stand-ins of the store and of endpoints; end it cleanly

The registration loop and the store's connections outlived a planned stop, so test files did not end (seen: a test run that hung until its time limit).

--- a/src/catalog/CatalogStore.ts
+++ b/src/catalog/CatalogStore.ts
@@ -12,6 +12,9 @@
   /** Waits up to `waitMs` for changes after a version; the page is empty when there are none. */
   abstract follow (table: CatalogTable, after: number, waitMs: number): Promise<Result<CatalogPage, StoreFailure>>
 
+  /** Ends calls that wait; no call may follow. */
+  abstract close (): void
+
   /** Registers a host; registering it again replaces the entry. */
   abstract registerHost (host: HostRecord): Promise<Result<void, StoreFailure>>
 }
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -162,18 +162,23 @@
     this.scheduler.stop()
     for (const follower of this.followers) follower.stop()
     for (const side of this.sides) side.close()
+    this.client.close()
+    this.options.store.close()
+    this.front.closeAll()
     await this.mesh.stop()
   }
 
   /** Registers this host, again and again until the store has taken it. */
   private async register (): Promise<void> {
-    for (;;) {
+    while (!this.isLeaving) {
       const result = await this.options.store.registerHost(this.self)
-      if (result.isOk()) break
+      if (result.isOk()) {
+        this.log.info('registered', { peerAddress: this.self.peerAddress })
+        return
+      }
       this.log.warn('register-failed', { reason: result.error.message })
       await sleep(catalogLimits.maxBackoffMs)
     }
-    this.log.info('registered', { peerAddress: this.self.peerAddress })
   }
 
   private createHandler (metrics: HostMetrics): RequestHandler {
--- /dev/null
+++ b/test/support/HostGroup.ts
@@ -0,0 +1,173 @@
+import { request } from 'node:http'
+import type { IncomingHttpHeaders, RequestOptions } from 'node:http'
+import { connect, createServer } from 'node:net'
+import type { AddressInfo } from 'node:net'
+import { Registry } from 'prom-client'
+import { PlatformDialect } from '../../platform/PlatformDialect.js'
+import { StoreClient } from '../../platform/StoreClient.js'
+import { SystemClock } from '../../src/common/SystemClock.js'
+import { HostProcess } from '../../src/host/HostProcess.js'
+import type { HostSettings } from '../../src/host/HostSettings.js'
+import { PlatformEndpoint } from '../../dev/store/PlatformEndpoint.js'
+import { StoreServer } from '../../dev/store/StoreServer.js'
+import { MemoryLogger } from './MemoryLogger.js'
+
+/** An answer that a test's caller got. */
+interface CallerAnswer {
+  readonly status: number
+  readonly headers: IncomingHttpHeaders
+  readonly body: string
+}
+
+/** A request of a test's caller. */
+interface CallerRequest {
+  readonly method?: string
+  readonly path?: string
+  readonly id?: string
+  readonly object?: string
+  readonly deadlineMs?: number
+  readonly body?: string
+  readonly host?: string
+}
+
+/** Routes of the configuration that groups begin with. */
+const routes = {
+  'r-read': { host: 'shop.example', prefix: '/read/', kind: 'idempotent', timeout_s: 1, target_latency_s: 0.5, priority: 2, service: 'stock', max_attempts: 2, session_affinity: true, allowed_regions: [] },
+  'r-order': { host: 'shop.example', prefix: '/order/', kind: 'non_idempotent', timeout_s: 1, target_latency_s: 0.5, priority: 1, service: 'stock', max_attempts: 2, session_affinity: true, allowed_regions: [] }
+}
+const pollMs = 10
+const waitLimitMs = 8_000
+
+/** Real host processes in this process, with stand-ins of the store and of endpoints, all on loopback ports. */
+export class HostGroup {
+  readonly store = new StoreServer()
+  readonly logger = new MemoryLogger()
+  readonly hosts: HostProcess[] = []
+  readonly settings: HostSettings[] = []
+  readonly endpoints: PlatformEndpoint[] = []
+  private storeAddress = ''
+  private version = 0
+
+  /** Starts a store with a configuration, endpoints of service `stock`, and hosts, and waits until they serve. */
+  static async start (hostCount = 1, endpointCount = 2): Promise<HostGroup> {
+    const group = new HostGroup()
+    group.storeAddress = await group.store.listen()
+    group.putConfig({})
+    for (let index = 0; index < endpointCount; index++) await group.addEndpoint(`e-${index}`)
+    for (let index = 0; index < hostCount; index++) await group.addHost()
+    await group.waitUntil(() => group.hosts.every((host) => host.isReady))
+    return group
+  }
+
+  /** Writes a configuration with changed or added routes. */
+  putConfig (change: Record<string, object | undefined>): void {
+    this.version += 1
+    const all = Object.fromEntries(Object.entries({ ...routes, ...change }).filter(([, route]) => route !== undefined))
+    this.store.tables.put('op', 'config', {
+      version: this.version.toString(16).padStart(8, '0'),
+      routes: all,
+      services: { stock: { health_path: '/health', max_connections: 100, cold_start_s: 3, cold_per_s: 5 }, other: { health_path: '/health', max_connections: 100 } },
+      limits: { header_bytes: 16_384, body_bytes: 1_000_000, header_timeout_s: 3, idle_timeout_s: 15 }
+    })
+  }
+
+  async addEndpoint (id: string, service = 'stock'): Promise<PlatformEndpoint> {
+    const endpoint = new PlatformEndpoint(id)
+    await endpoint.listen()
+    this.endpoints.push(endpoint)
+    this.store.tables.put('servers', id, endpoint.describe(service, 'north-a'))
+    return endpoint
+  }
+
+  async addHost (): Promise<HostProcess> {
+    const name = `host-${this.hosts.length}`
+    const settings = await this.createSettings(name)
+    const host = new HostProcess({
+      settings,
+      store: new StoreClient(this.storeAddress, this.logger),
+      dialect: new PlatformDialect(),
+      clock: new SystemClock(),
+      registry: new Registry(),
+      createLog: () => this.logger,
+      random: Math.random
+    })
+    await host.start()
+    this.hosts.push(host)
+    this.settings.push(settings)
+    return host
+  }
+
+  /** Sends a request to a host on a connection of its own. */
+  async send (call: CallerRequest = {}, host = 0): Promise<CallerAnswer> {
+    const [address, port] = this.settings[host]!.listen.callers.split(':')
+    const { method = 'GET', path = '/read/1', id = `q-${Math.random()}`, object = '7', deadlineMs = 2_000, body, host: hostHeader = 'shop.example' } = call
+    const headers: Record<string, string> = { Host: hostHeader, 'X-Request-Id': id, Cookie: `X-Affinity-Key=${object}`, 'X-Deadline-Ms': String(deadlineMs), ...(body === undefined ? {} : { 'Content-Length': String(body.length) }) }
+    return await fetchAnswer({ host: address!, port: Number(port), method, path, headers }, body)
+  }
+
+  /** Asks a side port of a host. */
+  async ask (port: 'readiness' | 'directory' | 'metrics', path: string, host = 0): Promise<CallerAnswer> {
+    const [address, number] = this.settings[host]!.listen[port].split(':')
+    return await fetchAnswer({ host: address!, port: Number(number), method: 'GET', path, headers: {} }, undefined)
+  }
+
+  /** Opens a raw connection to a host. */
+  connect (host = 0): ReturnType<typeof connect> {
+    const [address, port] = this.settings[host]!.listen.callers.split(':')
+    return connect(Number(port), address!)
+  }
+
+  async waitUntil (test: () => boolean): Promise<void> {
+    const endMs = performance.now() + waitLimitMs
+    while (!test()) {
+      if (performance.now() > endMs) throw new Error(`the state that the test waits for did not come; log:\n${this.logger.lines.slice(-20).join('\n')}`)
+      await new Promise((resolve) => setTimeout(resolve, pollMs))
+    }
+  }
+
+  async stop (): Promise<void> {
+    this.store.close()
+    for (const endpoint of this.endpoints) endpoint.close()
+    await Promise.all(this.hosts.map(async (host) => { await host.stop() }))
+  }
+
+  private async createSettings (name: string): Promise<HostSettings> {
+    const ports = await findPorts(5)
+    const [callers, readiness, directory, peers, metrics] = ports.map((port) => `127.0.0.1:${port}`)
+    return {
+      name,
+      address: '127.0.0.1',
+      zone: 'north-a',
+      region: 'north',
+      regionOfZone: { 'north-a': 'north' },
+      listen: { callers: callers!, readiness: readiness!, directory: directory!, peers: peers!, metrics: metrics! },
+      seeds: this.settings.slice(0, 3).map((settings) => settings.listen.peers),
+      clusterKey: 'test',
+      bounds: { graceMs: 3_000, retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 64, maxTtlMs: 5_000 }
+    }
+  }
+}
+
+async function fetchAnswer (options: RequestOptions, body: string | undefined): Promise<CallerAnswer> {
+  return await new Promise((resolve, reject) => {
+    const req = request({ ...options, agent: false }, (res) => {
+      const chunks: Buffer[] = []
+      res.on('data', (chunk: Buffer) => chunks.push(chunk))
+      res.on('error', reject)
+      res.on('end', () => resolve({ status: res.statusCode ?? 0, headers: res.headers, body: Buffer.concat(chunks).toString('utf8') }))
+    })
+    req.on('error', reject)
+    req.end(body)
+  })
+}
+
+/** Finds free ports by opening and closing listeners. */
+async function findPorts (count: number): Promise<number[]> {
+  const servers = Array.from({ length: count }, () => createServer())
+  const ports = await Promise.all(servers.map(async (server) => {
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+    return (server.address() as AddressInfo).port
+  }))
+  await Promise.all(servers.map(async (server) => await new Promise((resolve) => server.close(resolve))))
+  return ports
+}
