--- a/src/host/EndpointAttempt.ts
+++ b/src/host/EndpointAttempt.ts
@@ -111,5 +111,6 @@
     this.row.inFlight -= 1
     const nowMs = this.context.clock.nowMs()
     noteAttempt(this.row, { result, elapsedMs: nowMs - this.startMs, loadAtStart: this.loadAtStart }, nowMs)
+    if (result === AttemptResult.ok) this.context.placer.noteAnswer(this.row.record.id, this.request.object, nowMs)
   }
 }
--- a/src/placing/Placer.ts
+++ b/src/placing/Placer.ts
@@ -10,6 +10,7 @@
 import { measureUse } from './measureUse.js'
 import type { PlaceRequest } from './PlaceRequest.js'
 import { placeLimits } from './placeLimits.js'
+import { WarmObjects } from './WarmObjects.js'
 
 /** What placing looks at. */
 interface PlacerOptions {
@@ -41,6 +42,7 @@
  */
 export class Placer {
   private readonly ranking = new AffinityRanking()
+  private readonly warm = new WarmObjects()
 
   constructor (private readonly options: PlacerOptions) {}
 
@@ -52,12 +54,14 @@
     const choice = { request, nowMs, typicalMs: findTypicalWorkMs(ranked) }
     const isLocal = this.isLocal(request)
     const sharers = request.object === undefined ? ranked : this.listSharers(ranked, isLocal)
-    const maySpread = measureUse(ranked, nowMs) < placeLimits.spreadUse
-    return this.findBelow(sharers.slice(0, placeLimits.sharers), 1, choice) ??
-      this.findBelow(sharers.slice(0, placeLimits.sharers), placeLimits.sharerLoadPerSlot, choice) ??
-      this.findBelow(sharers, 1, choice) ??
-      (maySpread ? this.findBelow(this.putLocalFirst(ranked, isLocal), 1, choice) : undefined) ??
-      findShortestQueue(sharers, choice)
+    const maySpread = request.object !== undefined && measureUse(ranked, nowMs) < placeLimits.spreadUse
+    const candidates = maySpread ? [...new Set([...sharers, ...this.putLocalFirst(ranked, isLocal)])] : sharers
+    return this.findCheapest(candidates, choice)
+  }
+
+  /** Learns that an endpoint has handled an object. */
+  noteAnswer (endpoint: string, object: string | undefined, nowMs: number): void {
+    if (object !== undefined) this.warm.note(endpoint, object, nowMs)
   }
 
   /** True when some endpoint could ever serve the request. */
@@ -67,6 +71,7 @@
 
   /** Forgets endpoints that are gone. */
   retain (isKnown: (endpoint: string) => boolean): void {
+    this.warm.retain(isKnown)
     this.options.cold.retain(isKnown)
   }
 
@@ -103,10 +108,21 @@
     return route.regions.length === 0 || route.regions.includes(row.region)
   }
 
-  private findBelow (rows: readonly EndpointRow[], perSlot: number, choice: Choice): EndpointRow | undefined {
-    return rows.find((row) => row.shedUntilMs <= choice.nowMs &&
-      estimateLoad(row, choice.nowMs) < countUsefulSlots(row, choice.typicalMs) * perSlot &&
-      this.takeCold(row, choice.nowMs))
+  /** The endpoint with the least expected delay; of equal ones the first in the order of the object. */
+  private findCheapest (rows: readonly EndpointRow[], choice: Choice): EndpointRow | undefined {
+    const options: Array<{ readonly row: EndpointRow, readonly delayMs: number }> = []
+    for (const [index, row] of rows.entries()) {
+      const waitMs = estimateWait(row, choice)
+      if (waitMs === undefined) continue
+      const isFamiliar = index === 0 || this.isFamiliar(row, choice)
+      options.push({ row, delayMs: waitMs + (isFamiliar ? 0 : Math.max(1, choice.typicalMs) * placeLimits.newObjectFactor) })
+    }
+    options.sort((a, b) => a.delayMs - b.delayMs)
+    return options.find(({ row }) => this.takeCold(row, choice.nowMs))?.row
+  }
+
+  private isFamiliar (row: EndpointRow, { request, nowMs }: Choice): boolean {
+    return request.object === undefined || this.warm.has(row.record.id, request.object, nowMs)
   }
 
   private takeCold (row: EndpointRow, nowMs: number): boolean {
@@ -116,23 +132,18 @@
   }
 }
 
-/** The endpoint with the shortest wait, if the request can still be answered in time there. */
-function findShortestQueue (rows: readonly EndpointRow[], { request, nowMs, typicalMs }: Choice): EndpointRow | undefined {
+/** Expected wait in ms for a slot; undefined when the endpoint should not be asked at all. */
+function estimateWait (row: EndpointRow, { request, nowMs, typicalMs }: Choice): number | undefined {
+  if (row.shedUntilMs > nowMs) return undefined
+  const slots = countUsefulSlots(row, typicalMs)
+  const load = estimateLoad(row, nowMs)
+  if (load < slots) return 0
+  if (row.coldUntilMs > nowMs || load >= slots * placeLimits.maxLoadPerSlot) return undefined
+  const workMs = Math.max(row.workMs, typicalMs)
+  const waitMs = (load + 1 - slots) / slots * workMs
   const { objectiveMs } = request.route
-  let best: EndpointRow | undefined
-  let bestWaitMs = Infinity
-  for (const row of rows) {
-    if (row.shedUntilMs > nowMs || row.coldUntilMs > nowMs) continue
-    const load = estimateLoad(row, nowMs) / countUsefulSlots(row, typicalMs)
-    if (load >= placeLimits.maxLoadPerSlot) continue
-    const workMs = Math.max(row.workMs, typicalMs)
-    const waitMs = Math.max(0, load - 1) * workMs
-    const mayWaitMs = Math.min(Math.max(objectiveMs * placeLimits.minWaitShare, objectiveMs - workMs), request.leftMs - workMs)
-    if (waitMs > mayWaitMs || waitMs >= bestWaitMs) continue
-    best = row
-    bestWaitMs = waitMs
-  }
-  return best
+  const mayWaitMs = Math.min(Math.max(objectiveMs * placeLimits.minWaitShare, objectiveMs - workMs), request.leftMs - workMs)
+  return waitMs > mayWaitMs ? undefined : waitMs
 }
 
 /** Leaves out suspect and ejected endpoints, the latter only up to a share of all. */
--- /dev/null
+++ b/src/placing/WarmObjects.ts
@@ -0,0 +1,26 @@
+import { placeLimits } from './placeLimits.js'
+
+/** Objects that endpoints handled lately, as far as this host knows, the latest last. */
+export class WarmObjects {
+  private readonly rows = new Map<string, Map<string, number>>()
+
+  note (endpoint: string, object: string, nowMs: number): void {
+    const objects = this.rows.get(endpoint) ?? new Map<string, number>()
+    this.rows.set(endpoint, objects)
+    objects.delete(object)
+    objects.set(object, nowMs)
+    if (objects.size <= placeLimits.maxWarmObjects) return
+    const oldest = objects.keys().next()
+    if (oldest.done !== true) objects.delete(oldest.value)
+  }
+
+  has (endpoint: string, object: string, nowMs: number): boolean {
+    const handledAtMs = this.rows.get(endpoint)?.get(object)
+    return handledAtMs !== undefined && nowMs - handledAtMs < placeLimits.warmMs
+  }
+
+  /** Forgets endpoints that are gone. */
+  retain (isKnown: (endpoint: string) => boolean): void {
+    for (const endpoint of this.rows.keys()) if (!isKnown(endpoint)) this.rows.delete(endpoint)
+  }
+}
--- a/src/placing/placeLimits.ts
+++ b/src/placing/placeLimits.ts
@@ -4,8 +4,12 @@
   maxLoadPerSlot: 2.5,
   /** Endpoints of a region, and of all regions, that share an object before others are asked. */
   sharers: 2,
-  /** Load per slot up to which the first sharers are preferred to later ones. */
-  sharerLoadPerSlot: 1.34,
+  /** Additional work, relative to the usual, that an endpoint probably has with an object that is new to it. */
+  newObjectFactor: 2,
+  /** Time in ms for which an endpoint counts as familiar with an object that it handled. */
+  warmMs: 15_000,
+  /** Objects remembered for one endpoint. */
+  maxWarmObjects: 128,
   /** Busy share of a service's slots up to which requests go beyond the sharers of their object. */
   spreadUse: 0.6,
   /** Least share of the objective that a request may wait for a slot; more when its work leaves room. */
