--- a/src/placing/Placer.ts
+++ b/src/placing/Placer.ts
@@ -111,11 +111,10 @@
   /** The endpoint with the least expected delay; of equal ones the first in the order of the object. */
   private findCheapest (rows: readonly EndpointRow[], choice: Choice): EndpointRow | undefined {
     const options: Array<{ readonly row: EndpointRow, readonly delayMs: number }> = []
-    for (const [index, row] of rows.entries()) {
+    for (const row of rows) {
       const waitMs = estimateWait(row, choice)
       if (waitMs === undefined) continue
-      const isFamiliar = index === 0 || this.isFamiliar(row, choice)
-      options.push({ row, delayMs: waitMs + (isFamiliar ? 0 : Math.max(1, choice.typicalMs) * placeLimits.newObjectFactor) })
+      options.push({ row, delayMs: waitMs + (this.isFamiliar(row, choice) ? 0 : Math.max(1, choice.typicalMs) * placeLimits.newObjectFactor) })
     }
     options.sort((a, b) => a.delayMs - b.delayMs)
     return options.find(({ row }) => this.takeCold(row, choice.nowMs))?.row
