--- a/src/placing/Placer.ts
+++ b/src/placing/Placer.ts
@@ -111,10 +111,11 @@
   /** The endpoint with the least expected delay; of equal ones the first in the order of the object. */
   private findCheapest (rows: readonly EndpointRow[], choice: Choice): EndpointRow | undefined {
     const options: Array<{ readonly row: EndpointRow, readonly delayMs: number }> = []
-    for (const row of rows) {
+    for (const [index, row] of rows.entries()) {
       const waitMs = estimateWait(row, choice)
       if (waitMs === undefined) continue
-      options.push({ row, delayMs: waitMs + (this.isFamiliar(row, choice) ? 0 : Math.max(1, choice.typicalMs) * placeLimits.newObjectFactor) })
+      const newObjectMs = Math.max(1, choice.typicalMs) * placeLimits.newObjectFactor * (1 + index * placeLimits.rankFactor)
+      options.push({ row, delayMs: waitMs + (this.isFamiliar(row, choice) ? 0 : newObjectMs) })
     }
     options.sort((a, b) => a.delayMs - b.delayMs)
     return options.find(({ row }) => this.takeCold(row, choice.nowMs))?.row
@@ -140,6 +141,7 @@
   if (row.coldUntilMs > nowMs || load >= slots * placeLimits.maxLoadPerSlot) return undefined
   const workMs = Math.max(row.workMs, typicalMs)
   const waitMs = (load + 1 - slots) / slots * workMs
+  if (load < slots * placeLimits.shortQueue && waitMs + workMs < request.leftMs) return waitMs
   const { objectiveMs } = request.route
   const mayWaitMs = Math.min(Math.max(objectiveMs * placeLimits.minWaitShare, objectiveMs - workMs), request.leftMs - workMs)
   return waitMs > mayWaitMs ? undefined : waitMs
--- a/src/placing/placeLimits.ts
+++ b/src/placing/placeLimits.ts
@@ -6,6 +6,10 @@
   sharers: 2,
   /** Additional work, relative to the usual, that an endpoint probably has with an object that is new to it. */
   newObjectFactor: 2,
+  /** Growth of that work with each place in the order of the object, so that few endpoints become familiar with it. */
+  rankFactor: 0.2,
+  /** Load per slot up to which a request may wait in any case. */
+  shortQueue: 1.34,
   /** Time in ms for which an endpoint counts as familiar with an object that it handled. */
   warmMs: 15_000,
   /** Objects remembered for one endpoint. */
