--- a/src/catalog/CatalogFollower.ts
+++ b/src/catalog/CatalogFollower.ts
@@ -53,9 +53,11 @@
   }
 
   private async follow (): Promise<number> {
-    const { store, catalog, clock } = this.options
+    const { store, catalog, clock, health } = this.options
     const after = catalog.resumeAfter(this.table)
-    const page = await store.follow(this.table, after, catalogLimits.followWaitMs)
+    // A call that waits would show the return of the store only when it ends.
+    const waitMs = health.isDown ? 0 : catalogLimits.followWaitMs
+    const page = await store.follow(this.table, after, waitMs)
     if (page.isErr()) return this.noteFailure(page.error)
     this.noteSuccess()
     catalog.change(this.table, after, page.value, clock.nowMs(), 'store')
@@ -64,7 +66,8 @@
 
   private noteSuccess (): void {
     this.backoffMs = catalogLimits.minBackoffMs
-    this.options.health.noteSuccess(this.options.clock.nowMs())
+    const { health, clock, logger } = this.options
+    if (health.noteSuccess(clock.nowMs())) logger.info('store-regained', { table: this.table })
   }
 
   private noteFailure (failure: StoreFailure): number {
--- /dev/null
+++ b/test/catalog/CatalogFollower.test.ts
@@ -0,0 +1,68 @@
+import { test } from 'node:test'
+import { expect } from 'earl'
+import { StoreServer } from '../../dev/store/StoreServer.js'
+import { StoreClient } from '../../platform/StoreClient.js'
+import { Catalog } from '../../src/catalog/Catalog.js'
+import { CatalogFollower } from '../../src/catalog/CatalogFollower.js'
+import { StoreHealth } from '../../src/catalog/StoreHealth.js'
+import { SystemClock } from '../../src/common/SystemClock.js'
+import { MemoryLogger } from '../support/MemoryLogger.js'
+
+async function withFollower (run: (store: StoreServer, catalog: Catalog, health: StoreHealth) => Promise<void>): Promise<void> {
+  const store = new StoreServer()
+  const logger = new MemoryLogger()
+  const client = new StoreClient(await store.listen(), logger)
+  const catalog = new Catalog(() => {})
+  const health = new StoreHealth()
+  const follower = new CatalogFollower('orders', { store: client, catalog, health, clock: new SystemClock(), logger, random: () => 0.5 })
+  const running = follower.run()
+  try {
+    await run(store, catalog, health)
+  } finally {
+    follower.stop()
+    client.close()
+    store.close()
+    await running
+  }
+}
+
+async function waitUntil (test: () => boolean): Promise<void> {
+  for (let tries = 0; !test(); tries++) {
+    if (tries > 500) throw new Error('the state that the test waits for did not come')
+    await new Promise((resolve) => setTimeout(resolve, 10))
+  }
+}
+
+// Guards against a change that is noticed only at the next full read.
+test('a change arrives soon', async () => {
+  await withFollower(async (store, catalog) => {
+    await waitUntil(() => catalog.versionOf('orders') >= 0)
+    store.tables.put('op', 'evacuate/north-a', {})
+    await waitUntil(() => catalog.entries('orders').length === 1)
+  })
+})
+
+// Guards against a table that stays old after the store dropped its history.
+test('a lost history is made up for by a full read', async () => {
+  await withFollower(async (store, catalog) => {
+    await waitUntil(() => catalog.versionOf('orders') >= 0)
+    store.faults.down = 'reset'
+    store.tables.put('op', 'evacuate/north-a', {})
+    store.tables.forgetHistory()
+    await new Promise((resolve) => setTimeout(resolve, 100))
+    store.faults.down = undefined
+    await waitUntil(() => catalog.entries('orders').length === 1)
+  })
+})
+
+// Guards against an outage that is not noticed, or whose end is not.
+test('an outage is noticed and ends', async () => {
+  await withFollower(async (store, catalog, health) => {
+    await waitUntil(() => catalog.versionOf('orders') >= 0)
+    store.faults.down = 'reset'
+    await waitUntil(() => health.isDown)
+    store.faults.down = undefined
+    await waitUntil(() => !health.isDown)
+    expect(health.sinceReturnMs(performance.now()) < 5_000).toEqual(true)
+  })
+})
--- /dev/null
+++ b/test/host/listCallerAddresses.test.ts
@@ -0,0 +1,15 @@
+import { test } from 'node:test'
+import { expect } from 'earl'
+import { listCallerAddresses } from '../../src/host/listCallerAddresses.js'
+import type { HostRecord } from '../../src/peers/HostRecord.js'
+
+function createHost (name: string, region: string): HostRecord {
+  return { name, zone: `${region}-a`, region, callerAddress: name, peerAddress: name, incarnation: 1 }
+}
+
+// Guards against callers that are sent across regions, or nowhere when their own region has no host left.
+test('callers get the hosts of their region, or all', () => {
+  const hosts = [createHost('n1', 'north'), createHost('n2', 'north'), createHost('s1', 'south')]
+  expect(listCallerAddresses(hosts, 'north')).toEqual(['n1', 'n2'])
+  expect(listCallerAddresses(hosts, 'west')).toEqual(['n1', 'n2', 's1'])
+})
--- /dev/null
+++ b/test/peers/PeerTable.test.ts
@@ -0,0 +1,51 @@
+import { test } from 'node:test'
+import { expect } from 'earl'
+import type { Heartbeat } from '../../src/peers/Heartbeat.js'
+import { peerLimits } from '../../src/peers/peerLimits.js'
+import { PeerTable } from '../../src/peers/PeerTable.js'
+
+function createBeat (name: string, incarnation: number, change: Partial<Heartbeat> = {}): Heartbeat {
+  return {
+    host: { name, zone: 'north-a', region: 'north', callerAddress: '10.0.0.1:1', peerAddress: '10.0.0.1:2', incarnation },
+    isReady: true,
+    isLeaving: false,
+    versions: { orders: 1, endpoints: 1, hosts: 1 },
+    loads: [],
+    demands: [],
+    localShares: [],
+    pages: [],
+    ...change
+  }
+}
+
+// Guards against callers that are sent to a host that was killed.
+test('a silent host is not alive', () => {
+  const peers = new PeerTable('me')
+  peers.receive(createBeat('a', 1), 0)
+  expect(peers.listAlive(100).length).toEqual(1)
+  expect(peers.listAlive(peerLimits.deadAfterMs).length).toEqual(0)
+})
+
+// Guards against a delayed heartbeat of an earlier life that hides the present one.
+test('heartbeats of an earlier incarnation are ignored', () => {
+  const peers = new PeerTable('me')
+  peers.receive(createBeat('a', 2), 0)
+  expect(peers.receive(createBeat('a', 1, { isLeaving: true }), 1)).toEqual(undefined)
+  expect(peers.get('a')!.isLeaving).toEqual(false)
+})
+
+// Guards against a host that counts its own requests twice.
+test('the own host is no peer', () => {
+  const peers = new PeerTable('me')
+  expect(peers.receive(createBeat('me', 1), 0)).toEqual(undefined)
+  expect([...peers].length).toEqual(0)
+})
+
+// Guards against loads of hosts that are gone.
+test('loads are summed over live hosts', () => {
+  const peers = new PeerTable('me')
+  peers.receive(createBeat('a', 1, { loads: [['e', 3]] }), 0)
+  peers.receive(createBeat('b', 1, { loads: [['e', 4]] }), 1_500)
+  expect(peers.sumLoads(1_600).get('e')).toEqual(7)
+  expect(peers.sumLoads(2_500).get('e')).toEqual(4)
+})
--- /dev/null
+++ b/test/platformAdapter/decoders.test.ts
@@ -0,0 +1,78 @@
+import { test } from 'node:test'
+import { expect } from 'earl'
+import fc from 'fast-check'
+import { decodeEndpoint } from '../../platform/decodeEndpoint.js'
+import { decodeRouting } from '../../platform/decodeRouting.js'
+import { decodeRow } from '../../platform/decodeRow.js'
+import { readParams } from '../../platform/readParams.js'
+import { MemoryLogger } from '../support/MemoryLogger.js'
+
+const config = {
+  version: '0000001f',
+  routes: {
+    'r-1': { host: 'Shop.Example', prefix: '/a/', kind: 'non_idempotent', timeout_s: 1.5, target_latency_s: 0.6, priority: 2, weighted_services: [{ service: 's', weight: 90 }, { service: 't', weight: 10 }], max_attempts: 2, session_affinity: true, allowed_regions: ['north'] },
+    'r-bad': { host: 'shop.example', prefix: '/b/', kind: 'unheard-of', service: 's' }
+  },
+  services: { s: { health_path: '/health', max_connections: 390, cold_start_s: 3, cold_per_s: 5 } },
+  limits: { header_bytes: 16_384, body_bytes: 67_108_864, header_timeout_s: 3, idle_timeout_s: 15 }
+}
+const entry = { address: '10.128.0.9:8080', info: { service: 's', version: 'v1', zone: 'north-a', slots: 6 }, status: { state: 'ready', sequence: 4, cold_remaining_s: 1.5 }, born: 1_700_000_000_000 }
+
+function encode (value: unknown): string {
+  return Buffer.from(typeof value === 'string' ? value : JSON.stringify(value)).toString('base64')
+}
+
+// Guards against names or units of the wire that are read wrongly.
+test('a configuration is decoded into the product\'s types', () => {
+  const bad: string[] = []
+  const decoded = decodeRouting(config, (item) => bad.push(item))._unsafeUnwrap()
+  expect(decoded.version).toEqual(31)
+  expect(decoded.routes).toEqual([{
+    name: 'r-1',
+    host: 'shop.example',
+    prefix: '/a/',
+    kind: 'once',
+    parts: [{ service: 's', weight: 90 }, { service: 't', weight: 10 }],
+    timeoutMs: 1_500,
+    objectiveMs: 600,
+    priority: 2,
+    maxAttempts: 2,
+    hasAffinity: true,
+    regions: ['north']
+  }])
+  expect(decoded.services[0]!.coldPerSecond).toEqual(5)
+  expect(decoded.limits.idleTimeoutMs).toEqual(15_000)
+  expect(bad).toEqual(['route r-bad'])
+})
+
+// Guards against an unusable entry of another writer that takes the usable ones with it.
+test('an unusable entry has no value and is logged', () => {
+  const logger = new MemoryLogger()
+  const values = ['not json', { ...entry, status: { state: 'sleeping' } }, { ...entry, address: 7 }, [], null]
+  for (const value of values) expect(decodeRow('endpoints', { key: 'i-1', value: encode(value) }, logger)).toEqual({ key: 'i-1', entry: undefined })
+  expect(logger.lines.length).toEqual(values.length)
+  expect(decodeRow('endpoints', { key: 'i-2', tombstone: true }, logger)).toEqual({ key: 'i-2', entry: undefined })
+  expect(decodeRow('endpoints', { value: 'x' }, logger)).toEqual(undefined)
+})
+
+// Guards against bytes from outside that end the process.
+test('no row throws', () => {
+  const logger = new MemoryLogger()
+  fc.assert(fc.property(fc.constantFrom('orders', 'endpoints', 'hosts'), fc.string(), fc.oneof(fc.string(), fc.json()), (table, key, text) => {
+    decodeRow(table, { key, value: encode(text) }, logger)
+    decodeRow(table, { key: 'config', value: text }, logger)
+  }))
+})
+
+test('an endpoint is decoded into the product\'s type', () => {
+  expect(decodeEndpoint('i-1', entry)._unsafeUnwrap()).toEqual({
+    id: 'i-1', address: '10.128.0.9:8080', service: 's', zone: 'north-a', slots: 6, isDraining: false, coldMs: 1_500, bornAtMs: 1_700_000_000_000
+  })
+})
+
+// Guards against bounds that are silently replaced by defaults.
+test('rule parameters are read with their units', () => {
+  const bounds = readParams(['grace_s=6', 'budget_ratio=0.2', 'budget_window_s=10', 'budget_slack=58', 'ttl_max_s=5', 'unknown=x'])._unsafeUnwrap()
+  expect(bounds).toEqual({ graceMs: 6_000, retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 58, maxTtlMs: 5_000 })
+  expect(readParams(['grace_s=soon'])._unsafeUnwrapErr()).toEqual('"grace_s=soon" is not a figure of 0 or more')
+})
