--- a/src/host/AttemptSeries.ts
+++ b/src/host/AttemptSeries.ts
@@ -5,6 +5,8 @@
 import { Outcome } from '../common/Outcome.js'
 import type { ResultName } from '../common/ResultName.js'
 import type { OpenAnswer } from '../entry/OpenAnswer.js'
+import type { EndpointRow } from '../endpoints/EndpointRow.js'
+import { estimateLoad } from '../endpoints/estimateLoad.js'
 import { WorkKind } from '../routing/WorkKind.js'
 import type { PlaceRequest } from '../placing/PlaceRequest.js'
 import { EndpointAttempt } from './EndpointAttempt.js'
@@ -32,11 +34,18 @@
 
   constructor (private readonly context: HostContext, private readonly request: ServedRequest) {}
 
-  /** Endpoint of the last attempt, for logs. */
-  lastEndpoint = ''
+  /** Endpoint of the last attempt. */
+  private lastEndpoint = ''
+  /** Requests at that endpoint, and age in ms of its last load report, when the attempt began. */
+  private lastLoad = 0
+  private lastReportAgeMs = 0
 
-  get count (): number {
-    return this.attempts
+  /** What decided the series, for logs. */
+  describeDecision (): Record<string, string | number> {
+    const { service } = this.request
+    const endpoints = this.context.catalogVersion()
+    if (this.attempts === 0) return { service, attempts: 0, endpoints }
+    return { service, endpoint: this.lastEndpoint, attempts: this.attempts, load: this.lastLoad, reportAgeMs: this.lastReportAgeMs, endpoints }
   }
 
   async run (): Promise<Result<OpenAnswer, Failure>> {
@@ -54,7 +63,7 @@
       }
       if (fault !== undefined) context.metrics.retried(fault.name, request.service)
       this.attempts += 1
-      this.lastEndpoint = row.record.id
+      this.noteChoice(row)
       const end = await new EndpointAttempt(context, request, row).end
       this.excluded.add(this.lastEndpoint)
       if (end.kind === 'answer') {
@@ -70,6 +79,13 @@
     }
   }
 
+  private noteChoice (row: EndpointRow): void {
+    const nowMs = this.context.clock.nowMs()
+    this.lastEndpoint = row.record.id
+    this.lastLoad = estimateLoad(row, nowMs)
+    this.lastReportAgeMs = Math.round(nowMs - row.reportedAtMs)
+  }
+
   private createPlaceRequest (): PlaceRequest {
     const { route, service, object, scope } = this.request
     return { route, service, object, leftMs: scope.leftMs, excluded: this.excluded }
@@ -107,6 +123,6 @@
   /** Spread, so that callers that were refused together don't return together. */
   private chooseRetryAfterMs (): number {
     const { retryAfterLeastShare: least, retryAfterMostShare: most } = hostLimits
-    return this.request.route.objectiveMs * (least + (most - least) * this.context.random())
+    return Math.round(this.request.route.objectiveMs * (least + (most - least) * this.context.random()))
   }
 }
--- a/src/host/HealthChecker.ts
+++ b/src/host/HealthChecker.ts
@@ -1,5 +1,4 @@
 import { request } from 'node:http'
-import { AttemptResult } from '../steer/AttemptResult.js'
 import { createConnectTimeout } from '../entry/createConnectTimeout.js'
 import { DialMap } from '../common/DialMap.js'
 import { endpointLimits } from '../endpoints/endpointLimits.js'
@@ -25,6 +24,8 @@
 /** Checks suspect endpoints until one answers as itself; healthy ones prove it by their answers. */
 export class HealthChecker extends System {
   override readonly name = 'health'
+  /** Endpoints whose suspicion or ejection has been logged. */
+  private readonly reported = new Set<string>()
 
   constructor (private readonly options: HealthCheckerOptions) {
     super()
@@ -32,12 +33,30 @@
 
   override run (nowMs: number): void {
     for (const row of this.options.endpoints) {
+      this.report(row, nowMs)
       if (!row.isSuspect || row.isProbing || nowMs < row.nextProbeAtMs || row.record.isDraining) continue
       row.isProbing = true
       this.probe(row)
     }
   }
 
+  private report (row: EndpointRow, nowMs: number): void {
+    const { id } = row.record
+    const isAvoided = row.isSuspect || row.ejectedUntilMs > nowMs
+    if (!isAvoided) {
+      this.reported.delete(id)
+      return
+    }
+    if (this.reported.has(id)) return
+    this.reported.add(id)
+    this.options.logger.info('endpoint-avoided', {
+      endpoint: id,
+      suspect: row.isSuspect,
+      failures: row.failures,
+      failureShare: Math.round(row.failureShare * 100) / 100
+    })
+  }
+
   private probe (row: EndpointRow): void {
     const { routing, dialect } = this.options
     const { host, port } = new DialMap().resolve(row.record.address)
@@ -63,6 +82,6 @@
     row.isSuspect = false
     row.failures = 0
     row.coldUntilMs = Math.max(row.coldUntilMs, nowMs + coldMs)
-    this.options.logger.info('endpoint-up', { endpoint: row.record.id, result: AttemptResult.ok, coldMs })
+    this.options.logger.info('endpoint-up', { endpoint: row.record.id, coldMs })
   }
 }
--- a/src/host/HostContext.ts
+++ b/src/host/HostContext.ts
@@ -25,5 +25,7 @@
   readonly client: UpstreamClient
   readonly metrics: HostMetrics
   readonly log: RequestLog
+  /** Version of the endpoint registry's copy. */
+  readonly catalogVersion: () => number
   readonly random: () => number
 }
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -197,6 +197,7 @@
       retries: new RetryBudget({ ratio: retryRatio, windowMs: retryWindowMs, slack: retrySlack }, () => this.countKnownHosts()),
       client: this.client,
       metrics,
+      catalogVersion: () => this.state.catalog.versionOf(CatalogTable.endpoints),
       log: new RequestLog(clock, createLog('request'), () => metrics.lineSuppressed()),
       random
     })
--- a/src/host/RequestHandler.ts
+++ b/src/host/RequestHandler.ts
@@ -74,10 +74,10 @@
     const open = await series.run()
     if (scope.reason === 'caller') {
       if (open.isOk()) open.value.abort()
-      this.log(exchange, 'caller-left', { route: route.name, endpoint: series.lastEndpoint, attempts: series.count })
+      this.log(exchange, 'caller-left', { route: route.name, ...series.describeDecision() })
       return
     }
-    const fields = { route: route.name, service: request.value.service, endpoint: series.lastEndpoint, attempts: series.count }
+    const fields = { route: route.name, ...series.describeDecision() }
     if (open.isErr()) return this.refuse(exchange, open.error, route.name, fields)
     await this.answer(exchange, request.value, open.value, fields)
   }
--- a/src/peers/PeerMesh.ts
+++ b/src/peers/PeerMesh.ts
@@ -67,6 +67,7 @@
   private tick (): void {
     const nowMs = this.options.clock.nowMs()
     for (const row of this.options.peers) {
+      this.reportSilence(row, nowMs)
       if (row.isBeating || nowMs < row.nextBeatAtMs) continue
       row.nextBeatAtMs = nowMs + this.intervalFor(row)
       this.beat(row).catch((error: unknown) => this.options.logger.error('heartbeat-failed', { peer: row.record.name, error: String(error) }))
@@ -74,6 +75,12 @@
     this.askSeeds(nowMs)
   }
 
+  private reportSilence (row: PeerRow, nowMs: number): void {
+    if (row.isReportedDown || row.heardAtMs === undefined || nowMs - row.heardAtMs < peerLimits.deadAfterMs) return
+    row.isReportedDown = true
+    this.options.logger.warn('peer-down', { peer: row.record.name, silentMs: Math.round(nowMs - row.heardAtMs) })
+  }
+
   private intervalFor (row: PeerRow): number {
     return row.record.region === this.options.self.region ? peerLimits.nearBeatMs : peerLimits.farBeatMs
   }
@@ -116,10 +123,10 @@
     if (message.t !== 'beat') return undefined
     const beat = message.beat as Heartbeat
     const nowMs = clock.nowMs()
-    const wasHeard = peers.get(beat.host.name)?.heardAtMs
     const row = peers.receive(beat, nowMs)
     if (row === undefined) return beat
-    if (wasHeard === undefined || nowMs - wasHeard >= peerLimits.deadAfterMs) logger.info('peer-up', { peer: beat.host.name, incarnation: beat.host.incarnation })
+    if (row.isReportedDown) logger.info('peer-up', { peer: beat.host.name, incarnation: beat.host.incarnation })
+    row.isReportedDown = false
     this.knownVersions.set(beat.host.name, beat.versions)
     for (const [table, page] of beat.pages) catalog.replace(table, page, nowMs, beat.host.name)
     return beat
--- a/src/peers/PeerRow.ts
+++ b/src/peers/PeerRow.ts
@@ -5,6 +5,8 @@
   record: HostRecord
   /** When a heartbeat of it came last; undefined before the first. */
   heardAtMs: number | undefined
+  /** Its silence has been logged. */
+  isReportedDown: boolean
   nextBeatAtMs: number
   isBeating: boolean
   /** It serves callers and is not leaving, by its own word. */
--- a/src/peers/PeerTable.ts
+++ b/src/peers/PeerTable.ts
@@ -59,6 +59,7 @@
   return {
     record,
     heardAtMs: undefined,
+    isReportedDown: true,
     nextBeatAtMs: 0,
     isBeating: false,
     isReady: false,
