After a restart of all hosts, begin with local shares instead of one home an object

The local share began at 0 again, so objects went to endpoints new to them, though endpoints had kept what they knew. Ruled out: the readiness of hosts (337 refused connections end with the restart).

--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -212,7 +212,8 @@
 
   private createShares (): ShareSystem {
     const { endpoints, peers, demand, shares, state } = this
-    return new ShareSystem({ region: this.self.region, endpoints, peers, demand, shares, evacuated: state.evacuated })
+    const { isFirstStart } = this.options.settings
+    return new ShareSystem({ region: this.self.region, isFirstStart, endpoints, peers, demand, shares, evacuated: state.evacuated })
   }
 
   private createFront (metrics: HostMetrics): HttpFront {
--- a/src/host/HostSettings.ts
+++ b/src/host/HostSettings.ts
@@ -16,6 +16,8 @@
     readonly peers: string
     readonly metrics: string
   }
+  /** The whole system starts for the first time, so endpoints know no objects yet. */
+  readonly isFirstStart: boolean
   /** Peer addresses of a few hosts that may be up. */
   readonly seeds: readonly string[]
   /** Separates deployments on the links between hosts. */
--- a/src/placing/ShareSystem.ts
+++ b/src/placing/ShareSystem.ts
@@ -5,11 +5,14 @@
 import { computeLocalShare } from './computeLocalShare.js'
 import type { DemandMeter } from './DemandMeter.js'
 import type { LocalShares } from './LocalShares.js'
+import { placeLimits } from './placeLimits.js'
 import { measureUse } from './measureUse.js'
 
 /** What the shares are computed from. */
 interface ShareSystemOptions {
   readonly region: string
+  /** Endpoints know no objects yet. */
+  readonly isFirstStart: boolean
   readonly endpoints: EndpointTable
   readonly peers: PeerTable
   readonly demand: DemandMeter
@@ -38,16 +41,28 @@
     const slots = sumSlotsByRegion(used)
     const loads = [...slots].map(([name, count]) => ({ region: name, slots: count, demand: demands.get(name) ?? 0 }))
     const target = computeLocalShare(region, loads, measureUse(used, nowMs))
-    shares.update(service, target, this.askPeers(service, nowMs), nowMs)
+    shares.update(service, target, this.chooseInitial(service, loads, nowMs), nowMs)
   }
 
-  /** Mean share of the other hosts of the region, which a host that starts among them takes over; 0 when there are none. */
-  private askPeers (service: string, nowMs: number): number {
+  /**
+   * The share that this host begins with. At the very first start it is 0: each object has one home then, and little work
+   * is done by endpoints that are new to it. After that it is what the neighbours have, or an estimate after a restart of
+   * all, so that objects return to the endpoints that know them.
+   */
+  private chooseInitial (service: string, loads: Parameters<typeof computeLocalShare>[1], nowMs: number): number {
+    const known = this.askPeers(service, nowMs)
+    if (known !== undefined) return known
+    if (this.options.isFirstStart) return 0
+    return computeLocalShare(this.options.region, loads.map((load) => ({ ...load, demand: 1 })), placeLimits.restartUse)
+  }
+
+  /** Mean share of the other hosts of the region; undefined when there are none. */
+  private askPeers (service: string, nowMs: number): number | undefined {
     const { region, peers } = this.options
     const known = peers.listAlive(nowMs)
       .filter((peer) => peer.record.region === region)
       .flatMap((peer) => peer.localShares.filter(([name]) => name === service).map(([, share]) => share))
-    return known.length === 0 ? 0 : known.reduce((sum, share) => sum + share, 0) / known.length
+    return known.length === 0 ? undefined : known.reduce((sum, share) => sum + share, 0) / known.length
   }
 
   /** Requests a second by service and region of the receiving host. */
--- a/src/placing/placeLimits.ts
+++ b/src/placing/placeLimits.ts
@@ -24,6 +24,8 @@
   lastResort: 3,
   /** Share of its slots that a region fills with its own requests before others take them. */
   localUse: 0.6,
+  /** Busy share of the slots that is assumed after a restart of all hosts. */
+  restartUse: 0.4,
   /** Least and greatest factor over the mean load per slot that a region keeps for itself. */
   minHeadroom: 1.1,
   maxHeadroom: 4,
--- a/test/support/HostGroup.ts
+++ b/test/support/HostGroup.ts
@@ -141,6 +141,7 @@
       region: 'north',
       regionOfZone: { 'north-a': 'north' },
       listen: { callers: callers!, readiness: readiness!, directory: directory!, peers: peers!, metrics: metrics! },
+      isFirstStart: true,
       seeds: this.settings.slice(0, 3).map((settings) => settings.listen.peers),
       clusterKey: 'test',
       bounds: { graceMs: 3_000, retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 64, maxTtlMs: 5_000 }
