--- a/src/endpoints/EndpointRow.ts
+++ b/src/endpoints/EndpointRow.ts
@@ -29,6 +29,6 @@
   freshUntilMs: number
   /** Moving mean of the work in ms for one request, without the wait for a slot; 0 before the first. */
   workMs: number
-  /** The registry has no entry for it any more: since when, or undefined. */
-  missingSinceMs: number | undefined
+  /** The registry has no entry for it any more: until when it is kept all the same, or undefined. */
+  keptUntilMs: number | undefined
 }
--- a/src/endpoints/EndpointTable.ts
+++ b/src/endpoints/EndpointTable.ts
@@ -49,10 +49,7 @@
   update (records: readonly EndpointRecord[], context: UpdateContext): void {
     const named = new Set(records.map((record) => record.id))
     for (const record of records) this.updateRow(record, context.nowMs)
-    for (const row of this.rows) {
-      if (named.has(row.record.id)) continue
-      row.missingSinceMs ??= context.nowMs
-    }
+    this.markMissing([...this.rows].filter((row) => !named.has(row.record.id) && row.keptUntilMs === undefined), context.nowMs)
     this.expireMissing(context)
     this.rebuild()
   }
@@ -60,10 +57,17 @@
   /** Drops missing endpoints for good once they can't be lapsed entries. */
   expireMissing (context: UpdateContext): void {
     if (context.mayHaveLapsed) return
-    const removed = this.rows.deleteWhere((row) => row.missingSinceMs !== undefined)
+    const removed = this.rows.deleteWhere((row) => row.keptUntilMs !== undefined && row.keptUntilMs <= context.nowMs)
     if (removed > 0) this.rebuild()
   }
 
+  /** Entries that vanish together have probably lapsed in an outage that no call noticed, and come back soon. */
+  private markMissing (missing: readonly EndpointRow[], nowMs: number): void {
+    const unannounced = missing.filter((row) => !row.record.isDraining)
+    const isMass = unannounced.length >= endpointLimits.minLapsed && unannounced.length > this.rows.size * endpointLimits.lapsedShare
+    for (const row of missing) row.keptUntilMs = isMass && !row.record.isDraining ? nowMs + endpointLimits.lapseGraceMs : nowMs
+  }
+
   private updateRow (record: EndpointRecord, nowMs: number): void {
     const existing = this.rows.get(record.id)
     if (existing === undefined || existing.record.bornAtMs !== record.bornAtMs || existing.record.address !== record.address) {
@@ -73,7 +77,7 @@
     const becameColder = record.coldMs > 0 && record.coldMs !== existing.record.coldMs
     if (becameColder) existing.coldUntilMs = nowMs + record.coldMs
     existing.record = record
-    existing.missingSinceMs = undefined
+    existing.keptUntilMs = undefined
   }
 
   private rebuild (): void {
@@ -106,6 +110,6 @@
     shedUntilMs: 0,
     freshUntilMs: 0,
     workMs: 0,
-    missingSinceMs: undefined
+    keptUntilMs: undefined
   }
 }
--- a/src/endpoints/endpointLimits.ts
+++ b/src/endpoints/endpointLimits.ts
@@ -20,6 +20,9 @@
   shedPauseMs: 150,
   /** Age in ms up to which an endpoint's own load report is used. */
   reportValidMs: 300,
+  /** Entries, and share of all, that must vanish together to be taken as lapsed. */
+  minLapsed: 3,
+  lapsedShare: 0.2,
   /** Time in ms after the return of the store in which lapsed entries may come back. */
   lapseGraceMs: 2_000
 } as const
--- a/test/endpoints/EndpointTable.test.ts
+++ b/test/endpoints/EndpointTable.test.ts
@@ -48,3 +48,25 @@
   table.update([createEndpoint('a', { coldMs: 2_000 })], { nowMs: 500, mayHaveLapsed: false })
   expect(table.get('a')!.coldUntilMs).toEqual(2_500)
 })
+
+// Guards against an outage that no call noticed, after which most entries are missing for a moment.
+test('many entries that vanish together are kept for a while', () => {
+  const table = createTable()
+  const ids = ['a', 'b', 'c', 'd', 'e', 'f']
+  table.update(ids.map((id) => createEndpoint(id)), calm)
+  table.update([createEndpoint('a')], { nowMs: 1_000, mayHaveLapsed: false })
+  expect(table.listService('stock').length).toEqual(6)
+  table.update(['a', 'b', 'c'].map((id) => createEndpoint(id)), { nowMs: 2_000, mayHaveLapsed: false })
+  table.expireMissing({ nowMs: 2_900, mayHaveLapsed: false })
+  expect(table.listService('stock').length).toEqual(6)
+  table.expireMissing({ nowMs: 3_000, mayHaveLapsed: false })
+  expect(table.listService('stock').map((row) => row.record.id)).toEqual(['a', 'b', 'c'])
+})
+
+// Guards against new work for a single endpoint whose entry was removed.
+test('a single entry that vanishes is gone at once', () => {
+  const table = createTable()
+  table.update(['a', 'b', 'c', 'd', 'e', 'f'].map((id) => createEndpoint(id)), calm)
+  table.update(['a', 'b', 'c', 'd', 'e'].map((id) => createEndpoint(id)), { nowMs: 1_000, mayHaveLapsed: false })
+  expect(table.listService('stock').length).toEqual(5)
+})
