--- a/src/host/AttemptSeries.ts
+++ b/src/host/AttemptSeries.ts
@@ -34,6 +34,10 @@
 
   constructor (private readonly context: HostContext, private readonly request: ServedRequest) {}
 
+  /** Why the last attempt did not end the series. */
+  private fault: AttemptFault | undefined
+  /** An endpoint's error, kept in case that no other endpoint does better. */
+  private unwanted: OpenAnswer | undefined
   /** Endpoint of the last attempt. */
   private lastEndpoint = ''
   /** Requests at that endpoint, and age in ms of its last load report, when the attempt began. */
@@ -52,33 +56,56 @@
     const { context, request } = this
     context.retries.noteRequest(request.service, context.clock.nowMs())
     context.demand.note(request.service, context.clock.nowMs())
-    let fault: AttemptFault | undefined
-    let unwanted: OpenAnswer | undefined
     for (;;) {
-      if (request.scope.reason !== undefined) return err(this.describe(fault ?? { name: 'deadlineExceeded', outcome: Outcome.notRun }))
-      const row = context.placer.choose(this.createPlaceRequest(), context.clock.nowMs())
-      if (row === undefined) return unwanted === undefined ? err(this.describe(fault ?? this.findObstacle())) : ok(unwanted)
-      if (this.attempts > 0 && !context.retries.take(request.service, context.clock.nowMs())) {
-        return unwanted === undefined ? err(this.describe({ ...fault!, name: this.runs > 0 ? fault!.name : 'retryBudget' })) : ok(unwanted)
-      }
-      if (fault !== undefined) context.metrics.retried(fault.name, request.service)
-      this.attempts += 1
-      this.noteChoice(row)
-      const end = await new EndpointAttempt(context, request, row).end
-      this.excluded.add(this.lastEndpoint)
+      const row = this.chooseNext()
+      if (row === undefined) return this.giveUp()
+      const end = await this.attempt(row)
       if (end.kind === 'answer') {
-        this.runs += 1
         if (!this.mayReplace(end.open)) return ok(end.open)
-        unwanted = end.open
-        fault = { name: 'upstreamReset', outcome: Outcome.unknown }
-        continue
+        this.unwanted = end.open
+      } else if (!this.mayRetry(end)) {
+        return this.giveUp()
       }
-      fault = { name: end.name, outcome: end.outcome }
-      if (end.outcome === Outcome.unknown) this.runs += 1
-      if (!this.mayRetry(fault)) return unwanted === undefined ? err(this.describe(fault)) : ok(unwanted)
     }
   }
 
+  /** The endpoint of the next attempt; undefined when there is to be none. */
+  private chooseNext (): EndpointRow | undefined {
+    const { context, request } = this
+    if (request.scope.reason !== undefined) {
+      this.fault ??= { name: 'deadlineExceeded', outcome: Outcome.notRun }
+      return undefined
+    }
+    const nowMs = context.clock.nowMs()
+    const row = context.placer.choose(this.createPlaceRequest(), nowMs)
+    if (row === undefined) {
+      this.fault ??= this.findObstacle()
+      return undefined
+    }
+    if (this.fault === undefined) return row
+    if (!context.retries.take(request.service, nowMs)) {
+      if (this.runs === 0) this.fault = { name: 'retryBudget', outcome: Outcome.notRun }
+      return undefined
+    }
+    context.metrics.retried(this.fault.name, request.service)
+    return row
+  }
+
+  private async attempt (row: EndpointRow): Promise<Awaited<EndpointAttempt['end']>> {
+    this.noteChoice(row)
+    this.attempts += 1
+    const end = await new EndpointAttempt(this.context, this.request, row).end
+    this.excluded.add(row.record.id)
+    this.fault = end.kind === 'answer' ? { name: 'upstreamReset', outcome: Outcome.unknown } : { name: end.name, outcome: end.outcome }
+    if (this.fault.outcome === Outcome.unknown) this.runs += 1
+    return end
+  }
+
+  /** Without a better answer, the error that an endpoint gave, else a refusal. */
+  private giveUp (): Result<OpenAnswer, Failure> {
+    return this.unwanted === undefined ? err(this.describe(this.fault!)) : ok(this.unwanted)
+  }
+
   private noteChoice (row: EndpointRow): void {
     const nowMs = this.context.clock.nowMs()
     this.lastEndpoint = row.record.id
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -1,4 +1,3 @@
-import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Registry } from 'prom-client'
 import { ColdBudget } from '../budget/ColdBudget.js'
 import { RetryBudget } from '../budget/RetryBudget.js'
@@ -30,10 +29,9 @@
 import { hostLimits } from './hostLimits.js'
 import { HostMetrics } from './HostMetrics.js'
 import type { HostSettings } from './HostSettings.js'
-import { listCallerAddresses } from './listCallerAddresses.js'
 import { RequestHandler } from './RequestHandler.js'
 import { RequestLog } from './RequestLog.js'
-import { SideServer } from './SideServer.js'
+import { SidePorts } from './SidePorts.js'
 
 /** What a host process is made of. */
 interface HostProcessOptions {
@@ -64,7 +62,7 @@
   private readonly client: HttpUpstreamClient
   private readonly handler: RequestHandler
   private readonly front: HttpFront
-  private readonly sides: readonly SideServer[]
+  private readonly sides: SidePorts
   private readonly followers: readonly CatalogFollower[]
   private readonly scheduler: Scheduler
   private isLeaving = false
@@ -112,11 +110,14 @@
     const metrics = new HostMetrics(options.registry, clock)
     this.handler = this.createHandler(metrics)
     this.front = this.createFront(metrics)
-    this.sides = [
-      new SideServer(settings.listen.readiness, (req, res) => this.answerReadiness(req, res)),
-      new SideServer(settings.listen.directory, (req, res) => this.answerLookup(req, res)),
-      new SideServer(settings.listen.metrics, (_req, res) => this.answerMetrics(res))
-    ]
+    this.sides = new SidePorts({
+      settings,
+      dialect,
+      registry: options.registry,
+      logger: this.log,
+      isReady: () => this.isReady,
+      listServing: () => this.listServing()
+    })
     const follower = { store: options.store, catalog: this.state.catalog, health: this.health, clock, logger: createLog('store'), random }
     this.followers = Object.values(CatalogTable).map((table) => new CatalogFollower(table, follower))
     const checker = new HealthChecker({ endpoints: this.endpoints, routing: this.routing, dialect, clock, logger: createLog('endpoints') })
@@ -141,7 +142,7 @@
     for (const follower of this.followers) this.watch('follow', follower.run())
     this.watch('register', this.register())
     await this.mesh.start()
-    for (const side of this.sides) await side.listen()
+    await this.sides.listen()
     await this.front.listen(host, port)
     this.scheduler.start(hostLimits.tickMs)
     this.log.info('listening', { address: this.options.settings.listen.callers, incarnation: this.self.incarnation })
@@ -161,7 +162,7 @@
     this.log.info('left', { inFlight: this.front.inFlight, ms: Math.round(this.options.clock.nowMs() - startMs) })
     this.scheduler.stop()
     for (const follower of this.followers) follower.stop()
-    for (const side of this.sides) side.close()
+    this.sides.close()
     this.client.close()
     this.options.store.close()
     this.front.closeAll()
@@ -231,32 +232,6 @@
     })
   }
 
-  private answerReadiness (req: IncomingMessage, res: ServerResponse): void {
-    const status = this.options.dialect.isReadinessCheck(req) ? this.isReady ? 200 : 503 : 404
-    res.writeHead(status).end()
-  }
-
-  private answerLookup (req: IncomingMessage, res: ServerResponse): void {
-    const { dialect, clock, settings } = this.options
-    const lookup = dialect.readLookup(req)
-    const serving = this.peers.listAlive(clock.nowMs()).filter((row) => row.isReady && !row.isLeaving).map((row) => row.record)
-    if (this.isReady) serving.push(this.self)
-    const addresses = lookup === undefined ? [] : listCallerAddresses(serving, lookup.region)
-    if (addresses.length === 0) {
-      res.writeHead(lookup === undefined ? 404 : 503).end()
-      return
-    }
-    const body = dialect.formatLookup(addresses, Math.min(hostLimits.lookupTtlMs, settings.bounds.maxTtlMs))
-    res.writeHead(200, { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body) }).end(body)
-  }
-
-  private answerMetrics (res: ServerResponse): void {
-    const { registry } = this.options
-    this.watch('metrics', registry.metrics().then((text) => {
-      res.writeHead(200, { 'Content-Type': registry.contentType, 'Content-Length': Buffer.byteLength(text) }).end(text)
-    }))
-  }
-
   private keepUp (nowMs: number): void {
     this.state.expireLapsed(nowMs)
     this.placer.retain((endpoint) => this.endpoints.get(endpoint) !== undefined)
@@ -270,6 +245,14 @@
     return loads
   }
 
+  /** Hosts that serve callers now. */
+  private listServing (): HostRecord[] {
+    const serving = this.peers.listAlive(this.options.clock.nowMs())
+      .filter((row) => row.isReady && !row.isLeaving)
+      .map((row) => row.record)
+    return this.isReady ? [...serving, this.self] : serving
+  }
+
   /** Names of the live hosts, this one included. */
   private listHostNames (): string[] {
     return [this.self.name, ...this.peers.listAlive(this.options.clock.nowMs()).map((row) => row.record.name)]
--- /dev/null
+++ b/src/host/SidePorts.ts
@@ -0,0 +1,77 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Registry } from 'prom-client'
+import type { Logger } from '../common/Logger.js'
+import type { HostRecord } from '../peers/HostRecord.js'
+import type { Dialect } from './Dialect.js'
+import { hostLimits } from './hostLimits.js'
+import type { HostSettings } from './HostSettings.js'
+import { listCallerAddresses } from './listCallerAddresses.js'
+import { SideServer } from './SideServer.js'
+
+/** What the ports beside the callers' one answer with. */
+interface SidePortsOptions {
+  readonly settings: HostSettings
+  readonly dialect: Dialect
+  readonly registry: Registry
+  readonly logger: Logger
+  readonly isReady: () => boolean
+  /** Hosts that serve callers now. */
+  readonly listServing: () => readonly HostRecord[]
+}
+
+/** Readiness checks, look-ups of hosts, and metrics. */
+export class SidePorts {
+  private readonly servers: readonly SideServer[]
+
+  constructor (private readonly options: SidePortsOptions) {
+    const { readiness, directory, metrics } = options.settings.listen
+    this.servers = [
+      new SideServer(readiness, (req, res) => this.answerReadiness(req, res)),
+      new SideServer(directory, (req, res) => this.answerLookup(req, res)),
+      new SideServer(metrics, (_req, res) => this.answerMetrics(res))
+    ]
+  }
+
+  /** Rejects when an address can't be bound. */
+  async listen (): Promise<void> {
+    for (const server of this.servers) await server.listen()
+  }
+
+  close (): void {
+    for (const server of this.servers) server.close()
+  }
+
+  private answerReadiness (req: IncomingMessage, res: ServerResponse): void {
+    if (!this.options.dialect.isReadinessCheck(req)) {
+      res.writeHead(404).end()
+      return
+    }
+    res.writeHead(this.options.isReady() ? 200 : 503).end()
+  }
+
+  private answerLookup (req: IncomingMessage, res: ServerResponse): void {
+    const { dialect, settings, listServing } = this.options
+    const lookup = dialect.readLookup(req)
+    if (lookup === undefined) {
+      res.writeHead(404).end()
+      return
+    }
+    const addresses = listCallerAddresses(listServing(), lookup.region)
+    if (addresses.length === 0) {
+      res.writeHead(503).end()
+      return
+    }
+    const body = dialect.formatLookup(addresses, Math.min(hostLimits.lookupTtlMs, settings.bounds.maxTtlMs))
+    res.writeHead(200, { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body) }).end(body)
+  }
+
+  private answerMetrics (res: ServerResponse): void {
+    const { registry, logger } = this.options
+    registry.metrics().then((text) => {
+      res.writeHead(200, { 'Content-Type': registry.contentType, 'Content-Length': Buffer.byteLength(text) }).end(text)
+    }, (error: unknown) => {
+      logger.error('metrics-failed', { error: String(error) })
+      res.writeHead(500).end()
+    })
+  }
+}
