Let two hosts of a region ask the store and pass changes on

Change: readers are chosen by rendezvous among the live hosts of a region; they relay changes as differences with a heartbeat sent at once. When no reader hears the store, every host asks. Hosts that don't ask go by the readers' word whether missing entries may have lapsed. Ruled out: one reader a region (a store that refuses a third of the hosts may refuse all of three readers), whole tables for each change. The check that changes from before the copy are refused is replaced: rows have versions now, so overlapping changes fit, and older rows in them are dropped.

--- a/src/catalog/Catalog.ts
+++ b/src/catalog/Catalog.ts
@@ -1,5 +1,7 @@
 import type { CatalogEntry } from './CatalogEntry.js'
+import { catalogLimits } from './catalogLimits.js'
 import type { CatalogPage } from './CatalogPage.js'
+import type { CatalogRow } from './CatalogRow.js'
 import type { CatalogTable } from './CatalogTable.js'
 
 /** This host's copy of one table. */
@@ -10,7 +12,10 @@
   followedTo: number
   /** Monotonic ms at which this version was learned. */
   learnedAtMs: number
-  rows: Map<string, CatalogEntry>
+  rows: Map<string, CatalogRow>
+  /** Latest changes, the oldest first, complete after `historyFrom`. */
+  history: CatalogRow[]
+  historyFrom: number
 }
 
 /** Called after a table has changed. */
@@ -38,40 +43,54 @@
   }
 
   entries (table: CatalogTable): CatalogEntry[] {
-    return [...this.copies.get(table)?.rows.values() ?? []]
+    return [...this.copies.get(table)?.rows.values() ?? []].flatMap((row) => row.entry ?? [])
   }
 
-  /** The whole copy as a page that another host can take over. */
-  exportPage (table: CatalogTable): CatalogPage {
+  /** What a host with an older version lacks: the later changes, or the whole copy when they are no longer known. */
+  exportSince (table: CatalogTable, after: number): CatalogPage {
     const copy = this.copies.get(table)
-    const rows = [...copy?.rows.entries() ?? []].map(([key, entry]) => ({ key, entry }))
-    return { version: copy?.version ?? -1, rows }
+    if (copy === undefined) return { version: -1, rows: [] }
+    if (after < copy.historyFrom) return { version: copy.version, rows: [...copy.rows.values()] }
+    return { version: copy.version, after, rows: copy.history.filter((row) => row.version > after) }
   }
 
-  /** Replaces a table; false when the page is not newer. `source` names where it came from, for logs. */
-  replace (table: CatalogTable, page: CatalogPage, nowMs: number, source: string): boolean {
+  /** Takes in a page; false when it is not newer or does not fit the copy. `source` names where it came from, for logs. */
+  apply (table: CatalogTable, page: CatalogPage, nowMs: number, source: string): boolean {
+    const isApplied = page.after === undefined ? this.replace(table, page, nowMs) : this.change(table, page, page.after, nowMs)
+    if (isApplied) this.onChange(table, source)
+    return isApplied
+  }
+
+  private replace (table: CatalogTable, page: CatalogPage, nowMs: number): boolean {
     if (page.version <= this.versionOf(table)) return false
-    const rows = new Map<string, CatalogEntry>()
-    for (const { key, entry } of page.rows) if (entry !== undefined) rows.set(key, entry)
-    this.copies.set(table, { version: page.version, followedTo: page.version, learnedAtMs: nowMs, rows })
-    this.onChange(table, source)
+    const rows = new Map(page.rows.filter((row) => row.entry !== undefined).map((row) => [row.key, row]))
+    const { version } = page
+    this.copies.set(table, { version, followedTo: version, learnedAtMs: nowMs, rows, history: [], historyFrom: version })
     return true
   }
 
-  /** Applies changes since `after`; false when the copy has moved on meanwhile, so that they may not fit it. */
-  change (table: CatalogTable, after: number, page: CatalogPage, nowMs: number, source: string): boolean {
+  private change (table: CatalogTable, page: CatalogPage, after: number, nowMs: number): boolean {
     const copy = this.copies.get(table)
-    if (copy?.followedTo !== after) return false
-    if (page.version <= after) return true
-    copy.followedTo = page.version
-    if (page.rows.length === 0) return true
+    // A gap between the copy and the changes would hide what happened in it.
+    if (copy === undefined || after > copy.followedTo || page.version <= copy.version) return false
+    const news = page.rows.filter((row) => row.version > copy.version)
+    copy.followedTo = Math.max(copy.followedTo, page.version)
+    if (news.length === 0) return false
+    for (const row of news) {
+      if (row.entry === undefined) copy.rows.delete(row.key)
+      else copy.rows.set(row.key, row)
+    }
     copy.version = page.version
     copy.learnedAtMs = nowMs
-    for (const { key, entry } of page.rows) {
-      if (entry === undefined) copy.rows.delete(key)
-      else copy.rows.set(key, entry)
-    }
-    this.onChange(table, source)
+    copy.history.push(...news)
+    this.trimHistory(copy)
     return true
   }
+
+  private trimHistory (copy: TableCopy): void {
+    const surplus = copy.history.length - catalogLimits.maxHistory
+    if (surplus <= 0) return
+    copy.historyFrom = copy.history[surplus - 1]!.version
+    copy.history = copy.history.slice(surplus)
+  }
 }
--- a/src/catalog/CatalogFollower.ts
+++ b/src/catalog/CatalogFollower.ts
@@ -15,6 +15,8 @@
   readonly clock: Clock
   readonly logger: Logger
   readonly random: () => number
+  /** False while other hosts of the region ask the store for this one. */
+  readonly isReader: () => boolean
 }
 
 /** Keeps the copy of one table in step with the store. */
@@ -39,6 +41,8 @@
 
   /** Makes one call and returns the ms to wait before the next. */
   private async step (): Promise<number> {
+    const { catalog, isReader } = this.options
+    if (!isReader() && catalog.versionOf(this.table) >= 0) return catalogLimits.idleMs
     return this.needsRead ? await this.read() : await this.follow()
   }
 
@@ -47,7 +51,7 @@
     const page = await store.read(this.table)
     if (page.isErr()) return this.noteFailure(page.error)
     this.noteSuccess()
-    catalog.replace(this.table, page.value, clock.nowMs(), 'store')
+    catalog.apply(this.table, page.value, clock.nowMs(), 'store')
     this.needsRead = false
     return 0
   }
@@ -60,7 +64,7 @@
     const page = await store.follow(this.table, after, waitMs)
     if (page.isErr()) return this.noteFailure(page.error)
     this.noteSuccess()
-    catalog.change(this.table, after, page.value, clock.nowMs(), 'store')
+    catalog.apply(this.table, page.value, clock.nowMs(), 'store')
     return page.value.rows.length > 0 ? catalogLimits.gatherMs : 0
   }
 
--- a/src/catalog/StoreHealth.ts
+++ b/src/catalog/StoreHealth.ts
@@ -1,6 +1,7 @@
 /** Whether the store can be reached from this host, and since when. */
 export class StoreHealth {
   private returnedMs: number | undefined
+  private answeredMs: number | undefined
   private down = false
 
   get isDown (): boolean {
@@ -16,12 +17,18 @@
 
   /** Notes an answered call; true when the store was away before. */
   noteSuccess (nowMs: number): boolean {
+    this.answeredMs = nowMs
     if (!this.down) return false
     this.down = false
     this.returnedMs = nowMs
     return true
   }
 
+  /** Time in ms since the last answer; infinite before the first and while the store is away. */
+  sinceAnswerMs (nowMs: number): number {
+    return this.down || this.answeredMs === undefined ? Infinity : nowMs - this.answeredMs
+  }
+
   /** Time in ms since the store returned; infinite when it was never away. */
   sinceReturnMs (nowMs: number): number {
     return this.returnedMs === undefined ? Infinity : nowMs - this.returnedMs
--- a/src/catalog/catalogLimits.ts
+++ b/src/catalog/catalogLimits.ts
@@ -2,6 +2,14 @@
 export const catalogLimits = {
   /** Time in ms for which the store is asked to hold a question for changes. */
   followWaitMs: 10_000,
+  /** Changes of a table that are remembered for hosts that lack them. */
+  maxHistory: 500,
+  /** Hosts of a region that ask the store; the others learn from them. */
+  readersPerRegion: 2,
+  /** Time in ms after which what the readers last heard of the store is too old, so that every host asks by itself. */
+  newsTimeoutMs: 13_000,
+  /** Time in ms between checks whether a host is to ask the store. */
+  idleMs: 100,
   /** Time in ms in which further changes are gathered before the next question. */
   gatherMs: 100,
   /** Shortest and longest time in ms between tries of a store that fails. */
--- a/src/host/ClusterState.ts
+++ b/src/host/ClusterState.ts
@@ -18,8 +18,15 @@
   readonly logger: Logger
   /** Called after another configuration has come into force. */
   readonly onConfig: () => void
+  /** Corrects whether missing entries are gone by what other hosts know. */
+  readonly confirmSettled: (isOwnSettled: boolean) => boolean
+  /** Called after the store has told of a change. */
+  readonly onStoreChange: () => void
 }
 
+/** Source of changes that came from the store itself. */
+const storeSource = 'store'
+
 /** Puts what the catalog says into force. */
 export class ClusterState {
   readonly catalog = new Catalog((table, source) => this.apply(table, source))
@@ -42,6 +49,7 @@
     if (table === CatalogTable.orders) this.applyOrders(source)
     if (table === CatalogTable.endpoints) this.applyEndpoints(source)
     if (table === CatalogTable.hosts) this.applyHosts()
+    if (source === storeSource) this.options.onStoreChange()
   }
 
   private applyOrders (source: string): void {
@@ -84,8 +92,13 @@
     for (const entry of this.catalog.entries(CatalogTable.hosts)) if (entry.kind === 'host') this.options.peers.learn(entry.host)
   }
 
-  private mayHaveLapsed (nowMs: number): boolean {
+  /** True when the store was not away lately, as far as this host knows by itself. */
+  isStoreSettled (nowMs: number): boolean {
     const { health } = this.options
-    return health.isDown || health.sinceReturnMs(nowMs) < endpointLimits.lapseGraceMs
+    return !health.isDown && health.sinceReturnMs(nowMs) >= endpointLimits.lapseGraceMs
+  }
+
+  private mayHaveLapsed (nowMs: number): boolean {
+    return !this.options.confirmSettled(this.isStoreSettled(nowMs))
   }
 }
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -8,6 +8,7 @@
 import type { HostRecord } from '../peers/HostRecord.js'
 import { PeerMesh } from '../peers/PeerMesh.js'
 import { PeerTable } from '../peers/PeerTable.js'
+import { StoreReaders } from '../peers/StoreReaders.js'
 import { StoreHealth } from '../catalog/StoreHealth.js'
 import type { Clock } from '../common/Clock.js'
 import { DialMap } from '../common/DialMap.js'
@@ -58,6 +59,7 @@
   private readonly demand: DemandMeter
   private readonly shares = new LocalShares()
   private readonly placer: Placer
+  private readonly readers: StoreReaders
   private readonly mesh: PeerMesh
   private readonly client: HttpUpstreamClient
   private readonly handler: RequestHandler
@@ -88,8 +90,11 @@
       health: this.health,
       clock,
       logger: createLog('cluster'),
-      onConfig: () => this.front.setIdleTimeout(this.routing.config!.limits.idleTimeoutMs)
+      onConfig: () => this.front.setIdleTimeout(this.routing.config!.limits.idleTimeoutMs),
+      onStoreChange: () => this.mesh.relay(),
+      confirmSettled: (isOwnSettled) => this.readers.isSettled(isOwnSettled)
     })
+    this.readers = new StoreReaders({ self: this.self, peers: this.peers, clock })
     this.mesh = new PeerMesh({
       self: this.self,
       clusterKey: settings.clusterKey,
@@ -98,7 +103,8 @@
       peers: this.peers,
       clock,
       logger: createLog('peers'),
-      describe: () => ({ isReady: this.isReady, isLeaving: this.isLeaving, loads: this.listLoads(), demands: this.demand.list(clock.nowMs()), localShares: this.shares.list() })
+      isReader: (host) => this.readers.isReader(host),
+      describe: () => ({ isReady: this.isReady, isLeaving: this.isLeaving, loads: this.listLoads(), demands: this.demand.list(clock.nowMs()), localShares: this.shares.list(), storeAgeMs: this.readStoreAge(), isStoreSettled: this.state.isStoreSettled(clock.nowMs()) })
     })
     this.client = new HttpUpstreamClient({
       dial: new DialMap(),
@@ -118,7 +124,7 @@
       isReady: () => this.isReady,
       listServing: () => this.listServing()
     })
-    const follower = { store: options.store, catalog: this.state.catalog, health: this.health, clock, logger: createLog('store'), random }
+    const follower = { store: options.store, catalog: this.state.catalog, health: this.health, clock, logger: createLog('store'), random, isReader: () => this.readers.isOwnJob() }
     this.followers = Object.values(CatalogTable).map((table) => new CatalogFollower(table, follower))
     const checker = new HealthChecker({ endpoints: this.endpoints, routing: this.routing, dialect, clock, logger: createLog('endpoints') })
     this.scheduler = new Scheduler(clock, [checker, new UpkeepSystem((nowMs) => this.keepUp(nowMs)), this.createShares()], (system, error) => {
@@ -239,6 +245,12 @@
     for (const row of this.endpoints) row.peerInFlight = sums.get(row.record.id) ?? 0
   }
 
+  /** Time in ms since the store answered, -1 when it is away. */
+  private readStoreAge (): number {
+    const ageMs = this.health.sinceAnswerMs(this.options.clock.nowMs())
+    return ageMs === Infinity ? -1 : Math.round(ageMs)
+  }
+
   private listLoads (): Array<readonly [string, number]> {
     const loads: Array<readonly [string, number]> = []
     for (const row of this.endpoints) if (row.inFlight > 0) loads.push([row.record.id, row.inFlight])
--- a/src/peers/Heartbeat.ts
+++ b/src/peers/Heartbeat.ts
@@ -7,6 +7,10 @@
   readonly host: HostRecord
   readonly isReady: boolean
   readonly isLeaving: boolean
+  /** Time in ms since the store answered the sender; -1 when it can't reach the store. */
+  readonly storeAgeMs: number
+  /** Entries that are missing now are gone, and not lapsed in an outage that has just ended. */
+  readonly isStoreSettled: boolean
   /** Versions of the tables that the sender has. */
   readonly versions: Readonly<Record<CatalogTable, number>>
   /** Requests in flight by endpoint, only those that are not 0. */
--- a/src/peers/PeerMesh.ts
+++ b/src/peers/PeerMesh.ts
@@ -22,6 +22,8 @@
   readonly peers: PeerTable
   readonly clock: Clock
   readonly logger: Logger
+  /** True when a host asks the store by itself. */
+  readonly isReader: (host: string) => boolean
   /** State of this host for its heartbeats. */
   readonly describe: () => Omit<Heartbeat, 'host' | 'versions' | 'pages'>
 }
@@ -64,6 +66,15 @@
     this.tick()
   }
 
+  /** Passes a change on at once to the hosts of the region that don't ask the store. */
+  relay (): void {
+    const { peers, self, isReader } = this.options
+    for (const row of peers) {
+      if (row.record.region === self.region && !isReader(row.record.name)) row.nextBeatAtMs = 0
+    }
+    this.tick()
+  }
+
   private tick (): void {
     const nowMs = this.options.clock.nowMs()
     for (const row of this.options.peers) {
@@ -104,7 +115,7 @@
 
   private async exchange (address: string, row: PeerRow | undefined): Promise<void> {
     const known = row === undefined ? undefined : this.knownVersions.get(row.record.name)
-    const reply = await this.client.request(address, encode(this.createBeat(known)), peerLimits.beatTimeoutMs)
+    const reply = await this.client.request(address, encode(this.createBeat(known, row?.record.name)), peerLimits.beatTimeoutMs)
     if (reply.isErr()) {
       // A connection may have gone silent without a reset.
       this.client.drop(address)
@@ -115,7 +126,7 @@
 
   private answer (message: Message): Message | undefined {
     const beat = this.receive(message)
-    return beat === undefined ? undefined : encode(this.createBeat(beat.versions))
+    return beat === undefined ? undefined : encode(this.createBeat(beat.versions, beat.host.name))
   }
 
   private receive (message: Message): Heartbeat | undefined {
@@ -128,28 +139,30 @@
     if (row.isReportedDown) logger.info('peer-up', { peer: beat.host.name, incarnation: beat.host.incarnation })
     row.isReportedDown = false
     this.knownVersions.set(beat.host.name, beat.versions)
-    for (const [table, page] of beat.pages) catalog.replace(table, page, nowMs, beat.host.name)
+    for (const [table, page] of beat.pages) catalog.apply(table, page, nowMs, beat.host.name)
     return beat
   }
 
   /** Versions that other hosts had at their last heartbeat. */
   private readonly knownVersions = new Map<string, Heartbeat['versions']>()
 
-  private createBeat (theirs: Heartbeat['versions'] | undefined): Heartbeat {
+  private createBeat (theirs: Heartbeat['versions'] | undefined, receiver: string | undefined): Heartbeat {
     const { self, catalog, describe } = this.options
     const versions = { orders: 0, endpoints: 0, hosts: 0 }
     for (const table of tables) versions[table] = catalog.versionOf(table)
-    return { host: self, versions, pages: this.listPagesFor(theirs), ...describe() }
+    const isReader = receiver === undefined || this.options.isReader(receiver)
+    return { host: self, versions, pages: this.listPagesFor(theirs, isReader), ...describe() }
   }
 
-  private listPagesFor (theirs: Heartbeat['versions'] | undefined): Heartbeat['pages'] {
+  /** A host that asks the store itself gets a change from there at the same time, so it is sent only what it still lacks. */
+  private listPagesFor (theirs: Heartbeat['versions'] | undefined, isReader: boolean): Heartbeat['pages'] {
     const { catalog, clock } = this.options
     if (theirs === undefined) return []
     const nowMs = clock.nowMs()
     return tables
       .filter((table) => theirs[table] < catalog.versionOf(table))
-      .filter((table) => theirs[table] < 0 || catalog.ageOf(table, nowMs) >= peerLimits.shareAfterMs)
-      .map((table) => [table, catalog.exportPage(table)] as const)
+      .filter((table) => !isReader || theirs[table] < 0 || catalog.ageOf(table, nowMs) >= peerLimits.shareAfterMs)
+      .map((table) => [table, catalog.exportSince(table, theirs[table])] as const)
   }
 }
 
--- a/src/peers/PeerRow.ts
+++ b/src/peers/PeerRow.ts
@@ -13,6 +13,10 @@
   isReady: boolean
   isLeaving: boolean
   incarnation: number
+  /** It takes missing entries as gone. */
+  isStoreSettled: boolean
+  /** When the store last answered it; undefined when it can't reach the store. */
+  storeHeardAtMs: number | undefined
   /** Requests a second that it receives, by service. */
   demands: ReadonlyArray<readonly [service: string, perSecond: number]>
   /** Its shares of requests that stay in its region, by service. */
--- a/src/peers/PeerTable.ts
+++ b/src/peers/PeerTable.ts
@@ -35,6 +35,8 @@
     row.isReady = beat.isReady
     row.isLeaving = beat.isLeaving
     row.loads = new Map(beat.loads)
+    row.storeHeardAtMs = beat.storeAgeMs < 0 ? undefined : nowMs - beat.storeAgeMs
+    row.isStoreSettled = beat.isStoreSettled
     row.demands = beat.demands
     row.localShares = beat.localShares
     return row
@@ -66,6 +68,8 @@
     isLeaving: false,
     incarnation: record.incarnation,
     loads: new Map(),
+    isStoreSettled: true,
+    storeHeardAtMs: undefined,
     demands: [],
     localShares: []
   }
--- a/test/peers/PeerTable.test.ts
+++ b/test/peers/PeerTable.test.ts
@@ -9,6 +9,8 @@
     host: { name, zone: 'north-a', region: 'north', callerAddress: '10.0.0.1:1', peerAddress: '10.0.0.1:2', incarnation },
     isReady: true,
     isLeaving: false,
+    storeAgeMs: 0,
+    isStoreSettled: true,
     versions: { orders: 1, endpoints: 1, hosts: 1 },
     loads: [],
     demands: [],
--- /dev/null
+++ b/test/peers/StoreReaders.test.ts
@@ -0,0 +1,85 @@
+import { test } from 'node:test'
+import { expect } from 'earl'
+import { ManualClock } from '../../src/common/ManualClock.js'
+import { chooseReaders } from '../../src/peers/chooseReaders.js'
+import type { HostRecord } from '../../src/peers/HostRecord.js'
+import { peerLimits } from '../../src/peers/peerLimits.js'
+import { PeerTable } from '../../src/peers/PeerTable.js'
+import { StoreReaders } from '../../src/peers/StoreReaders.js'
+
+const names = Array.from({ length: 10 }, (_value, index) => `host-${index}`)
+
+function createRecord (name: string): HostRecord {
+  return { name, zone: 'north-a', region: 'north', callerAddress: name, peerAddress: name, incarnation: 1 }
+}
+
+/** The view of one host of ten of a region. */
+class ReaderBench {
+  readonly clock = new ManualClock()
+  readonly peers: PeerTable
+  readonly readers: StoreReaders
+
+  constructor (self: string) {
+    this.peers = new PeerTable(self)
+    this.readers = new StoreReaders({ self: createRecord(self), peers: this.peers, clock: this.clock })
+  }
+
+  /** Hears some hosts; `storeAgeMs` is what they say of the store. */
+  hear (heard: readonly string[], storeAgeMs = 0, isStoreSettled = true): void {
+    for (const name of heard) {
+      this.peers.receive({
+        host: createRecord(name),
+        isReady: true,
+        isLeaving: false,
+        storeAgeMs,
+        isStoreSettled,
+        versions: { orders: 0, endpoints: 0, hosts: 0 },
+        loads: [],
+        demands: [],
+        localShares: [],
+        pages: []
+      }, this.clock.nowMs())
+    }
+    this.clock.advance(150)
+  }
+}
+
+const chosen = [...chooseReaders(names.map(createRecord), 2)]
+const other = names.find((name) => !chosen.includes(name))!
+
+// Guards against hosts that all ask the store, which is priced, or that leave it to each other.
+test('two hosts of a region ask the store', () => {
+  expect(chosen.length).toEqual(2)
+  for (const name of names) {
+    const bench = new ReaderBench(name)
+    bench.hear(names)
+    expect(bench.readers.isOwnJob()).toEqual(chosen.includes(name))
+  }
+})
+
+// Guards against a region that hears nothing of the store after its readers died.
+test('the job passes on when a reader is silent', () => {
+  const bench = new ReaderBench(other)
+  bench.hear(names)
+  bench.clock.advance(peerLimits.deadAfterMs)
+  bench.hear(names.filter((name) => !chosen.includes(name)))
+  const next = [...chooseReaders(names.filter((name) => !chosen.includes(name)).map(createRecord), 2)]
+  expect(bench.readers.isOwnJob()).toEqual(next.includes(other))
+  expect(next.every((name) => bench.readers.isReader(name))).toEqual(true)
+})
+
+// Guards against a store that turns the readers away and would serve the others.
+test('when no reader hears the store every host asks', () => {
+  const bench = new ReaderBench(other)
+  bench.hear(names, -1)
+  expect(bench.readers.isOwnJob()).toEqual(true)
+})
+
+// Guards against lapsed entries that are taken as gone by hosts that don't ask the store.
+test('a host goes by what the readers know of an outage', () => {
+  const bench = new ReaderBench(other)
+  bench.hear(names, 0, false)
+  expect(bench.readers.isSettled(true)).toEqual(false)
+  bench.hear(names, 0, true)
+  expect(bench.readers.isSettled(true)).toEqual(true)
+})
--- a/test/placing/ShareSystem.test.ts
+++ b/test/placing/ShareSystem.test.ts
@@ -16,6 +16,8 @@
       host: { name: 'other', zone: 'north-b', region: 'north', callerAddress: '', peerAddress: '', incarnation: 1 },
       isReady: true,
       isLeaving: false,
+      storeAgeMs: 0,
+      isStoreSettled: true,
       versions: { orders: 0, endpoints: 0, hosts: 0 },
       loads: [],
       demands: [],
