--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -79,6 +79,7 @@
       region: settings.region,
       callerAddress: settings.listen.callers,
       peerAddress: settings.listen.peers,
+      linkMbps: settings.linkMbps,
       incarnation: clock.wallMs()
     }
     this.endpoints = new EndpointTable((zone) => settings.regionOfZone[zone] ?? '')
--- a/src/host/HostSettings.ts
+++ b/src/host/HostSettings.ts
@@ -16,6 +16,8 @@
     readonly peers: string
     readonly metrics: string
   }
+  /** Bandwidth of the host's own link; 0 when it isn't known. */
+  readonly linkMbps: number
   /** The whole system starts for the first time, so endpoints know no objects yet. */
   readonly isFirstStart: boolean
   /** Peer addresses of a few hosts that may be up. */
--- a/src/peers/HostRecord.ts
+++ b/src/peers/HostRecord.ts
@@ -7,6 +7,8 @@
   readonly callerAddress: string
   /** `a.b.c.d:port` where other hosts connect. */
   readonly peerAddress: string
+  /** What the host can carry, in Mbit/s of its own link; 0 when it isn't known. */
+  readonly linkMbps: number
   /** Start of the process in ms since the Unix epoch. */
   readonly incarnation: number
 }
--- a/test/host/listCallerAddresses.test.ts
+++ b/test/host/listCallerAddresses.test.ts
@@ -4,7 +4,7 @@
 import type { HostRecord } from '../../src/peers/HostRecord.js'
 
 function createHost (name: string, region: string): HostRecord {
-  return { name, zone: `${region}-a`, region, callerAddress: name, peerAddress: name, incarnation: 1 }
+  return { name, zone: `${region}-a`, region, callerAddress: name, peerAddress: name, linkMbps: 0, incarnation: 1 }
 }
 
 // Guards against callers that are sent across regions, or nowhere when their own region has no host left.
@@ -13,3 +13,10 @@
   expect(listCallerAddresses(hosts, 'north')).toEqual(['n1', 'n2'])
   expect(listCallerAddresses(hosts, 'west')).toEqual(['n1', 'n2', 's1'])
 })
+
+// Guards against callers whose uploads fill the narrow link of one host while others have room.
+test('hosts with narrow links are left out while enough others serve', () => {
+  const hosts = [200, 200, 200, 13, 13].map((linkMbps, index) => ({ ...createHost(`n${index}`, 'north'), linkMbps }))
+  expect(listCallerAddresses(hosts, 'north')).toEqual(['n0', 'n1', 'n2'])
+  expect(listCallerAddresses(hosts.slice(1), 'north')).toEqual(['n1', 'n2', 'n3', 'n4'])
+})
--- a/test/peers/PeerTable.test.ts
+++ b/test/peers/PeerTable.test.ts
@@ -6,7 +6,7 @@
 
 function createBeat (name: string, incarnation: number, change: Partial<Heartbeat> = {}): Heartbeat {
   return {
-    host: { name, zone: 'north-a', region: 'north', callerAddress: '10.0.0.1:1', peerAddress: '10.0.0.1:2', incarnation },
+    host: { name, zone: 'north-a', region: 'north', callerAddress: '10.0.0.1:1', peerAddress: '10.0.0.1:2', linkMbps: 0, incarnation },
     isReady: true,
     isLeaving: false,
     storeAgeMs: 0,
--- a/test/peers/StoreReaders.test.ts
+++ b/test/peers/StoreReaders.test.ts
@@ -10,7 +10,7 @@
 const names = Array.from({ length: 10 }, (_value, index) => `host-${index}`)
 
 function createRecord (name: string): HostRecord {
-  return { name, zone: 'north-a', region: 'north', callerAddress: name, peerAddress: name, incarnation: 1 }
+  return { name, zone: 'north-a', region: 'north', callerAddress: name, peerAddress: name, linkMbps: 0, incarnation: 1 }
 }
 
 /** The view of one host of ten of a region. */
--- a/test/placing/ShareSystem.test.ts
+++ b/test/placing/ShareSystem.test.ts
@@ -13,7 +13,7 @@
   const peers = new PeerTable('me')
   if (neighbourShare !== undefined) {
     peers.receive({
-      host: { name: 'other', zone: 'north-b', region: 'north', callerAddress: '', peerAddress: '', incarnation: 1 },
+      host: { name: 'other', zone: 'north-b', region: 'north', callerAddress: '', peerAddress: '', linkMbps: 0, incarnation: 1 },
       isReady: true,
       isLeaving: false,
       storeAgeMs: 0,
--- a/test/support/HostGroup.ts
+++ b/test/support/HostGroup.ts
@@ -141,6 +141,7 @@
       region: 'north',
       regionOfZone: { 'north-a': 'north' },
       listen: { callers: callers!, readiness: readiness!, directory: directory!, peers: peers!, metrics: metrics! },
+      linkMbps: 0,
       isFirstStart: true,
       seeds: this.settings.slice(0, 3).map((settings) => settings.listen.peers),
       clusterKey: 'test',
