--- a/src/host/SidePorts.ts
+++ b/src/host/SidePorts.ts
@@ -22,23 +22,27 @@
 /** Readiness checks, look-ups of hosts, and metrics. */
 export class SidePorts {
   private readonly servers: readonly SideServer[]
+  private readonly metrics: SideServer
 
   constructor (private readonly options: SidePortsOptions) {
     const { readiness, directory, metrics } = options.settings.listen
     this.servers = [
       new SideServer(readiness, (req, res) => this.answerReadiness(req, res)),
-      new SideServer(directory, (req, res) => this.answerLookup(req, res)),
-      new SideServer(metrics, (_req, res) => this.answerMetrics(res))
+      new SideServer(directory, (req, res) => this.answerLookup(req, res))
     ]
+    this.metrics = new SideServer(metrics, (_req, res) => this.answerMetrics(res))
   }
 
-  /** Rejects when an address can't be bound. */
+  /** Rejects when an address that callers or the platform need can't be bound; without metrics the host serves on. */
   async listen (): Promise<void> {
     for (const server of this.servers) await server.listen()
+    await this.metrics.listen().catch((error: unknown) => {
+      this.options.logger.error('metrics-unavailable', { address: this.options.settings.listen.metrics, error: String(error) })
+    })
   }
 
   close (): void {
-    for (const server of this.servers) server.close()
+    for (const server of [...this.servers, this.metrics]) server.close()
   }
 
   private answerReadiness (req: IncomingMessage, res: ServerResponse): void {
