--- /dev/null
+++ b/test/placing/LoadModel.ts
@@ -0,0 +1,151 @@
+import { SeededRandom } from '../../dev/common/SeededRandom.js'
+import { ColdBudget } from '../../src/budget/ColdBudget.js'
+import type { EndpointRow } from '../../src/endpoints/EndpointRow.js'
+import { EndpointTable } from '../../src/endpoints/EndpointTable.js'
+import { noteAttempt } from '../../src/endpoints/noteAttempt.js'
+import { LocalShares } from '../../src/placing/LocalShares.js'
+import type { PlaceRequest } from '../../src/placing/PlaceRequest.js'
+import { Placer } from '../../src/placing/Placer.js'
+import { RoutingTable } from '../../src/routing/RoutingTable.js'
+import { createEndpoint } from '../support/createEndpoint.js'
+import { createRoute } from '../support/createRoute.js'
+import { createRoutingConfig } from '../support/createRoutingConfig.js'
+
+/** A load that is played. */
+interface LoadOptions {
+  readonly endpoints: number
+  readonly slots: number
+  /** Objects that requests concern, all equally often. */
+  readonly objects: number
+  /** Objects that an endpoint remembers, the latest. */
+  readonly remembered: number
+  /** Work in ms for an object that the endpoint doesn't remember, and for one that it does. */
+  readonly newWorkMs: number
+  readonly knownWorkMs: number
+  readonly perSecond: number
+  readonly seconds: number
+  readonly objectiveMs: number
+  readonly timeoutMs: number
+}
+
+/** What callers got of the requests sent in the second half of the play. */
+interface LoadResult {
+  readonly onTimeShare: number
+  readonly refusedShare: number
+  readonly slowestMs: number
+}
+
+/** Chooses an endpoint, or none. */
+type Choose = (request: PlaceRequest, nowMs: number) => EndpointRow | undefined
+
+/** A request at an endpoint. */
+interface Job {
+  readonly row: EndpointRow
+  readonly object: string
+  readonly arrivedMs: number
+  readonly loadAtStart: number
+}
+
+/** An endpoint with slots, a queue, and a memory of objects. */
+class EndpointModel {
+  readonly queue: Job[] = []
+  running = 0
+  private readonly memory = new Set<string>()
+
+  constructor (private readonly remembered: number) {}
+
+  /** True when it remembered the object; it does from now on. */
+  remember (object: string): boolean {
+    const isKnown = this.memory.delete(object)
+    this.memory.add(object)
+    if (this.memory.size > this.remembered) this.memory.delete(this.memory.values().next().value!)
+    return isKnown
+  }
+}
+
+const stepMs = 1
+
+/** Plays a load on model endpoints with a policy, in steps of a millisecond and without a network. */
+export class LoadModel {
+  readonly endpoints = new EndpointTable((zone) => zone.split('-')[0]!)
+  readonly placer: Placer
+  private readonly random = new SeededRandom(1)
+  private readonly models = new Map<string, EndpointModel>()
+  private readonly ends = new Map<number, Array<() => void>>()
+  private readonly tally = { sent: 0, onTime: 0, refused: 0, slowestMs: 0 }
+
+  constructor (private readonly options: LoadOptions) {
+    const records = Array.from({ length: options.endpoints }, (_value, index) => createEndpoint(`e${index}`, { slots: options.slots }))
+    this.endpoints.update(records, { nowMs: 0, mayHaveLapsed: false })
+    for (const { id } of records) this.models.set(id, new EndpointModel(options.remembered))
+    const routing = new RoutingTable()
+    routing.apply(createRoutingConfig())
+    this.placer = new Placer({
+      region: 'north',
+      endpoints: this.endpoints,
+      routing,
+      cold: new ColdBudget('me', () => ['me']),
+      shares: new LocalShares(),
+      evacuated: new Set(),
+      random: () => this.random.next()
+    })
+  }
+
+  play (choose: Choose): LoadResult {
+    const endMs = this.options.seconds * 1_000
+    let owed = 0
+    for (let nowMs = 0; nowMs < endMs + this.options.timeoutMs; nowMs += stepMs) {
+      for (const end of this.ends.get(nowMs) ?? []) end()
+      this.ends.delete(nowMs)
+      if (nowMs >= endMs) continue
+      for (owed += this.options.perSecond * stepMs / 1_000; owed >= 1; owed--) this.send(choose, nowMs)
+    }
+    const { sent, onTime, refused, slowestMs } = this.tally
+    return { onTimeShare: onTime / sent, refusedShare: refused / sent, slowestMs }
+  }
+
+  private send (choose: Choose, nowMs: number): void {
+    const { objects, objectiveMs, timeoutMs } = this.options
+    const object = String(Math.floor(this.random.next() * objects))
+    const route = createRoute({ objectiveMs, timeoutMs })
+    const row = choose({ route, service: 'stock', object, leftMs: timeoutMs, excluded: new Set() }, nowMs)
+    if (this.counts(nowMs)) this.tally.sent += 1
+    if (row === undefined) {
+      if (this.counts(nowMs)) this.tally.refused += 1
+      return
+    }
+    row.inFlight += 1
+    this.models.get(row.record.id)!.queue.push({ row, object, arrivedMs: nowMs, loadAtStart: row.inFlight })
+    this.startNext(row, nowMs)
+  }
+
+  private startNext (row: EndpointRow, nowMs: number): void {
+    const model = this.models.get(row.record.id)!
+    if (model.running >= this.options.slots) return
+    const job = model.queue.shift()
+    if (job === undefined) return
+    model.running += 1
+    const workMs = model.remember(job.object) ? this.options.knownWorkMs : this.options.newWorkMs
+    const endMs = nowMs + workMs
+    this.ends.set(endMs, [...this.ends.get(endMs) ?? [], () => this.end(job, endMs)])
+  }
+
+  private end (job: Job, nowMs: number): void {
+    const { row, object, arrivedMs, loadAtStart } = job
+    const elapsedMs = nowMs - arrivedMs
+    this.models.get(row.record.id)!.running -= 1
+    row.inFlight -= 1
+    noteAttempt(row, { result: 'ok', elapsedMs, loadAtStart }, nowMs)
+    this.placer.noteAnswer(row.record.id, object, nowMs)
+    if (this.counts(arrivedMs)) {
+      if (elapsedMs <= this.options.objectiveMs) this.tally.onTime += 1
+      this.tally.slowestMs = Math.max(this.tally.slowestMs, elapsedMs)
+    }
+    this.startNext(row, nowMs)
+  }
+
+  /** The first half of a play lets the endpoints become familiar with objects. */
+  private counts (arrivedMs: number): boolean {
+    return arrivedMs >= this.options.seconds * 500
+  }
+}
