Refuse header bytes over the configured limit; exhaustive matches over tables

The configuration's header limit was not enforced (only Node's own, 64 KiB): callers over it get 431 now, and a test sends too much of both kinds.

--- a/src/host/AttemptSeries.ts
+++ b/src/host/AttemptSeries.ts
@@ -31,9 +31,6 @@
   private attempts = 0
   /** Attempts that may have run. */
   private runs = 0
-
-  constructor (private readonly context: HostContext, private readonly request: ServedRequest) {}
-
   /** Why the last attempt did not end the series. */
   private fault: AttemptFault | undefined
   /** An endpoint's error, kept in case that no other endpoint does better. */
@@ -44,6 +41,8 @@
   private lastLoad = 0
   private lastReportAgeMs = 0
 
+  constructor (private readonly context: HostContext, private readonly request: ServedRequest) {}
+
   /** What decided the series, for logs. */
   describeDecision (): Record<string, string | number> {
     const { service } = this.request
--- a/src/host/ClusterState.ts
+++ b/src/host/ClusterState.ts
@@ -1,3 +1,4 @@
+import { match } from 'ts-pattern'
 import type { Logger } from '../common/Logger.js'
 import { Catalog } from '../catalog/Catalog.js'
 import { CatalogTable } from '../catalog/CatalogTable.js'
@@ -46,9 +47,11 @@
   }
 
   private apply (table: CatalogTable, source: string): void {
-    if (table === CatalogTable.orders) this.applyOrders(source)
-    if (table === CatalogTable.endpoints) this.applyEndpoints(source)
-    if (table === CatalogTable.hosts) this.applyHosts()
+    match(table)
+      .with(CatalogTable.orders, () => this.applyOrders(source))
+      .with(CatalogTable.endpoints, () => this.applyEndpoints(source))
+      .with(CatalogTable.hosts, () => this.applyHosts())
+      .exhaustive()
     if (source === storeSource) this.options.onStoreChange()
   }
 
--- a/src/host/RequestHandler.ts
+++ b/src/host/RequestHandler.ts
@@ -24,6 +24,9 @@
   readonly startMs: number
 }
 
+/** Bytes that a line has besides its name and value, for each of the two: colon and space, or the line's end. */
+const separatorBytes = 2
+
 /** Serves callers' requests; every failure becomes a numbered refusal. */
 export class RequestHandler {
   /** Answers ask callers to use another connection. */
@@ -53,6 +56,7 @@
   private findRoute (req: IncomingMessage): Result<Route, Failure> {
     const { routing } = this.context
     if (routing.config === undefined) return err(createFailure('notReady', { retryAfterMs: hostLimits.notReadyRetryMs }))
+    if (countHeaderBytes(req) > routing.config.limits.headerBytes) return err(createFailure('headersTooLarge'))
     const host = (req.headers.host ?? '').toLowerCase()
     const path = (req.url ?? '').split('?', 1)[0]!
     const route = routing.find(host, path)
@@ -135,3 +139,10 @@
     log.write(event, { id: exchange.id, ...fields, ms: Math.round(clock.nowMs() - exchange.startMs), config: routing.config?.version })
   }
 }
+
+/** Bytes of the request's header lines. */
+function countHeaderBytes (req: IncomingMessage): number {
+  let bytes = 0
+  for (const text of req.rawHeaders) bytes += text.length + separatorBytes
+  return bytes
+}
--- a/src/peers/PeerMesh.ts
+++ b/src/peers/PeerMesh.ts
@@ -40,6 +40,8 @@
   private readonly client: FrameClient
   private timer: NodeJS.Timeout | undefined
   private nextSeedAtMs = 0
+  /** Versions that other hosts had at their last heartbeat. */
+  private readonly knownVersions = new Map<string, Heartbeat['versions']>()
 
   constructor (private readonly options: PeerMeshOptions) {
     const { self, clusterKey, clock } = options
@@ -144,9 +146,6 @@
     return beat
   }
 
-  /** Versions that other hosts had at their last heartbeat. */
-  private readonly knownVersions = new Map<string, Heartbeat['versions']>()
-
   private createBeat (theirs: Heartbeat['versions'] | undefined, receiver: HostRecord | undefined): Heartbeat {
     const { self, catalog, describe } = this.options
     const versions = { orders: 0, endpoints: 0, hosts: 0 }
--- a/test/host/HostProcess.test.ts
+++ b/test/host/HostProcess.test.ts
@@ -255,3 +255,12 @@
     expect(metrics.body.includes('shunt_refused_total')).toEqual(true)
   })
 })
+
+// Guards against callers that may send more than the configuration allows.
+test('too many header bytes and too long bodies are refused', async () => {
+  await withGroup(1, 1, async (group) => {
+    expect((await group.send({ object: 'x'.repeat(17_000) })).status).toEqual(431)
+    expect((await group.send({ method: 'POST', path: '/order/', body: 'x'.repeat(1_000_001) })).status).toEqual(413)
+    expect(listRuns(group)).toEqual([])
+  })
+})
