--- a/src/share/ShareTable.ts
+++ b/src/share/ShareTable.ts
@@ -9,27 +9,24 @@
 import { computePortions } from './computePortions.js'
 import { computeUsablePortion } from './computeUsablePortion.js'
 import { createAmount } from './createAmount.js'
-import { CustomerShare } from './CustomerShare.js'
+import { createShareRow } from './createShareRow.js'
 import { emptyPortion } from './emptyPortion.js'
 import { isEmptyAmount } from './isEmptyAmount.js'
-import type { LoanAmount } from './LoanAmount.js'
+import { isSettled } from './isSettled.js'
 import { LendingPlan } from './LendingPlan.js'
 import type { loanMessages } from './loanMessages.js'
+import type { LoanPeer } from './LoanPeer.js'
+import { noteSettled } from './noteSettled.js'
 import { rankLenders } from './rankLenders.js'
 import { shareLimits } from './shareLimits.js'
 import type { ShareRow } from './ShareRow.js'
+import { updatePause } from './updatePause.js'
 
 type LoanRequest = z.infer<typeof loanMessages.request>
 type LoanStatement = z.infer<typeof loanMessages.statement>
 type LoanGrant = z.infer<typeof loanMessages.grant>
 type Announcement = z.infer<typeof loanMessages.announcement>
 
-/** A host and its process, as the frame protocol has proved them. */
-interface Peer {
-  readonly name: string
-  readonly incarnation: number
-}
-
 /** A message that the caller must send; a request must be answered with `applyGrant` or `applyLoss`. */
 interface LoanOrder {
   readonly lender: string
@@ -175,7 +172,7 @@
     const cut = parts.some((part) => share.held.sumOf(lender)[part] < before[part])
     const amount = combineAmounts(grant.amount, pending.ask, Math.min)
     share.borrow(lender, seq, amount, pending.sentAtMs, nowMs)
-    this.updatePause(row, lender, pending.ask, amount, nowMs)
+    updatePause(row, { lender, ask: pending.ask, amount }, nowMs)
     return cut ? this.createStatement(row, lender) : undefined
   }
 
@@ -188,11 +185,11 @@
   }
 
   /** Answers a borrower's request; undefined when it is out of date or the customer is unknown. */
-  lend (request: LoanRequest, peer: Peer, nowMs: number): LoanGrant | undefined {
+  lend (request: LoanRequest, peer: LoanPeer, nowMs: number): LoanGrant | undefined {
     if (!this.isPeer(peer.name) || !this.noteIncarnation(peer)) return undefined
     const row = this.open(request.customer, nowMs)
-    if (row === undefined || this.isSettled(row, peer, request.seq)) return undefined
-    this.noteSettled(row, peer, request.settledSeq)
+    if (row === undefined || isSettled(row, peer, request.seq)) return undefined
+    noteSettled(row, peer, request.settledSeq)
     const { share } = row
     share.advance(nowMs)
     share.lent.applyStatement({ ...request, borrower: peer.name, incarnation: peer.incarnation })
@@ -207,18 +204,18 @@
   }
 
   /** Takes back what a borrower no longer holds. */
-  takeBack (statement: LoanStatement, peer: Peer, nowMs: number): boolean {
+  takeBack (statement: LoanStatement, peer: LoanPeer, nowMs: number): boolean {
     if (!this.isPeer(peer.name) || !this.noteIncarnation(peer)) return false
     const row = this.rows.get(statement.customer)
     if (row === undefined) return false
-    this.noteSettled(row, peer, statement.settledSeq)
+    noteSettled(row, peer, statement.settledSeq)
     row.share.advance(nowMs)
     row.share.lent.applyStatement({ ...statement, borrower: peer.name, incarnation: peer.incarnation })
     return true
   }
 
   /** Records long permits that a host holds from an earlier process of this host. */
-  applyAnnouncement (announcement: Announcement, peer: Peer, nowMs: number): boolean {
+  applyAnnouncement (announcement: Announcement, peer: LoanPeer, nowMs: number): boolean {
     if (announcement.to !== this.options.incarnation || !this.isPeer(peer.name) || !this.noteIncarnation(peer)) return false
     if (this.recovering && !this.announced.has(peer.name)) this.adoptLoans(announcement, peer, nowMs)
     if (announcement.complete) this.announced.add(peer.name)
@@ -246,7 +243,7 @@
     if (this.incarnations.get(host) === incarnation) this.announcedTo.set(host, { incarnation, holdsNothing })
   }
 
-  /** Borrowers that should renew now because this host needs its own portion; . */
+  /** Borrowers that should renew now because this host needs its own portion; none within a pause after the last time. */
   planRecalls (row: ShareRow, nowMs: number): Set<string> {
     const { share } = row
     if (share.queued === 0 || share.lent.size === 0 || nowMs - row.recalledMs < shareLimits.recallPauseMs) return new Set()
@@ -284,54 +281,13 @@
     return { t: 'loan_return', customer: row.customer, settledSeq, held: row.share.held.createStatement(lender) }
   }
 
-  /** Waits longer each time a lender gives nothing, so that an exhausted cap costs few messages. */
-  private updatePause (row: ShareRow, lender: string, ask: LoanAmount, amount: LoanAmount, nowMs: number): void {
-    const short = parts.some((part) => amount[part] < ask[part] * 0.9)
-    if (!short) {
-      if (!isEmptyAmount(ask)) row.pauses.delete(lender)
-      return
-    }
-    const last = row.pauses.get(lender)?.lengthMs ?? 0
-    const doubled = Math.min(shareLimits.unreachablePauseMs, last * 2)
-    const lengthMs = isEmptyAmount(amount) ? Math.max(shareLimits.shortfallPauseMs, doubled) : shareLimits.shortfallPauseMs
-    row.pauses.set(lender, { untilMs: nowMs + lengthMs, lengthMs, lost: false })
-  }
-
-  /** True when a request was settled or answered before; a late or repeated one must not lend again. */
-  private isSettled (row: ShareRow, peer: Peer, seq: number): boolean {
-    const known = row.settled.get(peer.name)
-    const isKnown = known?.incarnation === peer.incarnation && seq <= known.seq
-    return isKnown || row.share.lent.read(peer.name, seq) !== undefined
-  }
-
-  private noteSettled (row: ShareRow, peer: Peer, seq: number): void {
-    const known = row.settled.get(peer.name)
-    const before = known?.incarnation === peer.incarnation ? known.seq : -1
-    row.settled.set(peer.name, { incarnation: peer.incarnation, seq: Math.max(before, seq) })
-  }
-
   private createRow (contract: Contract, nowMs: number): ShareRow {
-    const { startedMs } = this.options
-    const share = new CustomerShare({
-      contract,
-      portion: emptyPortion,
-      usable: emptyPortion,
+    const row = createShareRow(contract, {
       rateFromMs: this.rateStartMs,
       permitsFromMs: this.permitStartMs,
-      nowMs: startedMs
+      nowMs: this.options.startedMs
     })
-    const row: ShareRow = {
-      customer: contract.customer,
-      share,
-      lenders: new Map(),
-      pending: new Map(),
-      owed: new Map(),
-      pauses: new Map(),
-      recalledBy: new Set(),
-      settled: new Map(),
-      servedMs: -Infinity,
-      recalledMs: -Infinity
-    }
+    const { share } = row
     share.recovering = this.recovering
     this.updatePortions(row)
     share.lastUsedMs = nowMs
@@ -373,7 +329,7 @@
   }
 
   /** Notes the process that a host runs now; false when the message came from an earlier one. */
-  private noteIncarnation (peer: Peer): boolean {
+  private noteIncarnation (peer: LoanPeer): boolean {
     const known = this.incarnations.get(peer.name) ?? 0
     if (peer.incarnation < known) return false
     if (peer.incarnation === known) return true
@@ -416,7 +372,7 @@
     for (const { share } of this.rows) share.recovering = false
   }
 
-  private adoptLoans (announcement: Announcement, peer: Peer, nowMs: number): void {
+  private adoptLoans (announcement: Announcement, peer: LoanPeer, nowMs: number): void {
     for (const { customer, seq, long } of announcement.rows) {
       const row = this.open(customer, nowMs)
       if (row === undefined || row.share.lent.read(peer.name, seq) !== undefined) continue
