Add the fault soak, share broken attempts among hosts, and check heartbeats

Cause: not the host but the proxy, which passed a reset right behind the last bytes on as an ordinary end; test/dev/Link.test.ts failed first, Pipe now looks whether the connection still has a peer.

Broken attempts: with 30 hosts each one sends an endpoint about one request in ten seconds, so none learns of a crash in time. Heartbeats now carry broken attempts in a row; two hosts with three of them eject the endpoint for 2 s at the others, within the existing bound of 40 % and not against a recent success of one's own.

Heartbeats from other hosts were cast without a check; readHeartbeat refuses other shapes with a log line and fills a field that an earlier release doesn't send.

--- a/dev/cluster/ManagedProcess.ts
+++ b/dev/cluster/ManagedProcess.ts
@@ -13,6 +13,8 @@
   readonly logFile: string
   /** Keeps stdin open while this process lives; stand-ins end when it closes. */
   readonly holdStdin: boolean
+  /** Variables of the process; those of this process when undefined. */
+  readonly env?: NodeJS.ProcessEnv
   /** CPU profiles and the like; passed to Node.js before the script. */
   readonly nodeArgs?: readonly string[]
 }
@@ -41,6 +43,7 @@
     const log = openSync(this.options.logFile, 'a')
     const child = spawn(process.execPath, [...this.options.nodeArgs ?? [], ...this.options.args], {
       detached: true,
+      ...(this.options.env === undefined ? {} : { env: this.options.env }),
       stdio: [this.options.holdStdin ? 'pipe' : 'ignore', log, log]
     })
     closeSync(log)
--- a/dev/proxy/Pipe.ts
+++ b/dev/proxy/Pipe.ts
@@ -36,7 +36,8 @@
   constructor (private readonly options: PipeOptions) {
     const { source, sink } = options
     source.on('data', (chunk: Buffer) => this.receive(chunk))
-    source.on('end', () => this.push('end', noData))
+    // Node.js reports a reset that arrives together with bytes as an end, but then the connection has no peer any more.
+    source.on('end', () => this.push(source.remoteAddress === undefined && !source.writableEnded ? 'reset' : 'end', noData))
     source.on('error', () => this.push('reset', noData))
     sink.on('drain', () => this.resumeSource())
   }
--- /dev/null
+++ b/dev/soak.ts
@@ -0,0 +1,74 @@
+import { mkdtempSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { Command, InvalidArgumentError } from 'commander'
+import { groupBy } from './common/groupBy.js'
+import { runSoak } from './soak/runSoak.js'
+import { soakSeeds } from './soak/soakSeeds.js'
+
+/** Options of the command line. */
+interface SoakArguments {
+  readonly seed: number
+  readonly seeds: number
+  readonly minutes: number
+  readonly hosts: number
+  readonly endpoints: number
+  readonly callers: number
+  readonly overlap: number
+  readonly profile?: string
+  readonly quiet?: boolean
+  readonly kept?: boolean
+}
+
+const secondsPerMinute = 60
+/** Findings of one promise that are printed; their number is printed with them. */
+const shownPerPromise = 3
+
+function readPositive (text: string): number {
+  const value = Number(text)
+  if (!Number.isFinite(value) || value <= 0) throw new InvalidArgumentError('must be a number above 0')
+  return value
+}
+
+const args = new Command('soak')
+  .description('Runs host processes with stand-ins and injects faults at random; exits with 1 when a promise was broken.')
+  .option('--seed <n>', 'first seed of the faults and of the callers', readPositive, 1)
+  .option('--seeds <n>', 'runs, each with the next seed', readPositive, 1)
+  .option('--minutes <n>', 'time of a run with faults', readPositive, 0.5)
+  .option('--hosts <n>', 'host processes', readPositive, 4)
+  .option('--endpoints <n>', 'addresses of endpoints', readPositive, 8)
+  .option('--callers <n>', 'callers', readPositive, 30)
+  .option('--overlap <n>', 'faults at the same time, in the mean', readPositive, 2)
+  .option('--profile <folder>', 'folder for CPU profiles of the hosts')
+  .option('--quiet', 'print findings only')
+  .option('--kept', 'play the seeds that once found something')
+  .parse()
+  .opts<SoakArguments>()
+
+const runs = args.kept === true
+  ? soakSeeds
+  : Array.from({ length: args.seeds }, (_value, index) => ({ seed: args.seed + index, seconds: args.minutes * secondsPerMinute }))
+let broken = 0
+for (const { seed, seconds } of runs) {
+  const folder = mkdtempSync(join(tmpdir(), `soak-${seed}-`))
+  const result = await runSoak({
+    seed,
+    seconds,
+    hosts: args.hosts,
+    endpoints: args.endpoints,
+    callers: args.callers,
+    overlap: args.overlap,
+    folder,
+    script: 'dist/platform/shuntHost.js',
+    nodeArgs: args.profile === undefined ? [] : ['--cpu-prof', `--cpu-prof-dir=${args.profile}`],
+    onLine: (line) => { if (args.quiet !== true) console.log(line) }
+  })
+  const { findings, faults, requests, served } = result
+  for (const [promise, rows] of groupBy(findings, (finding) => finding.promise)) {
+    for (const { detail } of rows.slice(0, shownPerPromise)) console.log(`seed=${seed} broken="${promise}" count=${rows.length} detail="${detail}"`)
+  }
+  console.log(`seed=${seed} hosts=${args.hosts} endpoints=${args.endpoints} faults=${faults} requests=${requests} served=${served} findings=${findings.length}${findings.length > 0 ? ` logs=${folder}` : ''}`)
+  if (findings.length === 0) rmSync(folder, { recursive: true, force: true })
+  else broken += 1
+}
+process.exit(broken > 0 ? 1 : 0)
--- /dev/null
+++ b/dev/soak/SoakHost.ts
@@ -0,0 +1,107 @@
+import { readFileSync, writeFileSync } from 'node:fs'
+import type { Guard } from '../cluster/Guard.js'
+import { ManagedProcess } from '../cluster/ManagedProcess.js'
+import { soakLimits } from './soakLimits.js'
+
+/** Where a host of the soak runs and whom it knows. */
+interface SoakHostPlan {
+  readonly name: string
+  readonly address: string
+  readonly zone: string
+  readonly region: string
+  readonly zones: Readonly<Record<string, string>>
+  /** Translations of its outgoing connections, through its links. */
+  readonly dial: Readonly<Record<string, string>>
+  readonly storeAddress: string
+  readonly seeds: readonly string[]
+  readonly folder: string
+  readonly script: string
+  readonly nodeArgs: readonly string[]
+}
+
+const ports = { front: 8_548, ready: 8_542, directory: 8_546, peers: 7_540 }
+const bytesPerMb = 1_048_576
+const bytesPerKb = 1_024
+
+/** One host process of the soak with its settings file. */
+export class SoakHost {
+  readonly process: ManagedProcess
+  /** True while its end was ordered. */
+  isDown = false
+  private readonly settingsFile: string
+  private readonly logFile: string
+  private isFirstStart = true
+  private slack: number = soakLimits.retrySlack
+
+  constructor (readonly plan: SoakHostPlan, guard: Guard) {
+    this.settingsFile = `${plan.folder}/${plan.name}.json`
+    this.logFile = `${plan.folder}/${plan.name}.log`
+    this.process = new ManagedProcess({
+      name: plan.name,
+      args: [plan.script],
+      logFile: this.logFile,
+      holdStdin: false,
+      nodeArgs: plan.nodeArgs,
+      env: { PATH: process.env.PATH, SAPPHIRESHUNT_NODE_FILE: this.settingsFile }
+    }, guard)
+  }
+
+  get name (): string {
+    return this.plan.name
+  }
+
+  get callers (): string {
+    return `${this.plan.address}:${ports.front}`
+  }
+
+  get directory (): string {
+    return `${this.plan.address}:${ports.directory}`
+  }
+
+  get readiness (): string {
+    return `${this.plan.address}:${ports.ready}`
+  }
+
+  start (): void {
+    this.writeSettings()
+    this.isDown = false
+    this.process.start()
+    this.isFirstStart = false
+  }
+
+  /** Writes the settings with another bound, as an operator would. */
+  changeSettings (slack: number): void {
+    this.slack = slack
+    this.writeSettings()
+  }
+
+  /** Largest resident set in MB so far; 0 when the process is gone. */
+  readPeakMb (): number {
+    if (!this.process.isRunning || this.process.pid === undefined) return 0
+    const line = /VmHWM:\s+(\d+) kB/.exec(readFileSync(`/proc/${this.process.pid}/status`, 'utf8'))
+    return Number(line?.[1] ?? 0) * bytesPerKb / bytesPerMb
+  }
+
+  /** Log lines that tell of an error in the host itself. */
+  listErrors (): string[] {
+    return readFileSync(this.logFile, 'utf8').split('\n').filter((line) => /event=(tick-failed|task-failed|heartbeat-failed|stop-failed|start-failed)| {4}at /.test(line))
+  }
+
+  private writeSettings (): void {
+    const { name, address, zone, region, zones, dial, storeAddress, seeds } = this.plan
+    writeFileSync(this.settingsFile, JSON.stringify({
+      node_name: name,
+      ip_address: address,
+      zone,
+      region,
+      zones,
+      listen: { front: this.callers, ready: this.readiness, directory: this.directory },
+      internal_port_range: [ports.peers, ports.peers + 15],
+      seed_nodes: seeds.map((seed) => `${seed}:1`),
+      bootstrap: this.isFirstStart,
+      rule_params: [`grace_s=${soakLimits.graceMs / 1_000}`, `budget_ratio=${soakLimits.retryRatio}`, `budget_window_s=${soakLimits.retryWindowMs / 1_000}`, `budget_slack=${this.slack}`, 'ttl_max_s=5'],
+      cloud_platform: { address: storeAddress },
+      dial
+    }))
+  }
+}
--- /dev/null
+++ b/dev/soak/SoakLedger.ts
@@ -0,0 +1,19 @@
+import { CalmLog } from './CalmLog.js'
+import type { SoakOrder } from './SoakOrder.js'
+import type { SoakRequest } from './SoakRequest.js'
+import type { SoakRun } from './SoakRun.js'
+
+/** All that callers, endpoints and the store saw in a run. */
+export class SoakLedger {
+  readonly requests: SoakRequest[] = []
+  readonly runs: SoakRun[] = []
+  readonly orders: SoakOrder[] = []
+  /** Disturbances that excuse a host from promises with a time. */
+  readonly calm = new CalmLog()
+  /** The same without planned stops and changes of settings, which excuse no lost request. */
+  readonly unplanned = new CalmLog()
+  /** Time in ms from which nothing is disturbed any more. */
+  calmFromMs = Infinity
+  /** Ends of host processes that nobody ordered, and errors that hosts logged. */
+  readonly hostFaults: string[] = []
+}
--- /dev/null
+++ b/dev/soak/SoakRun.ts
@@ -0,0 +1,12 @@
+/** One request that an endpoint began to work on. */
+export interface SoakRun {
+  readonly id: string
+  readonly endpoint: string
+  readonly service: string
+  readonly zone: string
+  readonly method: string
+  readonly path: string
+  readonly body: string
+  readonly deadlineMs: number
+  readonly atMs: number
+}
--- /dev/null
+++ b/dev/soak/SoakWorld.ts
@@ -0,0 +1,265 @@
+import { request } from 'node:http'
+import { Guard } from '../cluster/Guard.js'
+import { SeededRandom } from '../common/SeededRandom.js'
+import { Link } from '../proxy/Link.js'
+import type { LinkFaults } from '../proxy/LinkFaults.js'
+import { StoreServer } from '../store/StoreServer.js'
+import { SoakCaller } from './SoakCaller.js'
+import { SoakEndpoint } from './SoakEndpoint.js'
+import { SoakHost } from './SoakHost.js'
+import { SoakLedger } from './SoakLedger.js'
+import { soakLimits } from './soakLimits.js'
+import type { SoakOptions } from './SoakOptions.js'
+import type { SoakOrder } from './SoakOrder.js'
+
+/** What a world needs beside its size. */
+interface SoakWorldOptions extends SoakOptions {
+  /** Folder for settings and logs. */
+  readonly folder: string
+  /** The program of a host. */
+  readonly script: string
+  /** Flags of Node.js for the hosts, such as those of a profile. */
+  readonly nodeArgs: readonly string[]
+}
+
+/** Kinds of targets that a host's links lead to. */
+type LinkTarget = 'endpoint' | 'host' | 'store' | 'callers'
+
+const zones: Readonly<Record<string, string>> = { 'north-a': 'north', 'north-b': 'north', 'south-a': 'south' }
+const services = ['stock', 'ledger']
+const endpointPort = 9_000
+const storePort = 8_541
+const workMs = 25
+const lookUpTimeoutMs = 1_000
+const versionDigits = 8
+const hexadecimal = 16
+/** Octets of the deployment's own network, kept apart from those of the tests. */
+const firstNetwork = 200
+const networks = 50
+const octets = { hosts: 1, endpoints: 2, callerLinks: 3, hostLinks: 100, store: 250, peers: 200 }
+const baseRoutes = {
+  'r-read': { host: 'shop.example', prefix: '/read/', kind: 'idempotent', timeout_s: 1.2, target_latency_s: 0.4, priority: 2, service: 'stock', max_attempts: 3, session_affinity: true, allowed_regions: [] },
+  'r-order': { host: 'shop.example', prefix: '/order/', kind: 'non_idempotent', timeout_s: 2, target_latency_s: 0.6, priority: 0, service: 'ledger', max_attempts: 2, session_affinity: true, allowed_regions: [] },
+  'r-upload': { host: 'shop.example', prefix: '/upload/', kind: 'upload', timeout_s: 2.5, target_latency_s: 0.8, priority: 1, service: 'ledger', max_attempts: 2, session_affinity: false, allowed_regions: [] }
+}
+
+/** Hosts as real processes, with stand-ins of the store and of endpoints, and a link with faults for each connection. */
+export class SoakWorld {
+  readonly ledger = new SoakLedger()
+  readonly store = new StoreServer()
+  readonly random: SeededRandom
+  readonly hosts: SoakHost[] = []
+  readonly endpoints: SoakEndpoint[] = []
+  private readonly guard = new Guard()
+  private readonly links = new Map<string, Array<{ readonly target: LinkTarget, readonly name: string, readonly link: Link }>>()
+  private readonly callers: SoakCaller[] = []
+  private readonly network: number
+  private version = 0
+  private readonly extraRoutes = new Map<string, object>()
+  private calling: Promise<unknown> = Promise.resolve()
+  private watch: NodeJS.Timeout | undefined
+
+  constructor (private readonly options: SoakWorldOptions) {
+    this.random = new SeededRandom(options.seed)
+    this.network = firstNetwork + options.seed % networks
+  }
+
+  async start (): Promise<void> {
+    const storeAddress = await this.store.listen()
+    this.putConfig()
+    for (let index = 0; index < this.options.endpoints; index++) await this.addEndpoint(index)
+    for (let index = 0; index < this.options.hosts; index++) await this.addHost(index, storeAddress)
+    for (const host of this.hosts) host.start()
+    await this.waitForReady()
+    for (let index = 0; index < this.options.callers; index++) this.addCaller(index)
+    this.calling = Promise.all(this.callers.map(async (caller) => { await caller.run() }))
+    this.watch = setInterval(() => this.reportOwnEnds(), soakLimits.pollMs)
+  }
+
+  async close (): Promise<void> {
+    for (const caller of this.callers) caller.stop()
+    await this.calling
+    clearInterval(this.watch)
+    for (const host of this.hosts) {
+      host.isDown = true
+      const peakMb = host.readPeakMb()
+      if (peakMb > soakLimits.maxHostMb) this.ledger.hostFaults.push(`${host.name} used ${Math.round(peakMb)} MB`)
+    }
+    await Promise.all(this.hosts.map(async (host) => { await this.stopHost(host) }))
+    for (const host of this.hosts) for (const line of host.listErrors()) this.ledger.hostFaults.push(`${host.name}: ${line}`)
+    for (const endpoint of this.endpoints) endpoint.end(false)
+    await Promise.all([...this.links.values()].flat().map(async ({ link }) => { await link.close() }))
+    this.store.close()
+    await this.guard.close()
+  }
+
+  /** Writes the configuration in force, with routes added and removed. */
+  putConfig (): void {
+    this.version += 1
+    this.store.tables.put('op', 'config', {
+      version: this.version.toString(hexadecimal).padStart(versionDigits, '0'),
+      routes: { ...baseRoutes, ...Object.fromEntries(this.extraRoutes) },
+      services: Object.fromEntries(services.map((name) => [name, { health_path: '/health', max_connections: 400, cold_start_s: 1, cold_per_s: 20 }])),
+      limits: { header_bytes: 16_384, body_bytes: 1_000_000, header_timeout_s: 3, idle_timeout_s: 15 }
+    })
+  }
+
+  /** Adds a route of its own for reads and removes it when the returned function is called. */
+  addRoute (prefix: string): () => void {
+    const name = `r${prefix.replaceAll('/', '-')}`
+    this.extraRoutes.set(name, { ...baseRoutes['r-read'], prefix })
+    this.putConfig()
+    const order: SoakOrder & { kind: 'route' } = { kind: 'route', prefix, atMs: performance.now(), untilMs: Infinity }
+    this.ledger.orders.push(order)
+    return () => {
+      order.untilMs = performance.now()
+      this.extraRoutes.delete(name)
+      this.putConfig()
+    }
+  }
+
+  /** Sets faults of the links of a host to targets of a kind, or to one of them. */
+  async setLinkFaults (host: string, target: LinkTarget, faults: Partial<LinkFaults>, name?: string): Promise<void> {
+    const chosen = (this.links.get(host) ?? []).filter((row) => row.target === target && (name === undefined || row.name === name))
+    await Promise.all(chosen.map(async ({ link }) => { await link.setFaults(faults) }))
+  }
+
+  async isReady (host: SoakHost): Promise<boolean> {
+    return await fetchText(host.readiness, '/v1/readiness') !== undefined
+  }
+
+  /** Stops a host by plan; one that doesn't end cleanly within its grace time is at fault. */
+  private async stopHost (host: SoakHost): Promise<void> {
+    if (!host.process.isRunning) return
+    const late = setTimeout(() => host.process.signal('SIGKILL'), soakLimits.graceMs)
+    host.process.signal('SIGTERM')
+    const code = await host.process.waitForExit()
+    clearTimeout(late)
+    if (code !== 0) this.ledger.hostFaults.push(`${host.name} ended its planned stop with ${code ?? 'a kill'}`)
+  }
+
+  private async waitForReady (): Promise<void> {
+    const endMs = performance.now() + soakLimits.startMs
+    for (const host of this.hosts) {
+      while (!await this.isReady(host)) {
+        if (performance.now() > endMs) throw new Error(`host "${host.name}" is not ready:\n${host.process.readLogTail()}`)
+        await new Promise((resolve) => setTimeout(resolve, soakLimits.pollMs))
+      }
+    }
+  }
+
+  private async addEndpoint (index: number): Promise<void> {
+    const names = Object.keys(zones)
+    const endpoint = new SoakEndpoint({
+      host: this.address(octets.endpoints, index + 1),
+      port: endpointPort,
+      zone: names[index % names.length]!,
+      workMs,
+      tables: this.store.tables,
+      ledger: this.ledger
+    })
+    this.endpoints.push(endpoint)
+    await endpoint.start(services[index % services.length]!)
+  }
+
+  private async addHost (index: number, storeAddress: string): Promise<void> {
+    const names = Object.keys(zones)
+    const name = `host-${index}`
+    const dial: Record<string, string> = {}
+    for (let other = 0; other < this.options.endpoints; other++) {
+      dial[`${this.address(octets.endpoints, other + 1)}:${endpointPort}`] = `${this.address(octets.hostLinks + index, other + 1)}:${endpointPort}`
+    }
+    const peerPort = 7_540
+    for (let other = 0; other < this.options.hosts; other++) {
+      if (other !== index) dial[`${this.address(octets.hosts, other + 1)}:${peerPort}`] = `${this.address(octets.hostLinks + index, octets.peers + other)}:${peerPort}`
+    }
+    const host = new SoakHost({
+      name,
+      address: this.address(octets.hosts, index + 1),
+      zone: names[index % names.length]!,
+      region: zones[names[index % names.length]!]!,
+      zones,
+      dial,
+      storeAddress: `${this.address(octets.hostLinks + index, octets.store)}:${storePort}`,
+      seeds: [1, 2, 3].slice(0, this.options.hosts).map((other) => this.address(octets.hosts, other)),
+      folder: this.options.folder,
+      script: this.options.script,
+      nodeArgs: this.options.nodeArgs
+    }, this.guard)
+    this.hosts.push(host)
+    for (const [target, listen] of Object.entries(dial)) await this.openLink(name, target.endsWith(`:${peerPort}`) ? 'host' : 'endpoint', listen, target)
+    await this.openLink(name, 'store', host.plan.storeAddress, storeAddress)
+    await this.openLink(name, 'callers', this.callerLink(index), host.callers)
+  }
+
+  private async openLink (source: string, target: LinkTarget, listen: string, address: string): Promise<void> {
+    const place = { source, sourceZone: '', sourceRegion: '', targetName: address, targetKind: 'host', targetZone: '', targetRegion: '' } as const
+    const link = new Link({ ...place, listen, target: address, delayMs: 0 }, new Map())
+    await link.open()
+    this.links.set(source, [...this.links.get(source) ?? [], { target, name: address, link }])
+  }
+
+  private addCaller (index: number): void {
+    const random = new SeededRandom(this.options.seed * networks + index)
+    this.callers.push(new SoakCaller({
+      name: `c${index}`,
+      random,
+      ledger: this.ledger,
+      lookUp: async () => await this.lookUp(random),
+      newestPrefix: () => this.findNewestPrefix()
+    }))
+  }
+
+  private async lookUp (random: SeededRandom): Promise<{ readonly host: string, readonly address: string } | undefined> {
+    const first = random.integer(this.hosts.length)
+    for (let tries = 0; tries < this.hosts.length; tries++) {
+      const answer = await fetchText(this.hosts[(first + tries) % this.hosts.length]!.directory, '/v1/resolve?name=shop.example&region=north&zone=north-a')
+      if (answer === undefined) continue
+      const { addresses } = JSON.parse(answer) as { readonly addresses: readonly string[] }
+      const chosen = addresses[random.integer(addresses.length)]
+      const index = this.hosts.findIndex((host) => host.callers === chosen)
+      if (index >= 0) return { host: this.hosts[index]!.name, address: this.callerLink(index) }
+    }
+    return undefined
+  }
+
+  /** A route that hosts must know by now. */
+  private findNewestPrefix (): string | undefined {
+    const nowMs = performance.now()
+    const known = this.ledger.orders.findLast((order) => order.kind === 'route' && order.untilMs === Infinity && order.atMs + soakLimits.configApplyMs < nowMs)
+    return known?.kind === 'route' ? known.prefix : undefined
+  }
+
+  private reportOwnEnds (): void {
+    for (const host of this.hosts) {
+      if (host.isDown || host.process.isRunning) continue
+      host.isDown = true
+      this.ledger.hostFaults.push(`${host.name} ended by itself:\n${host.process.readLogTail()}`)
+    }
+  }
+
+  private callerLink (index: number): string {
+    return `${this.address(octets.callerLinks, index + 1)}:8548`
+  }
+
+  private address (third: number, fourth: number): string {
+    return `127.${this.network}.${third}.${fourth}`
+  }
+}
+
+/** Body of a successful answer; undefined without one. */
+async function fetchText (address: string, path: string): Promise<string | undefined> {
+  const [host, port] = address.split(':')
+  return await new Promise((resolve) => {
+    const req = request({ host: host!, port: Number(port), path, agent: false, timeout: lookUpTimeoutMs }, (res) => {
+      const chunks: Buffer[] = []
+      res.on('data', (chunk: Buffer) => chunks.push(chunk))
+      res.on('error', () => resolve(undefined))
+      res.on('end', () => resolve(res.statusCode === 200 ? Buffer.concat(chunks).toString('utf8') : undefined))
+    })
+    req.on('timeout', () => req.destroy())
+    req.on('error', () => resolve(undefined))
+    req.on('close', () => resolve(undefined))
+    req.end()
+  })
+}
--- /dev/null
+++ b/dev/soak/soakSeeds.ts
@@ -0,0 +1,13 @@
+/** A seed at which the soak once found something, with what it was. */
+interface SoakSeed {
+  readonly seed: number
+  readonly seconds: number
+  readonly cause: string
+}
+
+/** Seeds that are played again with `npm run soak -- --kept`, with the sizes of the command's defaults. */
+export const soakSeeds: readonly SoakSeed[] = [
+  { seed: 2, seconds: 24, cause: 'the proxy passed on a reset right behind the last bytes as an ordinary end (test/dev/Link.test.ts)' },
+  { seed: 3, seconds: 24, cause: 'the same as seed 2' },
+  { seed: 28, seconds: 24, cause: 'two faults ended the same endpoint, and both started the next one at its address' }
+]
--- a/src/endpoints/EndpointRow.ts
+++ b/src/endpoints/EndpointRow.ts
@@ -19,6 +19,13 @@
   isProbing: boolean
   /** Failed attempts in a row. */
   failures: number
+  /** Refused or broken attempts in a row, without those that ran out of time, and when the last one was. */
+  breaks: number
+  brokeAtMs: number
+  /** When an attempt last succeeded. */
+  succeededAtMs: number
+  /** Until this time the failures that other hosts report are taken as known. */
+  heededUntilMs: number
   /** Moving share of attempts that failed, 0 to 1. */
   failureShare: number
   /** Gets no request until this time because of failed attempts. */
--- a/src/endpoints/endpointLimits.ts
+++ b/src/endpoints/endpointLimits.ts
@@ -14,6 +14,13 @@
   ejectMs: 2_000,
   /** Largest share of a service's endpoints that may be ejected at once. */
   maxEjectedShare: 0.4,
+  /** Age in ms up to which a host reports broken attempts to the others. */
+  reportBreaksMs: 2_000,
+  /** Hosts that must report an endpoint, and their broken attempts in a row together, before it is ejected. */
+  reportingHosts: 2,
+  reportedBreaks: 3,
+  /** Age in ms of a success of its own up to which a host doesn't heed the reports of others. */
+  ownSuccessMs: 1_000,
   /** Time in ms without kept connections for non-idempotent requests after a broken answer. */
   distrustMs: 10_000,
   /** Time in ms for which an endpoint counts as full after it shed a request. */
--- /dev/null
+++ b/src/endpoints/heedReports.ts
@@ -0,0 +1,23 @@
+import { endpointLimits } from './endpointLimits.js'
+import type { EndpointRow } from './EndpointRow.js'
+
+/** What other hosts report of an endpoint. */
+interface BreakReports {
+  /** Hosts whose last attempts there broke. */
+  readonly hosts: number
+  /** Their broken attempts in a row, of all of them together. */
+  readonly breaks: number
+}
+
+/**
+ * Ejects an endpoint that several other hosts found broken. With many hosts each one sends few requests to an endpoint, so
+ * that none would notice by itself before the endpoint is back. A host that was just served there goes by its own view: an
+ * endpoint may fail some callers only.
+ */
+export function heedReports (row: EndpointRow, { hosts, breaks }: BreakReports, nowMs: number): boolean {
+  if (hosts < endpointLimits.reportingHosts || breaks + row.breaks < endpointLimits.reportedBreaks) return false
+  if (nowMs < row.heededUntilMs || nowMs - row.succeededAtMs < endpointLimits.ownSuccessMs) return false
+  row.heededUntilMs = nowMs + endpointLimits.ejectMs
+  row.ejectedUntilMs = Math.max(row.ejectedUntilMs, nowMs + endpointLimits.ejectMs)
+  return true
+}
--- a/src/endpoints/noteAttempt.ts
+++ b/src/endpoints/noteAttempt.ts
@@ -20,6 +20,8 @@
   }
   if (result === AttemptResult.ok) {
     row.failures = 0
+    row.breaks = 0
+    row.succeededAtMs = nowMs
     row.failureShare *= 1 - smoothing
     // With more requests than slots a part of the time was spent waiting.
     const workMs = elapsedMs * Math.min(1, row.record.slots / loadAtStart)
@@ -27,6 +29,10 @@
     return
   }
   row.failures += 1
+  if (result !== AttemptResult.timeout) {
+    row.breaks += 1
+    row.brokeAtMs = nowMs
+  }
   row.freshUntilMs = nowMs + endpointLimits.distrustMs
   row.failureShare += smoothing * (1 - row.failureShare)
   if (row.failureShare >= endpointLimits.ejectShare) row.ejectedUntilMs = nowMs + endpointLimits.ejectMs
--- a/src/host/HealthChecker.ts
+++ b/src/host/HealthChecker.ts
@@ -1,6 +1,6 @@
 import { request } from 'node:http'
 import { createConnectTimeout } from '../entry/createConnectTimeout.js'
-import { parseDestination } from '../common/parseDestination.js'
+import type { DialMap } from '../common/DialMap.js'
 import { endpointLimits } from '../endpoints/endpointLimits.js'
 import type { EndpointRow } from '../endpoints/EndpointRow.js'
 import type { EndpointTable } from '../endpoints/EndpointTable.js'
@@ -13,6 +13,7 @@
 /** What health checks need. */
 interface HealthCheckerOptions {
   readonly endpoints: EndpointTable
+  readonly dial: DialMap
   readonly routing: RoutingTable
   readonly dialect: Dialect
   readonly clock: Clock
@@ -58,8 +59,8 @@
   }
 
   private probe (row: EndpointRow): void {
-    const { routing, dialect } = this.options
-    const { host, port } = parseDestination(row.record.address)
+    const { routing, dial, dialect } = this.options
+    const { host, port } = dial.resolve(row.record.address)
     const path = routing.findService(row.record.service)?.healthPath ?? '/'
     const req = request({ host, port, path, agent: false })
     const timer = setTimeout(() => req.destroy(createConnectTimeout()), endpointLimits.probeTimeoutMs)
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -17,7 +17,9 @@
 import type { Logger } from '../common/Logger.js'
 import { Scheduler } from '../common/Scheduler.js'
 import { System } from '../common/System.js'
+import { endpointLimits } from '../endpoints/endpointLimits.js'
 import { EndpointTable } from '../endpoints/EndpointTable.js'
+import { heedReports } from '../endpoints/heedReports.js'
 import { HttpFront } from '../entry/HttpFront.js'
 import { HttpUpstreamClient } from '../entry/HttpUpstreamClient.js'
 import { DemandMeter } from '../placing/DemandMeter.js'
@@ -77,6 +79,7 @@
   constructor (private readonly options: HostProcessOptions) {
     const { settings, clock, createLog, dialect, random } = options
     this.settings = settings
+    const dial = new DialMap(settings.dial)
     this.log = createLog('host')
     this.self = {
       name: settings.name,
@@ -105,6 +108,7 @@
     this.mesh = new PeerMesh({
       self: this.self,
       clusterKey: settings.clusterKey,
+      dial,
       listSeeds: () => this.settings.seeds,
       catalog: this.state.catalog,
       peers: this.peers,
@@ -114,7 +118,7 @@
       describe: (region) => this.describe(region)
     })
     this.client = new HttpUpstreamClient({
-      dial: new DialMap(),
+      dial,
       clock,
       maxIdle: hostLimits.maxIdlePerEndpoint,
       policy: { connectTimeoutMs: hostLimits.connectTimeoutMs, maxHeldBytes: hostLimits.maxHeldBytes, acceptsUnframed: true, retriesStale: false }
@@ -135,7 +139,7 @@
     })
     const follower = { store: options.store, catalog: this.state.catalog, health: this.health, clock, logger: createLog('store'), random, isReader: () => this.readers.isOwnJob() }
     this.followers = Object.values(CatalogTable).map((table) => new CatalogFollower(table, follower))
-    const checker = new HealthChecker({ endpoints: this.endpoints, routing: this.routing, dialect, clock, logger: createLog('endpoints') })
+    const checker = new HealthChecker({ endpoints: this.endpoints, dial, routing: this.routing, dialect, clock, logger: createLog('endpoints') })
     this.scheduler = new Scheduler(clock, [checker, new UpkeepSystem((nowMs) => this.keepUp(nowMs)), this.createShares()], (system, error) => {
       this.log.error('tick-failed', { system: system.name, error: error instanceof Error ? error.stack : String(error) })
     })
@@ -259,6 +263,10 @@
     this.placer.retain((endpoint) => this.endpoints.get(endpoint) !== undefined)
     const sums = this.peers.sumLoads(nowMs)
     for (const row of this.endpoints) row.peerInFlight = sums.get(row.record.id) ?? 0
+    for (const [endpoint, reports] of this.peers.sumBreaks(nowMs)) {
+      const row = this.endpoints.get(endpoint)
+      if (row !== undefined && heedReports(row, reports, nowMs)) this.log.info('endpoint-reported', { endpoint, ...reports, ownBreaks: row.breaks })
+    }
   }
 
   /** Time in ms since the store answered, -1 when it is away. */
@@ -276,6 +284,7 @@
       storeAgeMs: this.readStoreAge(),
       isStoreSettled: this.state.isStoreSettled(nowMs),
       loads: this.listLoads(region),
+      breaks: this.listBreaks(nowMs),
       demands: this.demand.list(nowMs),
       localShares: this.shares.list()
     }
@@ -291,6 +300,12 @@
     return loads
   }
 
+  private listBreaks (nowMs: number): Array<readonly [string, number]> {
+    return [...this.endpoints]
+      .filter((row) => row.breaks > 0 && nowMs - row.brokeAtMs < endpointLimits.reportBreaksMs)
+      .map((row) => [row.record.id, row.breaks] as const)
+  }
+
   /** Hosts that serve callers now. */
   private listServing (): HostRecord[] {
     const serving = this.peers.listAlive(this.options.clock.nowMs())
--- a/src/host/HostSettings.ts
+++ b/src/host/HostSettings.ts
@@ -21,6 +21,8 @@
   readonly isFirstStart: boolean
   /** Peer addresses of a few hosts that may be up. */
   readonly seeds: readonly string[]
+  /** Translations of addresses for outgoing connections to endpoints and hosts; empty in production. */
+  readonly dial: Readonly<Record<string, string>>
   /** Separates deployments on the links between hosts. */
   readonly clusterKey: string
   readonly bounds: HostBounds
--- a/src/peers/Heartbeat.ts
+++ b/src/peers/Heartbeat.ts
@@ -15,6 +15,8 @@
   readonly versions: Readonly<Record<CatalogTable, number>>
   /** Requests in flight by endpoint, only those that are not 0. */
   readonly loads: ReadonlyArray<readonly [endpoint: string, inFlight: number]>
+  /** Broken attempts in a row by endpoint, of those whose last attempt broke lately. */
+  readonly breaks: ReadonlyArray<readonly [endpoint: string, count: number]>
   /** Requests a second that the sender receives, by service. */
   readonly demands: ReadonlyArray<readonly [service: string, perSecond: number]>
   /** Shares of the sender's requests that stay in its region, by service. */
--- a/src/peers/PeerMesh.ts
+++ b/src/peers/PeerMesh.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../common/Clock.js'
-import { DialMap } from '../common/DialMap.js'
+import type { DialMap } from '../common/DialMap.js'
 import type { Logger } from '../common/Logger.js'
 import { parseDestination } from '../common/parseDestination.js'
 import { FrameClient } from '../wire/FrameClient.js'
@@ -7,6 +7,7 @@
 import type { Message } from '../wire/Message.js'
 import type { Catalog } from '../catalog/Catalog.js'
 import { CatalogTable } from '../catalog/CatalogTable.js'
+import { readHeartbeat } from './readHeartbeat.js'
 import { peerLimits } from './peerLimits.js'
 import type { Heartbeat } from './Heartbeat.js'
 import type { HostRecord } from './HostRecord.js'
@@ -17,6 +18,7 @@
 interface PeerMeshOptions {
   readonly self: HostRecord
   readonly clusterKey: string
+  readonly dial: DialMap
   /** Addresses of a few hosts that may help a host that has not reached the store. */
   readonly listSeeds: () => readonly string[]
   readonly catalog: Catalog
@@ -45,10 +47,10 @@
   private readonly knownVersions = new Map<string, Heartbeat['versions']>()
 
   constructor (private readonly options: PeerMeshOptions) {
-    const { self, clusterKey, clock } = options
+    const { self, clusterKey, dial, clock } = options
     const identity = { name: self.name, role: 'entry', incarnation: self.incarnation } as const
     this.server = new FrameServer({ self: identity, clusterKey, onMessage: (message) => this.answer(message) })
-    this.client = new FrameClient({ self: identity, clusterKey, dial: new DialMap(), clock, onMessage: () => undefined })
+    this.client = new FrameClient({ self: identity, clusterKey, dial, clock, onMessage: () => undefined })
   }
 
   async start (): Promise<void> {
@@ -135,8 +137,11 @@
 
   private receive (message: Message): Heartbeat | undefined {
     const { catalog, clock, peers, logger } = this.options
-    if (message.t !== 'beat') return undefined
-    const beat = message.beat as Heartbeat
+    const beat = message.t === 'beat' ? readHeartbeat(message.beat) : undefined
+    if (beat === undefined) {
+      logger.warn('heartbeat-refused', { type: String(message.t) })
+      return undefined
+    }
     const nowMs = clock.nowMs()
     const row = peers.receive(beat, nowMs)
     if (row === undefined) return beat
--- a/src/peers/PeerRow.ts
+++ b/src/peers/PeerRow.ts
@@ -21,6 +21,8 @@
   demands: ReadonlyArray<readonly [service: string, perSecond: number]>
   /** Its shares of requests that stay in its region, by service. */
   localShares: ReadonlyArray<readonly [service: string, share: number]>
+  /** Its broken attempts in a row by endpoint. */
+  breaks: ReadonlyArray<readonly [endpoint: string, count: number]>
   /** Its requests in flight by endpoint. */
   loads: ReadonlyMap<string, number>
 }
--- a/src/peers/PeerTable.ts
+++ b/src/peers/PeerTable.ts
@@ -44,6 +44,7 @@
     row.isStoreSettled = beat.isStoreSettled
     row.demands = beat.demands
     row.localShares = beat.localShares
+    row.breaks = beat.breaks
     return row
   }
 
@@ -60,6 +61,18 @@
     }
     return sums
   }
+
+  /** Endpoints at which attempts of other live hosts broke: how many hosts, and how many attempts together. */
+  sumBreaks (nowMs: number): Map<string, { hosts: number, breaks: number }> {
+    const sums = new Map<string, { hosts: number, breaks: number }>()
+    for (const row of this.listAlive(nowMs)) {
+      for (const [endpoint, count] of row.breaks) {
+        const sum = sums.get(endpoint) ?? { hosts: 0, breaks: 0 }
+        sums.set(endpoint, { hosts: sum.hosts + 1, breaks: sum.breaks + count })
+      }
+    }
+    return sums
+  }
 }
 
 function createRow (record: HostRecord): PeerRow {
@@ -76,6 +89,7 @@
     isStoreSettled: true,
     storeHeardAtMs: undefined,
     demands: [],
-    localShares: []
+    localShares: [],
+    breaks: []
   }
 }
--- /dev/null
+++ b/src/peers/readHeartbeat.ts
@@ -0,0 +1,45 @@
+import * as z from 'zod/mini'
+import type { CatalogEntry } from '../catalog/CatalogEntry.js'
+import { CatalogTable } from '../catalog/CatalogTable.js'
+import type { Heartbeat } from './Heartbeat.js'
+
+const figures = z.array(z.tuple([z.string(), z.number()]))
+const tables = z.enum(Object.values(CatalogTable) as [CatalogTable, ...CatalogTable[]])
+
+const schema = z.object({
+  host: z.object({
+    name: z.string(),
+    zone: z.string(),
+    region: z.string(),
+    callerAddress: z.string(),
+    peerAddress: z.string(),
+    linkMbps: z.number(),
+    incarnation: z.number()
+  }),
+  isReady: z.boolean(),
+  isLeaving: z.boolean(),
+  storeAgeMs: z.number(),
+  isStoreSettled: z.boolean(),
+  versions: z.object({ orders: z.number(), endpoints: z.number(), hosts: z.number() }),
+  loads: figures,
+  // Hosts of an earlier release don't send it while hosts are replaced one after the other.
+  breaks: z._default(figures, []),
+  demands: figures,
+  localShares: figures,
+  pages: z.array(z.tuple([tables, z.object({
+    version: z.number(),
+    after: z.optional(z.number()),
+    rows: z.array(z.object({ key: z.string(), version: z.number(), entry: z.optional(z.custom<CatalogEntry>(isEntry)) }))
+  })]))
+})
+
+/** Checks a heartbeat from another host; undefined when it has another shape. */
+export function readHeartbeat (value: unknown): Heartbeat | undefined {
+  const parsed = schema.safeParse(value)
+  return parsed.success ? parsed.data as Heartbeat : undefined
+}
+
+/** Entries were checked by the host that read them from the store. */
+function isEntry (value: unknown): boolean {
+  return typeof value === 'object' && value !== null && 'kind' in value
+}
--- a/test/host/HostProcess.test.ts
+++ b/test/host/HostProcess.test.ts
@@ -264,3 +264,17 @@
     expect(listRuns(group)).toEqual([])
   })
 })
+
+// Guards against a broken endpoint that every host has to find out for itself, each with requests of its callers.
+test('a host avoids an endpoint that others found broken', async () => {
+  await withGroup(3, 3, async (group) => {
+    const [broken] = group.endpoints as [PlatformEndpoint]
+    broken.behaviour = 'lost'
+    const order = async (index: number, host: number): Promise<number> => (await group.send({ method: 'POST', path: '/order/1', body: 'x', object: String(index) }, host)).status
+    for (let index = 0; index < 20; index++) await order(index, index % 2)
+    await group.waitUntil(() => group.logger.lines.some((line) => /endpoint-reported endpoint=e-0 hosts=2 breaks=\d+ ownBreaks=0/.test(line)))
+    const runsBefore = broken.runs.length
+    const statuses = await Promise.all(Array.from({ length: 20 }, async (_value, index) => await order(index, 2)))
+    expect([[...new Set(statuses)], broken.runs.length - runsBefore]).toEqual([[200], 0])
+  })
+})
--- a/test/peers/PeerTable.test.ts
+++ b/test/peers/PeerTable.test.ts
@@ -1,24 +1,8 @@
 import { test } from 'node:test'
 import { expect } from 'earl'
-import type { Heartbeat } from '../../src/peers/Heartbeat.js'
 import { peerLimits } from '../../src/peers/peerLimits.js'
 import { PeerTable } from '../../src/peers/PeerTable.js'
-
-function createBeat (name: string, incarnation: number, change: Partial<Heartbeat> = {}): Heartbeat {
-  return {
-    host: { name, zone: 'north-a', region: 'north', callerAddress: '10.0.0.1:1', peerAddress: '10.0.0.1:2', linkMbps: 0, incarnation },
-    isReady: true,
-    isLeaving: false,
-    storeAgeMs: 0,
-    isStoreSettled: true,
-    versions: { orders: 1, endpoints: 1, hosts: 1 },
-    loads: [],
-    demands: [],
-    localShares: [],
-    pages: [],
-    ...change
-  }
-}
+import { createBeat } from '../support/createBeat.js'
 
 // Guards against callers that are sent to a host that was killed.
 test('a silent host is not alive', () => {
@@ -51,3 +35,12 @@
   expect(peers.sumLoads(1_600).get('e')).toEqual(7)
   expect(peers.sumLoads(2_500).get('e')).toEqual(4)
 })
+
+// Guards against reports of a host that is gone, which would keep endpoints out of use.
+test('broken attempts are added up over live hosts', () => {
+  const peers = new PeerTable('me')
+  peers.receive(createBeat('a', 1, { breaks: [['e1', 2], ['e2', 1]] }), 0)
+  peers.receive(createBeat('b', 1, { breaks: [['e1', 1]] }), 100)
+  expect([...peers.sumBreaks(200)]).toEqual([['e1', { hosts: 2, breaks: 3 }], ['e2', { hosts: 1, breaks: 1 }]])
+  expect([...peers.sumBreaks(peerLimits.deadAfterMs)]).toEqual([['e1', { hosts: 1, breaks: 1 }]])
+})
--- a/test/peers/StoreReaders.test.ts
+++ b/test/peers/StoreReaders.test.ts
@@ -6,6 +6,7 @@
 import { peerLimits } from '../../src/peers/peerLimits.js'
 import { PeerTable } from '../../src/peers/PeerTable.js'
 import { StoreReaders } from '../../src/peers/StoreReaders.js'
+import { createBeat } from '../support/createBeat.js'
 
 const names = Array.from({ length: 10 }, (_value, index) => `host-${index}`)
 
@@ -27,18 +28,7 @@
   /** Hears some hosts; `storeAgeMs` is what they say of the store. */
   hear (heard: readonly string[], storeAgeMs = 0, isStoreSettled = true): void {
     for (const name of heard) {
-      this.peers.receive({
-        host: createRecord(name),
-        isReady: true,
-        isLeaving: false,
-        storeAgeMs,
-        isStoreSettled,
-        versions: { orders: 0, endpoints: 0, hosts: 0 },
-        loads: [],
-        demands: [],
-        localShares: [],
-        pages: []
-      }, this.clock.nowMs())
+      this.peers.receive(createBeat(name, 1, { host: createRecord(name), storeAgeMs, isStoreSettled }), this.clock.nowMs())
     }
     this.clock.advance(150)
   }
--- a/test/placing/ShareSystem.test.ts
+++ b/test/placing/ShareSystem.test.ts
@@ -5,6 +5,7 @@
 import { DemandMeter } from '../../src/placing/DemandMeter.js'
 import { LocalShares } from '../../src/placing/LocalShares.js'
 import { ShareSystem } from '../../src/placing/ShareSystem.js'
+import { createBeat } from '../support/createBeat.js'
 import { createEndpoint } from '../support/createEndpoint.js'
 
 function start (isFirstStart: boolean, neighbourShare?: number): number {
@@ -12,18 +13,7 @@
   endpoints.update([createEndpoint('n1'), createEndpoint('s1', { zone: 'south-a' })], { nowMs: 0, mayHaveLapsed: false })
   const peers = new PeerTable('me')
   if (neighbourShare !== undefined) {
-    peers.receive({
-      host: { name: 'other', zone: 'north-b', region: 'north', callerAddress: '', peerAddress: '', linkMbps: 0, incarnation: 1 },
-      isReady: true,
-      isLeaving: false,
-      storeAgeMs: 0,
-      isStoreSettled: true,
-      versions: { orders: 0, endpoints: 0, hosts: 0 },
-      loads: [],
-      demands: [],
-      localShares: [['stock', neighbourShare]],
-      pages: []
-    }, 0)
+    peers.receive(createBeat('other', 1, { localShares: [['stock', neighbourShare]] }), 0)
   }
   const shares = new LocalShares()
   new ShareSystem({ region: 'north', isFirstStart, endpoints, peers, demand: new DemandMeter(0), shares, evacuated: new Set() }).run(0)
--- a/test/support/createHostSettings.ts
+++ b/test/support/createHostSettings.ts
@@ -11,6 +11,7 @@
     linkMbps: 0,
     isFirstStart: true,
     seeds: [],
+    dial: {},
     clusterKey: 'test',
     bounds: { graceMs: 3_000, retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 64, maxTtlMs: 5_000 },
     ...change
