--- a/src/control/Agent.ts
+++ b/src/control/Agent.ts
@@ -11,14 +11,10 @@
 import type { Logger } from '../common/Logger.js'
 import { decodeUses } from '../membership/decodeUses.js'
 import { digestSchema } from '../membership/digestSchema.js'
-import { encodeUses } from '../membership/encodeUses.js'
-import { isUrgentDigest } from '../membership/isUrgentDigest.js'
 import type { Listing } from '../membership/Listing.js'
 import { Membership } from '../membership/Membership.js'
-import { membershipTimes } from '../membership/membershipTimes.js'
 import { MemberTable } from '../membership/MemberTable.js'
 import type { CustomerUse } from '../model/CustomerUse.js'
-import type { Digest } from '../model/Digest.js'
 import type { Member } from '../model/Member.js'
 import { MemberState } from '../model/MemberState.js'
 import type { View } from '../model/View.js'
@@ -39,9 +35,11 @@
 import type { HeldConfig } from './HeldConfig.js'
 import type { HostReach } from './HostReach.js'
 import type { MemberDifference } from './MemberDifference.js'
+import { ListingReader } from './ListingReader.js'
 import { OperatorApi } from './OperatorApi.js'
 import { OperatorAuth } from './OperatorAuth.js'
 import { OperatorServer } from './OperatorServer.js'
+import { OwnReport } from './OwnReport.js'
 import { PeerExchange } from './PeerExchange.js'
 import { ViewPublisher } from './ViewPublisher.js'
 
@@ -54,13 +52,10 @@
   readonly computePortions: ComputePortions
 }
 
-/** Only operators read the use per customer, so it is spread less often than loads. */
-const usesIntervalMs = 1_000
 const readIntervalMs = 1_000
 const tickMs = 50
 const explainTimeoutMs = 2_000
 const leaveDelayMs = 100
-const listPauseMs = 5_000
 const compareTimeoutMs = 1_000
 const maxCompared = 16
 const membersSchema = z.record(z.string(), z.string())
@@ -80,15 +75,9 @@
   private readonly log: Logger
   private readonly clock: Clock
   private readonly timers: NodeJS.Timeout[] = []
+  private readonly report: OwnReport
+  private readonly listing: ListingReader
   private leaving = false
-  /** Digest that waits because load-only changes are spread at a limited rate. */
-  private waitingDigest: Digest | undefined
-  private lastDigestMs = -Infinity
-  /** Encoded use per customer of the last digest that carried it on. */
-  private uses: Uint8Array | undefined
-  private lastUsesMs = -Infinity
-  private listPausedUntilMs = -Infinity
-  private readingList = false
 
   constructor (private readonly options: AgentOptions) {
     super()
@@ -101,6 +90,8 @@
     this.log = createLog('agent')
     this.members = new MemberTable({ host: name, zone, incarnation })
     this.membership = new Membership(this.members, incarnation)
+    this.report = new OwnReport({ members: this.members, clock, onChange: (urgent) => this.announceReport(urgent) })
+    this.listing = new ListingReader({ hosts: options.hosts, clock, onListing: (found) => this.report.setListing(found) })
     this.reader = new ConfigReader({ archive, holder: this.holder, clock, log: createLog('config') })
     this.writer = new ConfigWriter({
       archive, holder: this.holder, clock, log: createLog('config'), getContext: () => this.describeHosts(), onAccepted: (held) => this.exchange.push(held)
@@ -159,8 +150,8 @@
   /** Announces that the host is leaving, then stops. */
   override async stop (): Promise<void> {
     this.leaving = true
-    const digest = this.members.self.report?.digest
-    if (digest !== undefined) this.setDigest({ ...digest, leaving: true })
+    const { digest } = this.report
+    if (digest !== undefined) this.report.setDigest({ ...digest, leaving: true })
     this.exchange.flush()
     await sleep(leaveDelayMs)
     for (const timer of this.timers) clearInterval(timer)
@@ -224,7 +215,7 @@
   private tick (): void {
     try {
       this.exchange.tick()
-      this.publishWaitingDigest()
+      this.report.publishWaiting()
       this.publisher.tick()
     } catch (error) {
       this.reportCrash(error)
@@ -234,11 +225,11 @@
   /** The first live host of a zone reads for all of the zone; a host without a configuration reads for itself. */
   private async poll (): Promise<void> {
     const isReader = this.membership.isRelay(this.clock.nowMs())
-    if (!isReader) this.dropListing()
+    if (!isReader) this.report.setListing(undefined)
     const wasFirstStart = this.isFirstStart
     await Promise.all([
       isReader || this.holder.version === 0 ? this.reader.poll() : undefined,
-      isReader ? this.pollList() : undefined
+      isReader ? this.listing.poll() : undefined
     ])
     if (this.isFirstStart !== wasFirstStart) this.publisher.announce(true)
   }
@@ -248,38 +239,7 @@
     return this.reader.isPlatformEmpty && this.holder.heardVersion === 0
   }
 
-  private async pollList (): Promise<void> {
-    const { clock } = this
-    const { hosts } = this.options
-    if (this.readingList || clock.nowMs() < this.listPausedUntilMs) return
-    this.readingList = true
-    const list = await hosts.read()
-    this.readingList = false
-    if (list.isErr()) {
-      this.listPausedUntilMs = clock.nowMs() + listPauseMs
-      return
-    }
-    const leaving = list.value.filter(({ state }) => state === 'leaving')
-    this.setListing({
-      endpoints: leaving.filter(({ kind }) => kind === 'upstream').map(({ name }) => name).sort(),
-      hosts: leaving.filter(({ kind }) => kind === 'entry').map(({ name }) => name).sort()
-    })
-  }
-
-  private setListing (listing: Listing): void {
-    const { report } = this.members.self
-    if (JSON.stringify(report?.listing) === JSON.stringify(listing)) return
-    this.spreadReport(report?.digest, listing)
-  }
-
-  /** A host that no longer reads must not keep an outdated list in force. */
-  private dropListing (): void {
-    const { report } = this.members.self
-    if (report?.listing !== undefined) this.spreadReport(report.digest, undefined)
-  }
-
-  private spreadReport (digest: Digest | undefined, listing: Listing | undefined): void {
-    const urgent = this.members.setReport({ digest, uses: this.uses, listing })
+  private announceReport (urgent: boolean): void {
     if (urgent) this.exchange.flushSoon()
     this.publisher.announce(urgent)
   }
@@ -330,8 +290,8 @@
     if (this.leaving) return
     if (peer?.role !== 'entry' || peer.name !== this.host || this.publisher.findEntry() !== undefined) return
     this.log.warn('entry-disconnected')
-    const digest = this.waitingDigest ?? this.members.self.report?.digest
-    if (digest !== undefined) this.setDigest({ ...digest, serving: false })
+    const { digest } = this.report
+    if (digest !== undefined) this.report.setDigest({ ...digest, serving: false })
   }
 
   private async receive (message: Message, peer: PeerIdentity, connection: FrameConnection): Promise<Message | undefined> {
@@ -349,31 +309,7 @@
       this.log.warn('digest-refused', { message: parsed.error?.issues[0]?.message ?? 'another host' })
       return
     }
-    this.setDigest(this.leaving ? { ...parsed.data, leaving: true } : parsed.data)
-  }
-
-  private setDigest (digest: Digest): void {
-    this.waitingDigest = digest
-    if (isUrgentDigest(this.members.self.report?.digest, digest)) this.publishDigest(digest)
-    else this.publishWaitingDigest()
-  }
-
-  /** Load-only digests wait their turn, so that a large deployment does not flood its hosts. */
-  private publishWaitingDigest (): void {
-    const intervalMs = Math.max(membershipTimes.spreadMs, this.members.size * 1_000 / membershipTimes.loadDigestsPerSecond)
-    if (this.waitingDigest === undefined || this.clock.nowMs() - this.lastDigestMs < intervalMs) return
-    this.publishDigest(this.waitingDigest)
-  }
-
-  private publishDigest (digest: Digest): void {
-    const nowMs = this.clock.nowMs()
-    this.waitingDigest = undefined
-    this.lastDigestMs = nowMs
-    if (nowMs - this.lastUsesMs >= usesIntervalMs && digest.uses.length > 0) {
-      this.lastUsesMs = nowMs
-      this.uses = encodeUses(digest.uses)
-    }
-    this.spreadReport({ ...digest, uses: [] }, this.members.self.report?.listing)
+    this.report.setDigest(this.leaving ? { ...parsed.data, leaving: true } : parsed.data)
   }
 
   private reportCrash (error: unknown): void {
