--- a/dev/soak/SoakHost.ts
+++ b/dev/soak/SoakHost.ts
@@ -2,6 +2,7 @@
 import type { Guard } from '../cluster/Guard.js'
 import { ManagedProcess } from '../cluster/ManagedProcess.js'
 import { soakLimits } from './soakLimits.js'
+import { soakPorts } from './soakPorts.js'
 
 /** Where a host of the soak runs and whom it knows. */
 interface SoakHostPlan {
@@ -19,7 +20,8 @@
   readonly nodeArgs: readonly string[]
 }
 
-const ports = { front: 8_548, ready: 8_542, directory: 8_546, peers: 7_540 }
+/** Ports that the platform leaves free for the links between hosts. */
+const internalPorts = 16
 const bytesPerMb = 1_048_576
 const bytesPerKb = 1_024
 
@@ -51,15 +53,15 @@
   }
 
   get callers (): string {
-    return `${this.plan.address}:${ports.front}`
+    return `${this.plan.address}:${soakPorts.front}`
   }
 
   get directory (): string {
-    return `${this.plan.address}:${ports.directory}`
+    return `${this.plan.address}:${soakPorts.directory}`
   }
 
   get readiness (): string {
-    return `${this.plan.address}:${ports.ready}`
+    return `${this.plan.address}:${soakPorts.ready}`
   }
 
   start (): void {
@@ -96,7 +98,7 @@
       region,
       zones,
       listen: { front: this.callers, ready: this.readiness, directory: this.directory },
-      internal_port_range: [ports.peers, ports.peers + 15],
+      internal_port_range: [soakPorts.peers, soakPorts.peers + internalPorts - 1],
       seed_nodes: seeds.map((seed) => `${seed}:1`),
       bootstrap: this.isFirstStart,
       rule_params: [`grace_s=${soakLimits.graceMs / 1_000}`, `budget_ratio=${soakLimits.retryRatio}`, `budget_window_s=${soakLimits.retryWindowMs / 1_000}`, `budget_slack=${this.slack}`, 'ttl_max_s=5'],
--- a/dev/soak/SoakWorld.ts
+++ b/dev/soak/SoakWorld.ts
@@ -10,6 +10,7 @@
 import { SoakLedger } from './SoakLedger.js'
 import { soakLimits } from './soakLimits.js'
 import type { SoakOptions } from './SoakOptions.js'
+import { soakPorts } from './soakPorts.js'
 import type { SoakOrder } from './SoakOrder.js'
 
 /** What a world needs beside its size. */
@@ -169,9 +170,8 @@
     for (let other = 0; other < this.options.endpoints; other++) {
       dial[`${this.address(octets.endpoints, other + 1)}:${endpointPort}`] = `${this.address(octets.hostLinks + index, other + 1)}:${endpointPort}`
     }
-    const peerPort = 7_540
     for (let other = 0; other < this.options.hosts; other++) {
-      if (other !== index) dial[`${this.address(octets.hosts, other + 1)}:${peerPort}`] = `${this.address(octets.hostLinks + index, octets.peers + other)}:${peerPort}`
+      if (other !== index) dial[`${this.address(octets.hosts, other + 1)}:${soakPorts.peers}`] = `${this.address(octets.hostLinks + index, octets.peers + other)}:${soakPorts.peers}`
     }
     const host = new SoakHost({
       name,
@@ -187,7 +187,7 @@
       nodeArgs: this.options.nodeArgs
     }, this.guard)
     this.hosts.push(host)
-    for (const [target, listen] of Object.entries(dial)) await this.openLink(name, target.endsWith(`:${peerPort}`) ? 'host' : 'endpoint', listen, target)
+    for (const [target, listen] of Object.entries(dial)) await this.openLink(name, target.endsWith(`:${soakPorts.peers}`) ? 'host' : 'endpoint', listen, target)
     await this.openLink(name, 'store', host.plan.storeAddress, storeAddress)
     await this.openLink(name, 'callers', this.callerLink(index), host.callers)
   }
@@ -239,7 +239,7 @@
   }
 
   private callerLink (index: number): string {
-    return `${this.address(octets.callerLinks, index + 1)}:8548`
+    return `${this.address(octets.callerLinks, index + 1)}:${soakPorts.front}`
   }
 
   private address (third: number, fourth: number): string {
