Repeat the first writes of a test deployment until the store has taken them

Cause of the old failure of 'two operators at once' beside other work (cluster start: no answer within 1000 ms): Cluster.load writes the deployment as soon as ports are open, the agents' example settings give a store call 1 s, and on a busy machine the store stand-in, one of 24 processes that start together, may need longer. The agent's refusal is right (503 platformUnavailable or writeUnknown); the harness took it as the end, where an operator would repeat the write with its id. It now does so, for those two codes only and within the 20 s in which a deployment must become ready. Ruled out: the agent's time-out, which is a setting.

--- a/dev/Cluster.ts
+++ b/dev/Cluster.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from 'node:crypto'
 import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs'
 import { connect } from 'node:net'
 import { tmpdir } from 'node:os'
@@ -32,6 +33,9 @@
 const noDelays = { betweenZonesMs: 0, betweenRegionsMs: 0, toClientsMs: 0 }
 const defaultServiceMs = { interactive: 40, order: 80, bulk: 150 }
 const readyTimeoutMs = 20_000
+const firstErrorStatus = 300
+/** Refusals that say that the store did not answer in time. */
+const storeAwayNames: readonly string[] = ['platformUnavailable', 'writeUnknown']
 const pollMs = 50
 const binaries: Readonly<Record<Role, string>> = { agent: 'shuntAgent', entry: 'shuntEntry', lookup: 'shuntLookup' }
 const limits = { maxConnections: 4_096, maxHeaderBytes: 16_384, headersTimeoutMs: 10_000, idleTimeoutMs: 60_000 }
@@ -344,15 +348,29 @@
 
   private async load (): Promise<void> {
     const operator = this.operator()
-    const loaded = await operator.putDeployment(this.deployment)
-    if (loaded.status >= 300) throw new Error(`the deployment was not accepted: ${JSON.stringify(loaded)}`)
+    await this.writeFirst('the deployment', async (writeId) => await operator.putDeployment(this.deployment, writeId))
     for (const contract of this.contracts) {
-      const answer = await operator.putContract(contract, 0)
-      if (answer.status >= 300) throw new Error(`contract "${contract.customer}" was not accepted: ${JSON.stringify(answer)}`)
+      await this.writeFirst(`contract "${contract.customer}"`, async (writeId) => await operator.putContract(contract, 0, writeId))
     }
     await Promise.all(this.hostNames.flatMap((host) => this.roles.map(async (role) => await this.waitUntilReady(host, role))))
   }
 
+  /**
+   * Repeats a first write, under its own id, until the store has taken it: while all processes start at once, the store
+   * stand-in may need longer for an answer than the agents' settings allow.
+   */
+  private async writeFirst (what: string, write: (writeId: string) => Promise<Awaited<ReturnType<OperatorClient['call']>>>): Promise<void> {
+    const writeId = randomUUID()
+    const endMs = performance.now() + readyTimeoutMs
+    for (;;) {
+      const answer = await write(writeId)
+      if (answer.status < firstErrorStatus) return
+      const isStoreAway = storeAwayNames.includes(String(answer.body.name))
+      if (!isStoreAway || performance.now() > endMs) throw new Error(`${what} was not accepted: ${JSON.stringify(answer)}`)
+      await new Promise((resolve) => setTimeout(resolve, pollMs))
+    }
+  }
+
   private async cut (selects: readonly LinkSelection[], mode: CutMode = 'silent'): Promise<void> {
     const faults: Partial<LinkFaults> = mode === 'reset' ? { cut: true } : { silentForward: true, silentBackward: true }
     await this.standIns.setLinkFaults(selects, faults)
--- a/dev/cluster/OperatorClient.ts
+++ b/dev/cluster/OperatorClient.ts
@@ -24,11 +24,11 @@
     return { status: answer.status, body: parseObject(answer.body.toString()) }
   }
 
-  async putDeployment (deployment: Deployment, writeId = randomUUID()): Promise<OperatorAnswer> {
+  async putDeployment (deployment: Deployment, writeId: string = randomUUID()): Promise<OperatorAnswer> {
     return await this.call('PUT', 'deployment', { deployment, writeId })
   }
 
-  async putContract (contract: ExampleContract, expectVersion: number, writeId = randomUUID()): Promise<OperatorAnswer> {
+  async putContract (contract: ExampleContract, expectVersion: number, writeId: string = randomUUID()): Promise<OperatorAnswer> {
     return await this.call('PUT', `contracts/${contract.customer}`, { contract, expectVersion, writeId })
   }
 
@@ -40,7 +40,7 @@
     return await this.putContract({ ...contract, ...changes }, version)
   }
 
-  async drain (kind: 'upstream' | 'zone' | 'host', name: string, writeId = randomUUID()): Promise<OperatorAnswer> {
+  async drain (kind: 'upstream' | 'zone' | 'host', name: string, writeId: string = randomUUID()): Promise<OperatorAnswer> {
     return await this.call('POST', 'drains', { kind, name, writeId })
   }
 
