--- a/dev/runTests.ts
+++ b/dev/runTests.ts
@@ -21,7 +21,8 @@
 const clusterFolder = 'cluster'
 const fileTimeoutMs = 240_000
 // Each deployment is about 24 processes that use two to three cores.
-const clusterConcurrency = 3
+const coresPerDeployment = 3
+const clusterConcurrency = Math.max(1, Math.floor(cpus().length / coresPerDeployment))
 
 /** Reads the names of tests that may fail: lines `test: <name>` of KNOWN-RED.txt. */
 function readKnownRed (): Set<string> {
