Let the proxy look for late resets only where the soak's endpoints make them

The look is now an option of a link (findsLateResets), set on the soak's links to endpoints only, whose stand-ins reset right behind their bytes.

--- a/dev/proxy/Link.ts
+++ b/dev/proxy/Link.ts
@@ -116,6 +116,7 @@
         delayMs: () => this.delayMs(),
         isSilent: () => this.faults.silentForward,
         onData: () => true,
+        findsLateResets: false,
         notBeforeMs
       }),
       backward: new Pipe({
@@ -125,6 +126,7 @@
         delayMs: () => this.delayMs(),
         isSilent: () => this.faults.silentBackward,
         onData: () => this.admitAnswer(pair),
+        findsLateResets: this.plan.findsLateResets === true,
         notBeforeMs: 0
       })
     }
--- a/dev/proxy/LinkPlan.ts
+++ b/dev/proxy/LinkPlan.ts
@@ -12,6 +12,8 @@
   readonly targetKind: 'host' | 'endpoint' | 'platform'
   readonly targetZone: string
   readonly targetRegion: string
+  /** The target resets connections right behind its last bytes, which must not look like an end. */
+  readonly findsLateResets?: boolean
   /** One-way delay in ms. */
   readonly delayMs: number
   /** Bandwidth groups of data to and from the target; undefined means unlimited. */
--- a/dev/proxy/Pipe.ts
+++ b/dev/proxy/Pipe.ts
@@ -18,6 +18,8 @@
   readonly isSilent: () => boolean
   /** Called before data is queued; false drops it. */
   readonly onData: () => boolean
+  /** Carries a reset that arrives together with the last bytes on as a reset. */
+  readonly findsLateResets: boolean
   /** No data is due before this time, in ms of `performance.now()`. */
   readonly notBeforeMs: number
 }
@@ -36,8 +38,7 @@
   constructor (private readonly options: PipeOptions) {
     const { source, sink } = options
     source.on('data', (chunk: Buffer) => this.receive(chunk))
-    // Node.js reports a reset that arrives together with bytes as an end, but then the connection has no peer any more.
-    source.on('end', () => this.push(source.remoteAddress === undefined && !source.writableEnded ? 'reset' : 'end', noData))
+    source.on('end', () => this.push(this.wasReset() ? 'reset' : 'end', noData))
     source.on('error', () => this.push('reset', noData))
     sink.on('drain', () => this.resumeSource())
   }
@@ -59,6 +60,15 @@
     this.parcels.length = 0
   }
 
+  /**
+   * Node.js reports a reset that arrives together with bytes as an end, but then the connection has no peer any more. That
+   * is also so when the source has ended in order and a crossing request was answered with a reset, which must stay an end.
+   */
+  private wasReset (): boolean {
+    const { source, findsLateResets } = this.options
+    return findsLateResets && source.remoteAddress === undefined && !source.writableEnded
+  }
+
   private receive (chunk: Buffer): void {
     if (!this.options.onData()) return
     this.push('data', chunk)
--- a/dev/soak/SoakWorld.ts
+++ b/dev/soak/SoakWorld.ts
@@ -194,7 +194,7 @@
 
   private async openLink (source: string, target: LinkTarget, listen: string, address: string): Promise<void> {
     const place = { source, sourceZone: '', sourceRegion: '', targetName: address, targetKind: 'host', targetZone: '', targetRegion: '' } as const
-    const link = new Link({ ...place, listen, target: address, delayMs: 0 }, new Map())
+    const link = new Link({ ...place, listen, target: address, delayMs: 0, findsLateResets: target === 'endpoint' }, new Map())
     await link.open()
     this.links.set(source, [...this.links.get(source) ?? [], { target, name: address, link }])
   }
--- a/test/dev/Link.test.ts
+++ b/test/dev/Link.test.ts
@@ -28,7 +28,7 @@
   })
   await new Promise<void>((resolve) => server.listen(0, address, resolve))
   const place = { source: 's', sourceZone: '', sourceRegion: '', targetName: 't', targetKind: 'host', targetZone: '', targetRegion: '' } as const
-  const link = new Link({ ...place, listen: `${address}:${port}`, target: `${address}:${(server.address() as AddressInfo).port}`, delayMs: 0 }, new Map())
+  const link = new Link({ ...place, listen: `${address}:${port}`, target: `${address}:${(server.address() as AddressInfo).port}`, delayMs: 0, findsLateResets: true }, new Map())
   await link.open()
   try {
     const ends = new Set<string>()
