--- a/dev/soak/HostPauseFault.ts
+++ b/dev/soak/HostPauseFault.ts
@@ -8,12 +8,11 @@
 
   override async play (world: SoakWorld, holdMs: number): Promise<string> {
     const host = this.choose(world, world.hosts)
-    const { calm, unplanned } = world.ledger
-    const ends = [calm, unplanned].map((log) => log.disturb(host.name, performance.now()))
+    const end = world.ledger.disturbHosts([host.name])
     host.process.signal('SIGSTOP')
     await this.hold(holdMs)
     host.process.signal('SIGCONT')
-    for (const end of ends) end(performance.now())
+    end()
     return host.name
   }
 }
--- a/dev/soak/LinkFault.ts
+++ b/dev/soak/LinkFault.ts
@@ -8,7 +8,7 @@
 const targets: readonly FaultTarget[] = ['endpoint', 'host', 'store', 'callers']
 const healthy: Partial<LinkFaults> = { cut: false, silentForward: false, silentBackward: false, extraDelayMs: 0 }
 
-/** Disturbs the links of one host to all targets of a kind, to one of them, or to everything. */
+/** Disturbs the links of one host to all targets of a kind, or to everything. */
 export class LinkFault extends SoakFault {
   constructor (readonly name: string, readonly weight: number, private readonly faults: Partial<LinkFaults>) {
     super()
@@ -18,12 +18,11 @@
     const host = this.choose(world, world.hosts)
     const kinds = world.random.next() < 0.2 ? targets : [this.choose(world, targets)]
     const touched = kinds.includes('host') ? world.hosts : [host]
-    const { calm, unplanned } = world.ledger
-    const ends = touched.flatMap((one) => [calm, unplanned].map((log) => log.disturb(one.name, performance.now())))
+    const end = world.ledger.disturbHosts(touched.map((one) => one.name))
     for (const kind of kinds) await world.setLinkFaults(host.name, kind, this.faults)
     await this.hold(holdMs)
     for (const kind of kinds) await world.setLinkFaults(host.name, kind, healthy)
-    for (const end of ends) end(performance.now())
+    end()
     return `${host.name} to ${kinds.join('+')}`
   }
 }
--- a/dev/soak/SoakLedger.ts
+++ b/dev/soak/SoakLedger.ts
@@ -16,4 +16,14 @@
   calmFromMs = Infinity
   /** Ends of host processes that nobody ordered, and errors that hosts logged. */
   readonly hostFaults: string[] = []
+
+  /** Begins an unplanned disturbance of some hosts; the returned function ends it. */
+  disturbHosts (names: readonly string[]): () => void {
+    const startMs = performance.now()
+    const ends = names.flatMap((name) => [this.calm, this.unplanned].map((log) => log.disturb(name, startMs)))
+    return () => {
+      const endMs = performance.now()
+      for (const end of ends) end(endMs)
+    }
+  }
 }
--- a/dev/soak/SoakWorld.ts
+++ b/dev/soak/SoakWorld.ts
@@ -1,6 +1,6 @@
-import { request } from 'node:http'
 import { Guard } from '../cluster/Guard.js'
 import { SeededRandom } from '../common/SeededRandom.js'
+import { sendRequest } from '../common/sendRequest.js'
 import { Link } from '../proxy/Link.js'
 import type { LinkFaults } from '../proxy/LinkFaults.js'
 import { StoreServer } from '../store/StoreServer.js'
@@ -32,6 +32,7 @@
 const storePort = 8_541
 const workMs = 25
 const lookUpTimeoutMs = 1_000
+const okStatus = 200
 const versionDigits = 8
 const hexadecimal = 16
 /** Octets of the deployment's own network, kept apart from those of the tests. */
@@ -52,7 +53,7 @@
   readonly hosts: SoakHost[] = []
   readonly endpoints: SoakEndpoint[] = []
   private readonly guard = new Guard()
-  private readonly links = new Map<string, Array<{ readonly target: LinkTarget, readonly name: string, readonly link: Link }>>()
+  private readonly links = new Map<string, Array<{ readonly target: LinkTarget, readonly link: Link }>>()
   private readonly callers: SoakCaller[] = []
   private readonly network: number
   private version = 0
@@ -119,9 +120,9 @@
     }
   }
 
-  /** Sets faults of the links of a host to targets of a kind, or to one of them. */
-  async setLinkFaults (host: string, target: LinkTarget, faults: Partial<LinkFaults>, name?: string): Promise<void> {
-    const chosen = (this.links.get(host) ?? []).filter((row) => row.target === target && (name === undefined || row.name === name))
+  /** Sets faults of the links of a host to all targets of a kind. */
+  async setLinkFaults (host: string, target: LinkTarget, faults: Partial<LinkFaults>): Promise<void> {
+    const chosen = (this.links.get(host) ?? []).filter((row) => row.target === target)
     await Promise.all(chosen.map(async ({ link }) => { await link.setFaults(faults) }))
   }
 
@@ -196,7 +197,7 @@
     const place = { source, sourceZone: '', sourceRegion: '', targetName: address, targetKind: 'host', targetZone: '', targetRegion: '' } as const
     const link = new Link({ ...place, listen, target: address, delayMs: 0, findsLateResets: target === 'endpoint' }, new Map())
     await link.open()
-    this.links.set(source, [...this.links.get(source) ?? [], { target, name: address, link }])
+    this.links.set(source, [...this.links.get(source) ?? [], { target, link }])
   }
 
   private addCaller (index: number): void {
@@ -249,17 +250,11 @@
 
 /** Body of a successful answer; undefined without one. */
 async function fetchText (address: string, path: string): Promise<string | undefined> {
-  const [host, port] = address.split(':')
-  return await new Promise((resolve) => {
-    const req = request({ host: host!, port: Number(port), path, agent: false, timeout: lookUpTimeoutMs }, (res) => {
-      const chunks: Buffer[] = []
-      res.on('data', (chunk: Buffer) => chunks.push(chunk))
-      res.on('error', () => resolve(undefined))
-      res.on('end', () => resolve(res.statusCode === 200 ? Buffer.concat(chunks).toString('utf8') : undefined))
-    })
-    req.on('timeout', () => req.destroy())
-    req.on('error', () => resolve(undefined))
-    req.on('close', () => resolve(undefined))
-    req.end()
-  })
+  try {
+    const { status, body } = await sendRequest(`http://${address}${path}`, { timeoutMs: lookUpTimeoutMs })
+    return status === okStatus ? body.toString('utf8') : undefined
+  } catch {
+    // The host is down or cut off, which is for the caller to bear.
+    return undefined
+  }
 }
--- a/dev/soak/checkSoakPromises.ts
+++ b/dev/soak/checkSoakPromises.ts
@@ -45,9 +45,8 @@
   const findings: SoakFinding[] = []
   if (!request.isIdempotent && runs.length > 1) findings.push({ promise: 'a non-idempotent request runs at most once', detail: `${request.id} at ${runs.map((run) => run.endpoint).join(', ')}` })
   for (const run of runs) {
-    const leftMs = request.deadlineMs - (run.atMs - request.sentAtMs)
     // An endpoint may begin with a request long after it was sent on, so only the first deadline is a bound.
-    if (run.deadlineMs > request.deadlineMs + soakLimits.deadlineSlackMs) findings.push({ promise: 'an endpoint is handed no more time than is left', detail: `${request.id}: ${run.deadlineMs} ms with ${Math.round(leftMs)} ms left` })
+    if (run.deadlineMs > request.deadlineMs + soakLimits.deadlineSlackMs) findings.push({ promise: 'an endpoint is handed no more time than is left', detail: `${request.id}: ${run.deadlineMs} ms of ${request.deadlineMs} ms` })
   }
   return findings
 }
