Close a connection only behind the newest of its pipelined requests

Cause: clients may send further idempotent requests before the first response. A host that was leaving, or that refused a request, sent `Connection: close` with the first response that it wrote, so Node.js dropped the responses of the requests behind it although endpoints ran them. Data behind a request with `Connection: close` raised a parse error that destroyed the connection together with the response to the first request. A refusal that was written while the request was handed over closed the connection although the request had no body, because Node.js sets `complete` only afterwards. One connection could open any number of requests.

Ruled out: pausing the socket instead of a bound, since Node.js parses all requests of a chunk that has been read, and resumes the socket itself when a request is dumped.

Change: the connection decides, when the head of a response is written (`PipelinedResponse`, `TrackedConnection`). Only the response to the newest request closes it; requests that arrive later are not run. At most 16 requests are open on a connection. Requests before bytes that can't be parsed are answered first.

--- a/src/entry/DrainableHttpServer.ts
+++ b/src/entry/DrainableHttpServer.ts
@@ -1,17 +1,21 @@
 import { createServer } from 'node:http'
-import type { IncomingMessage, Server, ServerOptions, ServerResponse } from 'node:http'
+import type { IncomingMessage, Server, ServerOptions } from 'node:http'
 import { createServer as createTlsServer } from 'node:https'
 import { Server as NetServer } from 'node:net'
 import type { Socket } from 'node:net'
 import { createFailure } from '../common/createFailure.js'
+import type { Clock } from '../common/Clock.js'
 import type { Failure } from '../common/Failure.js'
 import { Outcome } from '../common/Outcome.js'
 import type { ResultName } from '../common/ResultName.js'
-import type { TrackedConnection } from './TrackedConnection.js'
+import { entryLimits } from './entryLimits.js'
 import { formatRefusal } from './formatRefusal.js'
+import { PipelinedResponse } from './PipelinedResponse.js'
+import { TrackedConnection } from './TrackedConnection.js'
 
 /** Limits and handlers of the server. */
 interface HttpFrontOptions {
+  readonly clock: Clock
   readonly limits: {
     readonly maxConnections: number
     readonly maxHeaderBytes: number
@@ -21,7 +25,9 @@
   /** Certificate and key; without them the server uses plain HTTP. */
   readonly tls?: { readonly cert: string, readonly key: string } | undefined
   /** Handles a request; `expectation` describes its `Expect` header. */
-  readonly onRequest: (req: IncomingMessage, res: ServerResponse, expectation: 'none' | 'continue' | 'other') => void
+  readonly onRequest: (req: IncomingMessage, res: PipelinedResponse, expectation: 'none' | 'continue' | 'other') => void
+  /** Returns true while responses must close their connections, so that callers move to other hosts. */
+  readonly closesConnections: () => boolean
   readonly createRequestId: () => string
   /** Closes idle connections without sending a refusal for a request that may be under way. */
   readonly closesIdleSilently?: boolean
@@ -29,12 +35,14 @@
   readonly onRefused: (name: ResultName) => void
 }
 
+type FrontServer = Server<typeof IncomingMessage, typeof PipelinedResponse>
+
 /** Time in ms after which a connection that ended with a refusal is destroyed; until then the caller can read the refusal. */
 const lingerMs = 1_000
 
 /** An HTTP server that tracks open requests per connection, so that a planned stop interrupts none of them. */
 export class DrainableHttpServer {
-  private readonly server: Server
+  private readonly server: FrontServer
   private readonly tracked = new Map<Socket, TrackedConnection>()
   private openRequests = 0
   private droppedConnections = 0
@@ -109,9 +117,10 @@
     for (const socket of this.tracked.keys()) socket.destroy()
   }
 
-  private createServer (): Server {
+  private createServer (): FrontServer {
     const { limits, tls } = this.options
-    const options: ServerOptions = {
+    const options: ServerOptions<typeof IncomingMessage, typeof PipelinedResponse> = {
+      ServerResponse: PipelinedResponse,
       maxHeaderSize: limits.maxHeaderBytes,
       headersTimeout: limits.headersTimeoutMs,
       // Bodies are limited by the idle time between chunks and by the deadline of the request.
@@ -121,11 +130,11 @@
       // The built-in response of Node.js to a missing Host header has no result code.
       requireHostHeader: false
     }
-    return tls === undefined ? createServer(options) : createTlsServer({ ...options, ...tls }) as unknown as Server
+    return tls === undefined ? createServer(options) : createTlsServer({ ...options, ...tls }) as unknown as FrontServer
   }
 
   private track (socket: Socket): void {
-    const connection: TrackedConnection = { socket, openResponses: new Set(), isClosing: false }
+    const connection = new TrackedConnection(socket, this.options.clock.nowMs())
     this.tracked.set(socket, connection)
     socket.once('close', () => {
       this.tracked.delete(socket)
@@ -134,17 +143,23 @@
     })
   }
 
-  private receive (req: IncomingMessage, res: ServerResponse, expectation: 'none' | 'continue' | 'other'): void {
+  private receive (req: IncomingMessage, res: PipelinedResponse, expectation: 'none' | 'continue' | 'other'): void {
     const connection = this.tracked.get(req.socket)
-    // The connection was ended with a refusal, so a request that arrives on it must not run.
-    if (connection?.isClosing === true) return
-    connection?.openResponses.add(res)
+    if (connection === undefined || connection.isRefusingRequests) return
+    if (connection.openResponses.size >= entryLimits.maxPipelinedRequests) {
+      connection.isRefusingRequests = true
+      return
+    }
+    connection.openResponses.add(res)
     this.openRequests += 1
+    res.settleKeepAlive = (wantsKeepAlive) => connection.settleKeepAlive(res, wantsKeepAlive && !this.options.closesConnections())
     res.once('close', () => {
       this.openRequests -= 1
-      if (connection === undefined) return
       connection.openResponses.delete(res)
-      if (this.isClosingIdle) this.endIdle(connection)
+      connection.idleSinceMs = this.options.clock.nowMs()
+      if (connection.openResponses.size > 0) return
+      if (connection.isRefusingRequests) connection.socket.end()
+      else if (this.isClosingIdle) this.endIdle(connection)
     })
     this.options.onRequest(req, res, expectation)
   }
@@ -155,8 +170,8 @@
    * request with the same key may have run.
    */
   private endIdle (connection: TrackedConnection): void {
-    if (connection.openResponses.size > 0 || connection.isClosing) return
-    connection.isClosing = true
+    if (connection.openResponses.size > 0 || connection.isRefusingRequests) return
+    connection.isRefusingRequests = true
     if (this.options.closesIdleSilently === true) {
       connection.socket.end()
       return
@@ -168,11 +183,16 @@
   }
 
   private refuseUnparsed (error: Error & { code?: string }, socket: Socket): void {
-    const isBusy = (this.tracked.get(socket)?.openResponses.size ?? 0) > 0
-    if (isBusy || !socket.writable || error.code === 'ECONNRESET') {
+    const connection = this.tracked.get(socket)
+    if (!socket.writable || error.code === 'ECONNRESET' || connection?.isReadingBody === true) {
       socket.destroy()
       return
     }
+    // The requests before the bytes that could not be read are answered first.
+    if (connection !== undefined && connection.openResponses.size > 0) {
+      connection.isRefusingRequests = true
+      return
+    }
     const failure = createFailure(getResultName(error.code), { message: describe(error.code) })
     this.options.onRefused(failure.name)
     this.endWithRefusal(socket, failure)
--- a/src/entry/EntryGateway.ts
+++ b/src/entry/EntryGateway.ts
@@ -116,8 +116,10 @@
     const lookup = new LookupProxy({ client: this.lookupClient, address: `${address}:${ports.lookup}`, state })
     const handler = new CallerHandler({ clock, state, authenticator, pipeline, lookup, ids, metrics, logger })
     return new DrainableHttpServer({
+      clock,
       limits,
       tls,
+      closesConnections: () => state.isLeaving,
       onRequest: (req, res, expectation) => handler.handle(req, res, expectation),
       createRequestId: () => ids.create(),
       onRefused: (name) => metrics.refused(name, '', '')
@@ -127,7 +129,9 @@
   private createInternalServer (context: AttemptContext): DrainableHttpServer {
     const handler = new InternalHandler({ context, state: this.state, logger: this.options.logger })
     return new DrainableHttpServer({
+      clock: this.options.clock,
       limits: internalLimits,
+      closesConnections: () => this.state.isLeaving,
       onRequest: (req, res: ServerResponse) => handler.handle(req, res),
       createRequestId: () => '',
       onRefused: () => {}
--- a/src/entry/EntryState.ts
+++ b/src/entry/EntryState.ts
@@ -2,7 +2,7 @@
 import { RouteTable } from './RouteTable.js'
 
 const noHeaders: readonly string[] = []
-const leavingHeaders: readonly string[] = ['Connection', 'close', 'Shunt-Leaving', '1']
+const leavingHeaders: readonly string[] = ['Shunt-Leaving', '1']
 
 /** State shared by the request handlers of a process: the configuration in force and whether the host is leaving. */
 export class EntryState {
--- a/src/entry/InternalHandler.ts
+++ b/src/entry/InternalHandler.ts
@@ -163,6 +163,6 @@
 
   private refuse (req: IncomingMessage, res: ServerResponse, requestId: string, failure: Failure, endpoint: string | undefined): void {
     const headers = endpoint === undefined ? [] : ['Shunt-Endpoint', endpoint]
-    writeRefusal(req, res, failure, { requestId, close: this.options.state.isLeaving, headers })
+    writeRefusal(req, res, failure, { requestId, close: false, headers })
   }
 }
--- a/src/entry/RequestPipeline.ts
+++ b/src/entry/RequestPipeline.ts
@@ -128,14 +128,10 @@
   }
 
   private createExtraHeaders (exchange: CallerExchange): readonly string[] {
-    const state = this.options.createStateHeaders()
-    return ['Shunt-Request-Id', exchange.request.id, ...(state.length === 0 && !exchange.req.complete ? closeHeaders : state)]
+    return ['Shunt-Request-Id', exchange.request.id, ...this.options.createStateHeaders()]
   }
 }
 
-/** Closes the connection after a response that was sent before the whole body was read: the remaining body would follow on it. */
-const closeHeaders: readonly string[] = ['Connection', 'close']
-
 function allowsRegion (permit: Permit, region: string): boolean {
   if (!permit.enterRegion(region)) return false
   permit.leaveRegion(region)
--- a/src/entry/ResponseWriter.ts
+++ b/src/entry/ResponseWriter.ts
@@ -2,6 +2,7 @@
 import { AttemptResult } from '../steer/AttemptResult.js'
 import { copyResponseHeaders } from './copyResponseHeaders.js'
 import { endAfterDiscardingBody } from './endAfterDiscardingBody.js'
+import { hasUnreadBody } from './hasUnreadBody.js'
 import type { OpenResponse } from './OpenResponse.js'
 
 /** Options for writing a response. */
@@ -33,6 +34,8 @@
   async write (): Promise<boolean> {
     const { response: answer } = this.openResponse
     const headers = copyResponseHeaders(answer.headers)
+    // The rest of the request body would follow on the connection.
+    if (hasUnreadBody(this.res.req)) this.res.shouldKeepAlive = false
     if (answer.stream === undefined) return this.writeBuffered(headers)
     headers.push(...this.options.headers)
     this.res.writeHead(answer.status, headers)
@@ -49,7 +52,7 @@
     const all = hasBody ? replaceLength(headers, body.length) : headers
     all.push(...this.options.headers)
     this.res.writeHead(status, all)
-    if (!this.res.req.complete) {
+    if (hasUnreadBody(this.res.req)) {
       if (body.length > 0) this.res.write(body)
       endAfterDiscardingBody(this.res)
       return true
--- a/src/entry/TrackedConnection.ts
+++ b/src/entry/TrackedConnection.ts
@@ -1,10 +1,38 @@
-import type { ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import { hasUnreadBody } from './hasUnreadBody.js'
+import type { PipelinedResponse } from './PipelinedResponse.js'
 
-/** An accepted connection and its responses that are not complete. */
-export interface TrackedConnection {
-  readonly socket: Socket
-  readonly openResponses: Set<ServerResponse>
-  /** True once the host has ended the connection; requests that arrive on it afterwards are not run. */
-  isClosing: boolean
+/** An accepted connection and its responses that are not complete, in the order of their requests. */
+export class TrackedConnection {
+  readonly openResponses = new Set<PipelinedResponse>()
+  /** True once requests that arrive are neither read nor run, since the connection ends after its open responses. */
+  isRefusingRequests = false
+  /** True once a response was to close the connection but left that to the pipelined responses behind it. */
+  private mustClose = false
+
+  constructor (
+    readonly socket: Socket,
+    /** Monotonic time in ms since which the connection has no open request. */
+    public idleSinceMs: number
+  ) {}
+
+  /** True while the body of the newest request has not arrived completely. */
+  get isReadingBody (): boolean {
+    return this.newest !== undefined && hasUnreadBody(this.newest.req)
+  }
+
+  /**
+   * Decides whether the connection stays open after a response. Callers treat requests behind a response that closes the
+   * connection as not read, so only the response to the newest request may close it.
+   */
+  settleKeepAlive (res: PipelinedResponse, wantsKeepAlive: boolean): boolean {
+    this.mustClose ||= !wantsKeepAlive
+    if (res !== this.newest) return true
+    this.isRefusingRequests ||= this.mustClose
+    return !this.isRefusingRequests
+  }
+
+  private get newest (): PipelinedResponse | undefined {
+    return [...this.openResponses].at(-1)
+  }
 }
--- a/src/entry/entryLimits.ts
+++ b/src/entry/entryLimits.ts
@@ -12,6 +12,8 @@
   maxAttempts: 4,
   /** Time in ms from the claim request during which the claim may be used. */
   claimValidMs: 2_000,
+  /** Maximum number of open requests on one connection; a pipelined request beyond it is not read, and the connection ends. */
+  maxPipelinedRequests: 16,
   /** Time in ms and number of bytes for which an unread body is discarded after a response, so that the caller can read the response. */
   lingerMs: 1_000,
   maxLingerBytes: 1_048_576,
--- a/src/entry/writeRefusal.ts
+++ b/src/entry/writeRefusal.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Failure } from '../common/Failure.js'
 import { formatRefusal } from './formatRefusal.js'
+import { hasUnreadBody } from './hasUnreadBody.js'
 import { endAfterDiscardingBody } from './endAfterDiscardingBody.js'
 
 /** Options for sending a refusal. */
@@ -21,11 +22,11 @@
     return
   }
   const { status, headers, body } = formatRefusal(failure, options.requestId, options.formatRetryAfter)
-  const hasUnreadBody = !req.complete
+  const isBodyUnread = hasUnreadBody(req)
   const all = [...headers, ...options.headers]
-  if (options.close || hasUnreadBody) all.push('Connection', 'close')
+  if (options.close || isBodyUnread) res.shouldKeepAlive = false
   res.writeHead(status, all)
-  if (!hasUnreadBody) {
+  if (!isBodyUnread) {
     res.end(req.method === 'HEAD' ? undefined : body)
     return
   }
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -203,7 +203,6 @@
     const startMs = this.options.clock.nowMs()
     const endMs = startMs + this.settings.bounds.graceMs - hostLimits.stopMarginMs
     this.isLeaving = true
-    this.handler.isLeaving = true
     this.mesh.announce()
     await sleep(hostLimits.listenerCloseDelayMs)
     this.front.closeListener()
@@ -267,6 +266,8 @@
 
   private createFront (metrics: HostMetrics): DrainableHttpServer {
     return new DrainableHttpServer({
+      clock: this.options.clock,
+      closesConnections: () => this.isLeaving,
       limits: {
         maxConnections: hostLimits.maxConnections,
         maxHeaderBytes: hostLimits.maxHeaderBytes,
--- a/src/host/RequestHandler.ts
+++ b/src/host/RequestHandler.ts
@@ -29,9 +29,6 @@
 
 /** Serves callers' requests. Every failure becomes a refusal with a result code. */
 export class RequestHandler {
-  /** When true, answers carry `Connection: close`, so that callers move to other hosts. */
-  isLeaving = false
-
   constructor (private readonly context: HostContext) {}
 
   handle (req: IncomingMessage, res: ServerResponse): void {
@@ -115,8 +112,7 @@
   private async answer (exchange: Exchange, request: ServedRequest, open: OpenResponse, fields: Record<string, string | number>): Promise<void> {
     const { req, res, startMs } = exchange
     const { status } = open.response
-    const headers = this.isLeaving ? ['Connection', 'close'] : []
-    const isComplete = await new ResponseWriter(res, open, { headers, isHead: req.method === 'HEAD' }).write()
+    const isComplete = await new ResponseWriter(res, open, { headers: [], isHead: req.method === 'HEAD' }).write()
     const elapsedMs = Math.round(this.context.clock.nowMs() - startMs)
     this.context.metrics.recordCompletion(request.service, status, elapsedMs)
     this.log(exchange, 'answered', { ...fields, status, whole: isComplete })
@@ -135,7 +131,7 @@
     })
     writeRefusal(req, res, failure, {
       requestId: id,
-      close: this.isLeaving,
+      close: false,
       headers: [],
       formatRetryAfter: (ms) => this.context.httpBinding.formatRetryAfter(ms)
     })
--- a/test/entry/DrainableHttpServerTimeouts.test.ts
+++ b/test/entry/DrainableHttpServerTimeouts.test.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net'
 import { test } from 'node:test'
 import { expect } from 'earl'
+import { SystemClock } from '../../src/common/SystemClock.js'
 import { DrainableHttpServer } from '../../src/entry/DrainableHttpServer.js'
 
 const address = '127.22.5.9'
@@ -14,6 +15,8 @@
 
 async function withFront (run: () => Promise<void>): Promise<void> {
   const front = new DrainableHttpServer({
+    clock: new SystemClock(),
+    closesConnections: () => false,
     limits: { maxConnections: 10, maxHeaderBytes: 16_384, headersTimeoutMs: 60_000, idleTimeoutMs: 60_000 },
     onRequest: (_req, res) => { res.end('whole') },
     createRequestId: () => 'r-1',
