Answer what a leaving host has accepted, and start on tables that the store confirms

When a host that was busy closed its listener, the connections in the backlog were reset; connections that had just been accepted were closed as idle before their request arrived. - A host that starts took its tables from the first peer that sent them. When that peer was cut off from the store, an endpoint that had left was in use again until the store's answer arrived. - A health check took the head of a response for health although the body had no end, and read that body for a second.

Change: before the listener closes, the host accepts what waits (for 500 ms at most); without a refusal a connection is closed only after it has been idle for 300 ms, and a planned stop waits for that. A health check counts when its response is complete, within 64 KiB.

Ruled out: reading the peers' last contact with the store, since a reader that was cut off notices it only when its poll of 10 s times out.

Pass before and after: responses without end at the host, an entry that vanishes while its endpoint works, a restart during a store outage.

--- a/src/catalog/StoreHealth.ts
+++ b/src/catalog/StoreHealth.ts
@@ -4,6 +4,11 @@
   private lastSuccessAtMs: number | undefined
   private down = false
 
+  /** True once a call has succeeded or failed. */
+  get hasResult (): boolean {
+    return this.down || this.lastSuccessAtMs !== undefined
+  }
+
   get isDown (): boolean {
     return this.down
   }
--- a/src/endpoints/endpointLimits.ts
+++ b/src/endpoints/endpointLimits.ts
@@ -6,6 +6,8 @@
   probeIntervalMs: 500,
   /** Timeout in ms of one health check. */
   probeTimeoutMs: 1_000,
+  /** Size in bytes of a health check's response body above which the check fails. */
+  maxProbeBodyBytes: 65_536,
   /** Weight of one attempt in the exponential moving averages. */
   smoothingFactor: 0.1,
   /** Share of failed attempts from which an endpoint is ejected. */
--- a/src/entry/DrainableHttpServer.ts
+++ b/src/entry/DrainableHttpServer.ts
@@ -40,11 +40,18 @@
 /** Time in ms after which a connection that ended with a refusal is destroyed; until then the caller can read the refusal. */
 const lingerMs = 1_000
 
+/** Maximum time in ms for accepting the connections that wait when the listener is to be closed. */
+const maxDrainMs = 500
+
+/** Time in ms for which a connection must have been idle before it is closed without a refusal. */
+const minIdleMs = 300
+
 /** An HTTP server that tracks open requests per connection, so that a planned stop interrupts none of them. */
 export class DrainableHttpServer {
   private readonly server: FrontServer
   private readonly tracked = new Map<Socket, TrackedConnection>()
   private openRequests = 0
+  private acceptedConnections = 0
   private droppedConnections = 0
   private isClosingIdle = false
 
@@ -53,7 +60,11 @@
     this.server.maxConnections = options.limits.maxConnections
     this.server.maxHeadersCount = 0
     this.server.on(options.tls === undefined ? 'connection' : 'secureConnection', (socket: Socket) => this.track(socket))
-    this.server.on('drop', () => { this.droppedConnections += 1 })
+    this.server.on('connection', () => { this.acceptedConnections += 1 })
+    this.server.on('drop', () => {
+      this.acceptedConnections += 1
+      this.droppedConnections += 1
+    })
     this.server.on('request', (req, res) => this.receive(req, res, 'none'))
     this.server.on('checkContinue', (req, res) => this.receive(req, res, 'continue'))
     this.server.on('checkExpectation', (req, res) => this.receive(req, res, 'other'))
@@ -65,6 +76,11 @@
     return this.openRequests
   }
 
+  /** Number of connections on which a request would be answered. */
+  get openConnections (): number {
+    return [...this.tracked.values()].filter((connection) => !connection.isRefusingRequests).length
+  }
+
   get connections (): number {
     return this.tracked.size
   }
@@ -94,7 +110,22 @@
     this.server.headersTimeout = idleTimeoutMs + headerTimeoutMs
   }
 
-  /** Stops accepting connections; open connections stay usable. */
+  /**
+   * Stops accepting connections; open connections stay usable. Closing a listener resets the connections that wait to be
+   * accepted, so these are accepted first.
+   */
+  async drainListener (): Promise<void> {
+    const { clock } = this.options
+    const endMs = clock.nowMs() + maxDrainMs
+    // Node.js accepts one connection before each callback of `setImmediate`, if any is waiting.
+    for (let accepted = -1; accepted < this.acceptedConnections && clock.nowMs() < endMs;) {
+      accepted = this.acceptedConnections
+      await new Promise((resolve) => setImmediate(resolve))
+    }
+    this.closeListener()
+  }
+
+  /** Stops accepting connections at once; open connections stay usable. */
   closeListener (): void {
     // `close` of `http.Server` would also destroy idle connections, which resets a request that is under way.
     NetServer.prototype.close.call(this.server)
@@ -171,17 +202,25 @@
    */
   private endIdle (connection: TrackedConnection): void {
     if (connection.openResponses.size > 0 || connection.isRefusingRequests) return
+    if (this.options.closesIdleSilently === true) return this.endSilently(connection)
     connection.isRefusingRequests = true
-    if (this.options.closesIdleSilently === true) {
-      connection.socket.end()
-      return
-    }
     this.endWithRefusal(connection.socket, createFailure('hostLeaving', {
       outcome: Outcome.unknown,
       message: 'The host is leaving and did not read this request; retry it at another host, with the same idempotency key if it has one.'
     }))
   }
 
+  /** Ends a connection once it has been idle long enough that no request of the caller is likely to be under way. */
+  private endSilently (connection: TrackedConnection): void {
+    const remainingMs = connection.idleSinceMs + minIdleMs - this.options.clock.nowMs()
+    if (remainingMs > 0) {
+      setTimeout(() => this.endIdle(connection), remainingMs)
+      return
+    }
+    connection.isRefusingRequests = true
+    connection.socket.end()
+  }
+
   private refuseUnparsed (error: Error & { code?: string }, socket: Socket): void {
     const connection = this.tracked.get(socket)
     if (!socket.writable || error.code === 'ECONNRESET' || connection?.isReadingBody === true) {
--- a/src/entry/PlannedStop.ts
+++ b/src/entry/PlannedStop.ts
@@ -60,11 +60,11 @@
     const isIdle = await this.waitUntilIdle(stopTimeoutMs)
     if (isIdle) metrics.drained(DrainKind.host, clock.nowMs() - startMs)
     else logger.warn('stop-timeout', { inFlight: gateway.inFlight })
-    gateway.internalServer.closeListener()
+    await gateway.internalServer.drainListener()
     gateway.internalServer.closeIdle()
     // A forwarded request may have arrived before the internal listener was closed.
     if (isIdle) await this.waitUntilIdle(stopTimeoutMs)
-    gateway.callerServer.closeListener()
+    await gateway.callerServer.drainListener()
     await sleep(closeDelayMs)
     logger.info('left', { inFlight: gateway.inFlight })
   }
--- a/src/host/ClusterState.ts
+++ b/src/host/ClusterState.ts
@@ -8,6 +8,7 @@
 import { endpointLimits } from '../endpoints/endpointLimits.js'
 import type { EndpointTable } from '../endpoints/EndpointTable.js'
 import type { RoutingTable } from '../routing/RoutingTable.js'
+import { StartupGate } from './StartupGate.js'
 
 /** Tables that shared state is applied to, and hooks. */
 interface ClusterStateOptions {
@@ -34,11 +35,15 @@
   /** Evacuated zones, whose endpoints receive no requests. */
   readonly evacuatedZones = new Set<string>()
 
-  constructor (private readonly options: ClusterStateOptions) {}
+  private readonly gate: StartupGate
 
-  /** True once the configuration and the endpoints have been received. */
+  constructor (private readonly options: ClusterStateOptions) {
+    this.gate = new StartupGate(options)
+  }
+
+  /** True once the configuration and the endpoints have been received and may be relied on. */
   get isSynced (): boolean {
-    return this.options.routing.config !== undefined && this.catalog.versionOf(CatalogTable.endpoints) >= 0
+    return this.options.routing.config !== undefined && this.catalog.versionOf(CatalogTable.endpoints) >= 0 && this.gate.mayRelyOnTables
   }
 
   /** Removes endpoints whose entries did not reappear after the store became reachable again. */
--- a/src/host/HealthChecker.ts
+++ b/src/host/HealthChecker.ts
@@ -1,4 +1,5 @@
 import { request } from 'node:http'
+import type { ClientRequest, IncomingMessage } from 'node:http'
 import { createConnectTimeoutError } from '../entry/createConnectTimeoutError.js'
 import type { DialMap } from '../common/DialMap.js'
 import { endpointLimits } from '../endpoints/endpointLimits.js'
@@ -59,7 +60,7 @@
   }
 
   private probe (row: EndpointRow): void {
-    const { routing, dial, httpBinding } = this.options
+    const { routing, dial } = this.options
     const { host, port } = dial.resolve(row.record.address)
     const path = routing.findService(row.record.service)?.healthPath ?? '/'
     const req = request({ host, port, path, agent: false })
@@ -71,12 +72,23 @@
       row.isProbing = false
       row.nextProbeAtMs = this.options.clock.nowMs() + endpointLimits.probeIntervalMs
     })
-    req.on('response', (res) => {
-      res.resume()
-      const health = httpBinding.readHealth(res.rawHeaders)
+    req.on('response', (res) => this.receive(row, req, res))
+    req.end()
+  }
+
+  /** Takes a response that is complete for health; an endpoint in trouble may send bytes without end. */
+  private receive (row: EndpointRow, req: ClientRequest, res: IncomingMessage): void {
+    let bodyBytes = 0
+    res.on('data', (chunk: Buffer) => {
+      bodyBytes += chunk.length
+      if (bodyBytes > endpointLimits.maxProbeBodyBytes) req.destroy()
+    })
+    // The request reports the failure as well.
+    res.on('error', () => {})
+    res.on('end', () => {
+      const health = this.options.httpBinding.readHealth(res.rawHeaders)
       if (res.statusCode === okStatus && health.endpoint === row.record.id) this.markHealthy(row, health.coldMs)
     })
-    req.end()
   }
 
   private markHealthy (row: EndpointRow, coldMs: number): void {
--- a/src/host/HostContext.ts
+++ b/src/host/HostContext.ts
@@ -23,6 +23,8 @@
   readonly client: UpstreamClient
   readonly metrics: HostMetrics
   readonly log: RequestLog
+  /** Returns true once the host has tables on which it may rely. */
+  readonly isSynced: () => boolean
   /** Returns the version of the local copy of the endpoints table. */
   readonly endpointsVersion: () => number
   readonly random: () => number
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -205,9 +205,9 @@
     this.isLeaving = true
     this.mesh.announce()
     await sleep(hostLimits.listenerCloseDelayMs)
-    this.front.closeListener()
+    await this.front.drainListener()
     this.front.closeIdle()
-    while (this.front.inFlight > 0 && this.options.clock.nowMs() < endMs) await sleep(drainPollMs)
+    while (this.front.inFlight + this.front.openConnections > 0 && this.options.clock.nowMs() < endMs) await sleep(drainPollMs)
     this.log.info('left', { inFlight: this.front.inFlight, ms: Math.round(this.options.clock.nowMs() - startMs) })
     this.scheduler.stop()
     for (const follower of this.followers) follower.stop()
@@ -245,6 +245,7 @@
       retries,
       client: this.client,
       metrics,
+      isSynced: () => this.state.isSynced,
       endpointsVersion: () => this.state.catalog.versionOf(CatalogTable.endpoints),
       log: new RequestLog(clock, createLog('request'), () => metrics.recordSuppressedLine()),
       random
--- a/src/host/RequestHandler.ts
+++ b/src/host/RequestHandler.ts
@@ -52,7 +52,7 @@
 
   private findRoute (req: IncomingMessage): Result<Route, Failure> {
     const { routing } = this.context
-    if (routing.config === undefined) return err(createFailure('notReady', { retryAfterMs: hostLimits.notReadyRetryMs }))
+    if (routing.config === undefined || !this.context.isSynced()) return err(createFailure('notReady', { retryAfterMs: hostLimits.notReadyRetryMs }))
     if (countHeaderBytes(req) > routing.config.limits.headerBytes) return err(createFailure('headersTooLarge'))
     const host = (req.headers.host ?? '').toLowerCase()
     const path = (req.url ?? '').split('?', 1)[0]!
--- a/test/entry/HttpExchange.test.ts
+++ b/test/entry/HttpExchange.test.ts
@@ -8,6 +8,7 @@
 import { RequestBody } from '../../src/entry/RequestBody.js'
 import type { UpstreamCall } from '../../src/entry/UpstreamCall.js'
 import type { UpstreamRequest } from '../../src/entry/UpstreamRequest.js'
+import { writeEndlessly } from '../support/writeEndlessly.js'
 
 /** Sends one request to a server that responds with `answer`; returns the body, or the name of the failure. */
 async function exchange (answer: (socket: Socket) => void, fresh: boolean): Promise<string> {
@@ -155,38 +156,27 @@
   'bytes that are no response': { first: '\0\x01', more: 'x'.repeat(1_000) },
   'a status line': { first: 'HTTP/1.1 200 O', more: 'K'.repeat(1_000) },
   'a header': { first: 'HTTP/1.1 200 OK\r\nX-A: ', more: 'x'.repeat(1_000) },
-  'headers': { first: 'HTTP/1.1 200 OK\r\n', more: 'X-A: x\r\n'.repeat(100) },
+  headers: { first: 'HTTP/1.1 200 OK\r\n', more: 'X-A: x\r\n'.repeat(100) },
   'a chunk size': { first: 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;', more: 'x'.repeat(1_000) },
-  'trailers': { first: 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n', more: 'X-A: x\r\n'.repeat(100) },
+  trailers: { first: 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n', more: 'X-A: x\r\n'.repeat(100) },
   'a body without a length': { first: 'HTTP/1.1 200 OK\r\n\r\n', more: 'x'.repeat(1_000) }
 }
 
-/** Writes until the peer closes the connection; returns the number of bytes. */
-function writeEndlessly (socket: Socket, { first, more }: { readonly first: string, readonly more: string }, onBytes: (bytes: number) => void): void {
-  socket.write(first)
-  const write = (): void => {
-    if (socket.destroyed) return
-    onBytes(more.length)
-    socket.write(more, 'latin1', () => setImmediate(write))
-  }
-  write()
-}
-
 // Guards against an endpoint that fills the memory of a host, or holds a request, with a response that never ends.
 for (const [name, response] of Object.entries(endlessResponses)) {
   test(`${name} without end is a failure`, async () => {
     let sentBytes = 0
-    let closed = 0
+    const closed: string[] = []
     await withServer((socket) => {
       socket.once('data', () => writeEndlessly(socket, response, (bytes) => { sentBytes += bytes }))
-      socket.once('close', () => { closed += 1 })
+      socket.once('close', () => closed.push('closed'))
     }, async (start) => {
       const call = start('a', { needsNewConnection: true })
       const timer = setTimeout(() => call.cancel('timeout'), 2_000)
       const result = await describeResult(call)
       clearTimeout(timer)
-      for (let count = 0; count < 100 && closed === 0; count++) await new Promise((resolve) => setTimeout(resolve, 10))
-      expect([['upstreamReset unknown', 'upstreamTruncated unknown'].includes(result), closed, sentBytes < 10_000_000]).toEqual([true, 1, true])
+      for (let count = 0; count < 100 && closed.length === 0; count++) await new Promise((resolve) => setTimeout(resolve, 10))
+      expect([['upstreamReset unknown', 'upstreamTruncated unknown'].includes(result), closed, sentBytes < 10_000_000]).toEqual([true, ['closed'], true])
     })
   })
 }
--- /dev/null
+++ b/test/support/CuttableStore.ts
@@ -0,0 +1,39 @@
+import { err } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import type { CatalogPage } from '../../src/catalog/CatalogPage.js'
+import { CatalogStore } from '../../src/catalog/CatalogStore.js'
+import type { CatalogTable } from '../../src/catalog/CatalogTable.js'
+import type { StoreFailure } from '../../src/catalog/StoreFailure.js'
+import type { HostRecord } from '../../src/peers/HostRecord.js'
+
+/** The store as one host reaches it: its calls can be cut off, or delayed, for this host alone. */
+export class CuttableStore extends CatalogStore {
+  isCut = false
+  delayMs = 0
+
+  constructor (private readonly inner: CatalogStore) {
+    super()
+  }
+
+  override async read (table: CatalogTable): Promise<Result<CatalogPage, StoreFailure>> {
+    return await this.pass(async () => await this.inner.read(table))
+  }
+
+  override async follow (table: CatalogTable, after: number, waitMs: number): Promise<Result<CatalogPage, StoreFailure>> {
+    return await this.pass(async () => await this.inner.follow(table, after, waitMs))
+  }
+
+  override async registerHost (host: HostRecord): Promise<Result<void, StoreFailure>> {
+    return await this.pass(async () => await this.inner.registerHost(host))
+  }
+
+  override close (): void {
+    this.inner.close()
+  }
+
+  private async pass<T> (call: () => Promise<Result<T, StoreFailure>>): Promise<Result<T, StoreFailure>> {
+    if (this.delayMs > 0) await new Promise((resolve) => setTimeout(resolve, this.delayMs))
+    const result = this.isCut ? undefined : await call()
+    return result === undefined || this.isCut ? err({ kind: 'unavailable', message: 'cut off' }) : result
+  }
+}
--- a/test/support/HostGroup.ts
+++ b/test/support/HostGroup.ts
@@ -10,8 +10,10 @@
 import type { HostSettings } from '../../src/host/HostSettings.js'
 import { PlatformEndpoint } from '../../dev/store/PlatformEndpoint.js'
 import { StoreServer } from '../../dev/store/StoreServer.js'
+import { CuttableStore } from './CuttableStore.js'
 import { createHostSettings } from './createHostSettings.js'
 import { MemoryLogger } from './MemoryLogger.js'
+import type { RawEndpoint } from './RawEndpoint.js'
 import { waitUntil } from './waitUntil.js'
 
 /** An answer received by a test. */
@@ -43,8 +45,11 @@
   readonly store = new StoreServer()
   readonly logger = new MemoryLogger()
   readonly hosts: HostProcess[] = []
+  /** The store as each host reaches it. */
+  readonly hostStores: CuttableStore[] = []
   readonly settings: HostSettings[] = []
   readonly endpoints: PlatformEndpoint[] = []
+  private readonly rawEndpoints: RawEndpoint[] = []
   private storeAddress = ''
   private version = 0
 
@@ -79,12 +84,24 @@
     return endpoint
   }
 
-  async addHost (): Promise<HostProcess> {
-    const name = `host-${this.hosts.length}`
+  /** Registers an endpoint of service `stock` that writes any bytes in place of responses. */
+  async addRawEndpoint (endpoint: RawEndpoint): Promise<void> {
+    await endpoint.listen()
+    this.rawEndpoints.push(endpoint)
+    this.store.tables.put('servers', endpoint.id, endpoint.describe('stock', 'north-a'))
+    const isListed = (): boolean => this.logger.lines.some((line) => line.includes('endpoints-changed') && line.includes(`known=${this.endpoints.length + this.rawEndpoints.length}`))
+    await this.waitUntil(isListed)
+  }
+
+  /** Starts a host; `name` is that of an earlier one when it is a restart, and `storeDelayMs` delays its calls to the store. */
+  async addHost (name = `host-${this.hosts.length}`, storeDelayMs = 0): Promise<HostProcess> {
     const settings = await this.createSettings(name)
+    const store = new CuttableStore(new HttpCatalogStore(this.storeAddress, this.logger))
+    store.delayMs = storeDelayMs
+    this.hostStores.push(store)
     const host = new HostProcess({
       settings,
-      store: new HttpCatalogStore(this.storeAddress, this.logger),
+      store,
       httpBinding: new PlatformHttpBinding(),
       clock: new SystemClock(),
       registry: new Registry(),
@@ -123,7 +140,7 @@
 
   async stop (): Promise<void> {
     this.store.close()
-    for (const endpoint of this.endpoints) endpoint.close()
+    for (const endpoint of [...this.endpoints, ...this.rawEndpoints]) endpoint.close()
     await Promise.all(this.hosts.map(async (host) => { await host.stop() }))
   }
 
--- a/test/support/RawCaller.ts
+++ b/test/support/RawCaller.ts
@@ -20,7 +20,7 @@
 
 /** A caller on one connection that sends requests without waiting for responses. */
 export class RawCaller {
-  private received = ''
+  received = ''
   /** Resolves when the connection has ended. */
   readonly ended: Promise<void>
   private isClosed = false
