Test the reset of a restarted peer, and let the compiler check what is reset

Cause: renames had left three calls of Object.assign under old field names, and no test of membership failed. Change: two tests, and `update`, whose fields the compiler checks, in place of Object.assign in five files.

Seen to fail with the old names put back: `the changes of a restarted peer are counted anew` (epoch), `a host that becomes a relay is not suspect` (watched). The third reset, of the time of a peer that is no longer watched, has no effect: the time is read for watched peers only and is set when the watch begins. It is removed.

--- a/src/common/CredentialThrottle.ts
+++ b/src/common/CredentialThrottle.ts
@@ -1,5 +1,6 @@
 import type { Clock } from './Clock.js'
 import { Table } from './Table.js'
+import { update } from './update.js'
 
 /** Count of wrong credentials from one address since `startMs`. */
 interface ThrottleRow {
@@ -32,7 +33,7 @@
     const nowMs = this.clock.nowMs()
     if (!this.rows.has(address) && this.rows.size >= maxAddresses) this.dropOldest()
     const row = this.rows.ensure(address, () => ({ startMs: nowMs, wrongCount: 0 }))
-    if (nowMs - row.startMs >= windowMs) Object.assign(row, { startMs: nowMs, wrongCount: 0 })
+    if (nowMs - row.startMs >= windowMs) update(row, { startMs: nowMs, wrongCount: 0 })
     row.wrongCount += 1
   }
 
--- a/src/host/ClusterState.ts
+++ b/src/host/ClusterState.ts
@@ -9,6 +9,7 @@
 import type { EndpointTable } from '../endpoints/EndpointTable.js'
 import type { RoutingTable } from '../routing/RoutingTable.js'
 import { StartupGate } from './StartupGate.js'
+import { update } from '../common/update.js'
 
 /** Tables that shared state is applied to, and hooks. */
 interface ClusterStateOptions {
@@ -82,7 +83,7 @@
       if (zones.has(zone)) continue
       this.evacuatedZones.delete(zone)
       // Its endpoints may have become cold during the evacuation; a health check reports that.
-      for (const row of endpoints) if (row.record.zone === zone) Object.assign(row, { isSuspect: true, nextProbeAtMs: 0 })
+      for (const row of endpoints) if (row.record.zone === zone) update(row, { isSuspect: true, nextProbeAtMs: 0 })
       logger.info('zone-taken-back', { zone })
     }
   }
--- a/src/membership/MemberTable.ts
+++ b/src/membership/MemberTable.ts
@@ -7,6 +7,7 @@
 import { membershipTimes as times } from './membershipTimes.js'
 import { stateRanks } from './stateRanks.js'
 import type { WireRow } from './WireRow.js'
+import { update } from '../common/update.js'
 
 /** Identity of the own host. */
 interface LocalHost {
@@ -111,7 +112,7 @@
     }
     if (incarnation > row.incarnation && row.incarnation > 0) this.clearServing(row, peer)
     const changed = row.incarnation !== incarnation || row.state !== state || row.configVersion !== configVersion
-    Object.assign(row, { zone, incarnation, seq, configVersion })
+    update(row, { zone, incarnation, seq, configVersion })
     this.changeState(row, state, nowMs)
     if (changed) {
       this.recordChange(row, peer)
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -12,6 +12,7 @@
 import type { SummaryRow } from './SummaryRow.js'
 import { Topology } from './Topology.js'
 import type { WireRow } from './WireRow.js'
+import { update } from '../common/update.js'
 
 /** Identifies the configuration that this agent holds. */
 interface HeldConfig {
@@ -132,7 +133,7 @@
     this.lastContactMs = nowMs
     if (isAck) peer.lastAckMs = nowMs
     if (exchange.down) peer.lastReportedDownMs = nowMs
-    if (exchange.epoch !== peer.epoch) Object.assign(peer, { epoch: exchange.epoch, receivedUpTo: 0, checkedUpTo: 0 })
+    if (exchange.epoch !== peer.epoch) update(peer, { epoch: exchange.epoch, receivedUpTo: 0, checkedUpTo: 0 })
     if (exchange.from <= peer.receivedUpTo) peer.receivedUpTo = Math.max(peer.receivedUpTo, exchange.upTo)
     peer.confirmedUpTo = exchange.gotEpoch === this.epoch ? exchange.got : 0
     peer.linkDownHosts = new Set(exchange.wants)
@@ -184,11 +185,11 @@
     const live = this.listLivePeers(nowMs)
     const watched = new Set(live)
     for (const peer of this.peers) {
-      if (peer.watched && !watched.has(peer.host)) Object.assign(peer, { watched: false, watchedSinceMs: -Infinity })
+      if (!watched.has(peer.host)) peer.watched = false
     }
     for (const host of live) {
       const peer = this.ensurePeer(host)
-      if (!peer.watched) Object.assign(peer, { watched: true, watchedSinceMs: nowMs })
+      if (!peer.watched) update(peer, { watched: true, watchedSinceMs: nowMs })
     }
     this.peers.deleteWhere((peer) => !peer.watched && nowMs - peer.lastFrameMs > idlePeerMs)
     this.summaryRound += 1
--- a/src/membership/Peer.ts
+++ b/src/membership/Peer.ts
@@ -1,7 +1,7 @@
 /** State that an agent keeps per agent with which it exchanges heartbeats. */
 export interface Peer {
   readonly host: string
-  /** Monotonic time since which the own agent watches the peer, or of the last own pause; -Infinity while the peer is not watched. */
+  /** Monotonic time since which the own agent watches the peer, or of the last own pause; meaningless while the peer is not watched. */
   watchedSinceMs: number
   /** True while the own agent sends heartbeats to the peer and checks for its silence. */
   watched: boolean
--- a/src/steer/OwnedEndpointTable.ts
+++ b/src/steer/OwnedEndpointTable.ts
@@ -12,6 +12,7 @@
 import type { OwnedEndpointRow } from './OwnedEndpointRow.js'
 import { rankOwners } from './rankOwners.js'
 import { steerLimits } from './steerLimits.js'
+import { update } from '../common/update.js'
 
 /** State from which the ownership of endpoints follows. */
 interface OwnershipContext {
@@ -118,7 +119,7 @@
     const row = existing ?? this.rows.set(spec.name, createOwnedEndpointRow(spec, region))
     // Reports of another address, or from before a time without probes, are out of date.
     const isNew = row.spec.address !== spec.address || (row.ownership === 'none' && ownership !== 'none')
-    if (isNew) Object.assign(row, { report: undefined, lastUsedByOthers: Infinity })
+    if (isNew) update(row, { report: undefined, lastUsedByOthers: Infinity })
     row.spec = spec
     row.region = region
     row.ownership = ownership
--- a/test/membership/Membership.test.ts
+++ b/test/membership/Membership.test.ts
@@ -154,3 +154,26 @@
     }
   }), { seed: 20_261_204, numRuns: 40 })
 })
+
+// Guards against confirming changes of a restarted process by the numbers of its predecessor, after which it would not send them again.
+test('the changes of a restarted peer are counted anew', () => {
+  const net = createConverged()
+  const own = net.get('a-1')
+  const exchange = net.get('c-1').buildExchange('a-1', net.nowMs)
+  own.receive('c-1', { ...exchange, epoch: 1, from: 0, upTo: 500 }, net.nowMs, false)
+  expect([own.buildExchange('c-1', net.nowMs).gotEpoch, own.buildExchange('c-1', net.nowMs).got]).toEqual([1, 500])
+  own.receive('c-1', { ...exchange, epoch: 2, from: 0, upTo: 3 }, net.nowMs, false)
+  expect([own.buildExchange('c-1', net.nowMs).gotEpoch, own.buildExchange('c-1', net.nowMs).got]).toEqual([2, 3])
+})
+
+// Guards against suspecting a host, right when it is watched for the first time, of the silence before.
+test('a host that becomes a relay is not suspect', () => {
+  const names = ['a-1', 'a-2', 'b-1', 'b-2']
+  const net = createConverged(names)
+  net.paused.add('b-1')
+  expect(net.runUntil(() => net.findState('a-1', 'b-2') !== 'alive', 10_000)).toEqual(Infinity)
+  net.paused.delete('b-1')
+  net.run(3_000)
+  net.paused.add('b-1')
+  expect(net.runUntil(() => net.findState('a-1', 'b-2') !== 'alive', 10_000)).toEqual(Infinity)
+})
