--- a/src/host/EndpointAttempt.ts
+++ b/src/host/EndpointAttempt.ts
@@ -18,6 +18,8 @@
   | { readonly kind: 'failure', readonly name: ResultName, readonly outcome: Outcome }
 
 const firstErrorStatus = 500
+/** Results after which the endpoint probably keeps nothing of the request's object. */
+const notHandledResults: ReadonlySet<AttemptResult> = new Set([AttemptResult.shed, AttemptResult.refused, AttemptResult.broken])
 
 /** Makes one attempt at one endpoint. The attempt counts as in flight there until it ends. */
 export class EndpointAttempt {
@@ -25,6 +27,8 @@
   private readonly startMs: number
   private readonly loadAtStart: number
   private readonly call: UpstreamCall
+  /** The endpoint had handled the object of the request recently. */
+  private readonly isKnown: boolean
   private isReleased = false
 
   constructor (
@@ -35,6 +39,8 @@
     this.startMs = context.clock.nowMs()
     row.inFlight += 1
     this.loadAtStart = estimateLoad(row, this.startMs)
+    this.isKnown = context.endpointSelector.hasRecentlyHandled(row, request, this.startMs)
+    context.endpointSelector.recordVisit(row, request, this.startMs)
     this.call = this.startCall()
     request.scope.addHook(this.onCancel)
     this.end = this.complete()
@@ -113,6 +119,14 @@
     this.row.inFlight -= 1
     const nowMs = this.context.clock.nowMs()
     recordAttempt(this.row, { result, elapsedMs: nowMs - this.startMs, loadAtStart: this.loadAtStart }, nowMs)
-    if (result === AttemptResult.ok) this.context.endpointSelector.recordSuccess(this.row.record.id, this.request.object, nowMs)
+    this.recordOutcome(result, nowMs)
+  }
+
+  private recordOutcome (result: AttemptResult, nowMs: number): void {
+    const { context: { endpointSelector }, request, row, loadAtStart } = this
+    if (notHandledResults.has(result)) endpointSelector.forgetVisit(row, request)
+    if (result !== AttemptResult.ok) return
+    endpointSelector.recordVisit(row, request, nowMs)
+    if (loadAtStart <= row.record.slots) endpointSelector.recordDuration(row, request, this.isKnown, nowMs - this.startMs)
   }
 }
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -253,10 +253,18 @@
   }
 
   private createEndpointSelector (): EndpointSelector {
-    const { endpoints, routing, shares, state } = this
+    const { endpoints, routing, shares, state, peers } = this
     const { settings, random } = this.options
-    const cold = new ColdStartRateLimiter(settings.name, () => this.listLiveHostNames())
-    return new EndpointSelector({ region: settings.region, endpoints, routing, coldStartLimiter: cold, shares, evacuated: state.evacuatedZones, random })
+    return new EndpointSelector({
+      region: settings.region,
+      endpoints,
+      routing,
+      coldStartLimiter: new ColdStartRateLimiter(settings.name, () => this.listLiveHostNames()),
+      shares,
+      measureRoundTrip: (region) => region === settings.region ? 0 : peers.measureRoundTrip(region),
+      evacuated: state.evacuatedZones,
+      random
+    })
   }
 
   private createShareSystem (): LocalShareSystem {
--- a/src/peers/PeerMesh.ts
+++ b/src/peers/PeerMesh.ts
@@ -122,6 +122,7 @@
 
   private async exchange (address: string, row: PeerRow | undefined): Promise<void> {
     const receiverVersions = row === undefined ? undefined : this.peerVersions.get(row.record.name)
+    const sentAtMs = this.options.clock.nowMs()
     const reply = await this.client.request(
       address, encodeHeartbeat(this.createHeartbeat(receiverVersions, row?.record)), peerLimits.heartbeatTimeoutMs)
     if (reply.isErr()) {
@@ -129,6 +130,7 @@
       this.client.disconnect(address)
       return
     }
+    if (row !== undefined) row.roundTripMs = smoothRoundTrip(row.roundTripMs, this.options.clock.nowMs() - sentAtMs)
     this.receive(reply.value)
   }
 
@@ -177,6 +179,11 @@
   }
 }
 
+/** Follows a shorter round trip at once and a longer one slowly, since a busy process adds to single measurements. */
+function smoothRoundTrip (previousMs: number | undefined, measuredMs: number): number {
+  return previousMs === undefined || measuredMs < previousMs ? measuredMs : previousMs + peerLimits.roundTripWeight * (measuredMs - previousMs)
+}
+
 function encodeHeartbeat (beat: Heartbeat): Message {
   return { t: 'beat', beat }
 }
--- a/src/peers/PeerRow.ts
+++ b/src/peers/PeerRow.ts
@@ -8,6 +8,8 @@
   /** True when the peer has been logged as down, and initially, so that its first heartbeat is logged. */
   isReportedDown: boolean
   nextHeartbeatAtMs: number
+  /** Smoothed round trip time in ms of heartbeats; undefined before the first one. */
+  roundTripMs: number | undefined
   isHeartbeatInFlight: boolean
   /** True when the peer reports that it can serve callers. */
   isReady: boolean
--- a/src/peers/PeerTable.ts
+++ b/src/peers/PeerTable.ts
@@ -48,6 +48,13 @@
     return row
   }
 
+  /** Returns the round trip time in ms to the nearest host of a region; 0 when none has been measured. */
+  measureRoundTrip (region: string): number {
+    let nearestMs = Infinity
+    for (const row of this.rows) if (row.record.region === region && row.roundTripMs !== undefined) nearestMs = Math.min(nearestMs, row.roundTripMs)
+    return nearestMs === Infinity ? 0 : nearestMs
+  }
+
   /** Lists the hosts whose last heartbeat is recent. */
   listAlive (nowMs: number): PeerRow[] {
     return [...this.rows].filter((row) => row.lastHeartbeatAtMs !== undefined && nowMs - row.lastHeartbeatAtMs < peerLimits.deadAfterMs)
@@ -81,6 +88,7 @@
     lastHeartbeatAtMs: undefined,
     isReportedDown: true,
     nextHeartbeatAtMs: 0,
+    roundTripMs: undefined,
     isHeartbeatInFlight: false,
     isReady: false,
     isLeaving: false,
--- a/src/peers/peerLimits.ts
+++ b/src/peers/peerLimits.ts
@@ -12,6 +12,8 @@
   deadAfterMs: 2_000,
   /** Age in ms of a table version from which it is also sent to readers that lack it. */
   readerPushDelayMs: 250,
+  /** Weight of a measured round trip that is longer than the smoothed one. */
+  roundTripWeight: 0.1,
   /** Time in ms between checks for heartbeats that are due. */
   tickMs: 50
 } as const
--- a/src/placing/EndpointSelector.ts
+++ b/src/placing/EndpointSelector.ts
@@ -6,11 +6,14 @@
 import { estimateLoad } from '../endpoints/estimateLoad.js'
 import type { RoutingTable } from '../routing/RoutingTable.js'
 import { AffinityRanking } from './AffinityRanking.js'
-import type { LocalShares } from './LocalShares.js'
 import { computeUtilization } from './computeUtilization.js'
-import type { SelectionRequest } from './SelectionRequest.js'
+import { createObjectKey } from './createObjectKey.js'
+import type { LocalShares } from './LocalShares.js'
+import type { ObjectRequest } from './ObjectRequest.js'
 import { placementLimits } from './placementLimits.js'
 import { RecentObjects } from './RecentObjects.js'
+import type { SelectionRequest } from './SelectionRequest.js'
+import { ServiceTimes } from './ServiceTimes.js'
 
 /** Dependencies of the selection. */
 interface EndpointSelectorOptions {
@@ -19,6 +22,8 @@
   readonly routing: RoutingTable
   readonly coldStartLimiter: ColdStartRateLimiter
   readonly shares: LocalShares
+  /** Returns the round trip time in ms from this host to a region. */
+  readonly measureRoundTrip: (region: string) => number
   /** Zones that receive no requests. */
   readonly evacuated: ReadonlySet<string>
   readonly random: () => number
@@ -27,6 +32,7 @@
 /** Input of one selection that is common to all candidates. */
 interface Choice {
   readonly request: SelectionRequest
+  readonly objectKey: string | undefined
   readonly nowMs: number
   /** Median service time in ms of the endpoints; 0 when none has been measured. */
   readonly medianServiceTimeMs: number
@@ -37,13 +43,14 @@
 
 /**
  * Selects an endpoint for each request. Requests for an object go to the same few endpoints, its affinity endpoints, since
- * an endpoint responds faster for an object that it has handled recently. At low utilization, requests that exceed their
- * capacity spill over to the next endpoints in the object's ranking. Under load they don't: every endpoint would then handle
- * every object, and none would have handled its objects recently.
+ * an endpoint responds faster for an object that it has handled recently, and remembers only so many. Others are tried only
+ * when none of these can take the request and many slots are free: otherwise every endpoint would handle every object, and
+ * none would have handled its objects recently.
  */
 export class EndpointSelector {
   private readonly ranking = new AffinityRanking()
   private readonly recentObjects = new RecentObjects()
+  private readonly serviceTimes = new ServiceTimes()
 
   constructor (private readonly options: EndpointSelectorOptions) {}
 
@@ -52,17 +59,35 @@
     const eligible = this.rankEndpoints(request).filter((row) => this.isEligible(row, request))
     const healthy = selectHealthy(eligible, nowMs)
     const ranked = healthy.length > 0 ? healthy : eligible.slice(0, placementLimits.fallbackEndpoints)
-    const choice = { request, nowMs, medianServiceTimeMs: computeMedianServiceTimeMs(ranked) }
-    const isServedLocally = this.isServedLocally(request)
-    const affinityEndpoints = request.object === undefined ? ranked : this.listAffinityEndpoints(ranked, isServedLocally)
-    const maySpread = request.object !== undefined && computeUtilization(ranked, nowMs) < placementLimits.maxSpreadUtilization
-    const candidates = maySpread ? [...new Set([...affinityEndpoints, ...this.putLocalFirst(ranked, isServedLocally)])] : affinityEndpoints
-    return this.selectLowestDelay(candidates, choice)
+    const objectKey = createObjectKey(request)
+    const choice = { request, objectKey, nowMs, medianServiceTimeMs: computeMedianServiceTimeMs(ranked) }
+    if (objectKey === undefined) return this.selectLowestDelay(ranked, choice)
+    const preferred = this.selectLowestDelay(this.listAffinityEndpoints(ranked, this.isServedLocally(request)), choice)
+    const maySpread = preferred === undefined && computeUtilization(ranked, nowMs) < placementLimits.maxSpreadUtilization
+    return maySpread ? this.selectLowestDelay(ranked, choice) : preferred
+  }
+
+  /** Records that an endpoint handles a request; it knows the object from the start. */
+  recordVisit (row: EndpointRow, request: ObjectRequest, nowMs: number): void {
+    const key = createObjectKey(request)
+    if (key !== undefined) this.recentObjects.record(row.record.id, key, nowMs)
+  }
+
+  /** Records that an endpoint did not handle a request after all. */
+  forgetVisit (row: EndpointRow, request: ObjectRequest): void {
+    const key = createObjectKey(request)
+    if (key !== undefined) this.recentObjects.forget(row.record.id, key)
+  }
+
+  /** Returns true when an endpoint has recently handled the object of a request, or the request names none. */
+  hasRecentlyHandled (row: EndpointRow, request: ObjectRequest, nowMs: number): boolean {
+    const key = createObjectKey(request)
+    return key === undefined || this.recentObjects.has(row.record.id, key, nowMs)
   }
 
-  /** Records that an endpoint has handled a request for an object. */
-  recordSuccess (endpoint: string, object: string | undefined, nowMs: number): void {
-    if (object !== undefined) this.recentObjects.record(endpoint, object, nowMs)
+  /** Records the duration of a request that did not wait for a slot. */
+  recordDuration (row: EndpointRow, request: ObjectRequest, isKnown: boolean, elapsedMs: number): void {
+    this.serviceTimes.record(request.route, isKnown, Math.max(0, elapsedMs - this.options.measureRoundTrip(row.region)))
   }
 
   /** Returns true when an endpoint is eligible for the request, whatever its health and load. */
@@ -84,11 +109,10 @@
     return [...rows.slice(start), ...rows.slice(0, start)]
   }
 
-  /** Returns true for the share of objects (or of requests without an object) that the local region serves. */
-  private isServedLocally (request: SelectionRequest): boolean {
-    const { region, shares, random } = this.options
-    const position = request.object === undefined ? random() : hashRendezvous(request.object, region) / hashRange
-    return position < shares.get(request.service)
+  /** Returns true for the share of objects that the local region serves. */
+  private isServedLocally ({ service, object }: SelectionRequest): boolean {
+    const { region, shares } = this.options
+    return hashRendezvous(object!, region) / hashRange < shares.get(service)
   }
 
   /** Returns the affinity endpoints of an object; local ones come first when the local region serves the object. */
@@ -98,12 +122,6 @@
     return [...new Set(isServedLocally ? [...local, ...preferred] : [...preferred, ...local])]
   }
 
-  private putLocalFirst (rows: readonly EndpointRow[], isServedLocally: boolean): readonly EndpointRow[] {
-    if (!isServedLocally) return rows
-    const { region } = this.options
-    return [...rows.filter((row) => row.region === region), ...rows.filter((row) => row.region !== region)]
-  }
-
   private isEligible (row: EndpointRow, { route, excluded }: SelectionRequest): boolean {
     if (excluded.has(row.record.id) || this.options.evacuated.has(row.record.zone)) return false
     return route.regions.length === 0 || route.regions.includes(row.region)
@@ -112,18 +130,27 @@
   /** Selects the endpoint with the lowest expected delay; among equals, the first in the object's ranking. */
   private selectLowestDelay (rows: readonly EndpointRow[], choice: Choice): EndpointRow | undefined {
     const candidates: Array<{ readonly row: EndpointRow, readonly delayMs: number }> = []
-    for (const [index, row] of rows.entries()) {
-      const waitMs = estimateWait(row, choice)
-      if (waitMs === undefined) continue
-      const newObjectDelayMs = Math.max(1, choice.medianServiceTimeMs) * placementLimits.newObjectFactor * (1 + index * placementLimits.rankFactor)
-      candidates.push({ row, delayMs: waitMs + (this.hasRecentlyHandled(row, choice) ? 0 : newObjectDelayMs) })
+    for (const [rank, row] of rows.entries()) {
+      const delayMs = this.estimateDelay(row, rank, choice)
+      if (delayMs !== undefined) candidates.push({ row, delayMs })
     }
     candidates.sort((a, b) => a.delayMs - b.delayMs)
     return candidates.find(({ row }) => this.acquirePermit(row, choice.nowMs))?.row
   }
 
-  private hasRecentlyHandled (row: EndpointRow, { request, nowMs }: Choice): boolean {
-    return request.object === undefined || this.recentObjects.has(row.record.id, request.object, nowMs)
+  /**
+   * Estimates the time in ms until the response, increased by rank for an endpoint that is new to the object. Returns
+   * undefined when the endpoint must not receive the request, or its response can't arrive within the time that is left.
+   */
+  private estimateDelay (row: EndpointRow, rank: number, choice: Choice): number | undefined {
+    const { request, objectKey, nowMs } = choice
+    const isKnown = objectKey === undefined || this.recentObjects.has(row.record.id, objectKey, nowMs)
+    const serviceMs = this.serviceTimes.expect(request.route, isKnown)
+    const workMs = serviceMs + this.options.measureRoundTrip(row.region)
+    const waitMs = estimateWait(row, choice, workMs)
+    if (waitMs === undefined || waitMs + workMs > request.remainingMs) return undefined
+    const newObjectMs = isKnown ? 0 : serviceMs - this.serviceTimes.expect(request.route, true)
+    return waitMs + workMs + newObjectMs * rank * placementLimits.rankFactor
   }
 
   /** Takes a permit to send a request to a cold endpoint; returns true without one when the endpoint isn't cold. */
@@ -134,8 +161,11 @@
   }
 }
 
-/** Estimates the wait in ms for a slot; undefined when the endpoint must not receive the request. */
-function estimateWait (row: EndpointRow, { request, nowMs, medianServiceTimeMs }: Choice): number | undefined {
+/**
+ * Estimates the wait in ms for a slot; undefined when the endpoint must not receive the request. `workMs` is the time that
+ * the request takes once it has a slot.
+ */
+function estimateWait (row: EndpointRow, { request, nowMs, medianServiceTimeMs }: Choice, workMs: number): number | undefined {
   if (row.shedBackoffUntilMs > nowMs) return undefined
   const slots = countEffectiveSlots(row, medianServiceTimeMs)
   const load = estimateLoad(row, nowMs)
@@ -143,9 +173,9 @@
   if (row.coldUntilMs > nowMs || load >= slots * placementLimits.maxLoadPerSlot) return undefined
   const serviceTimeMs = Math.max(row.serviceTimeMs, medianServiceTimeMs)
   const waitMs = (load + 1 - slots) / slots * serviceTimeMs
-  if (load < slots * placementLimits.shortQueueLoadPerSlot && waitMs + serviceTimeMs < request.remainingMs) return waitMs
+  if (load < slots * placementLimits.shortQueueLoadPerSlot) return waitMs
   const { objectiveMs } = request.route
-  const maxWaitMs = Math.min(Math.max(objectiveMs * placementLimits.minWaitShare, objectiveMs - serviceTimeMs), request.remainingMs - serviceTimeMs)
+  const maxWaitMs = Math.max(objectiveMs * placementLimits.minWaitShare, objectiveMs - workMs)
   return waitMs > maxWaitMs ? undefined : waitMs
 }
 
--- a/src/placing/RecentObjects.ts
+++ b/src/placing/RecentObjects.ts
@@ -14,6 +14,10 @@
     if (oldest.done !== true) objects.delete(oldest.value)
   }
 
+  forget (endpoint: string, object: string): void {
+    this.rows.get(endpoint)?.delete(object)
+  }
+
   has (endpoint: string, object: string, nowMs: number): boolean {
     const handledAtMs = this.rows.get(endpoint)?.get(object)
     return handledAtMs !== undefined && nowMs - handledAtMs < placementLimits.recentObjectMs
--- /dev/null
+++ b/src/placing/ServiceTimes.ts
@@ -0,0 +1,30 @@
+import type { Route } from '../routing/Route.js'
+import { placementLimits } from './placementLimits.js'
+
+/** Mean service times in ms of a route's requests, for an object that the endpoint has handled recently and for a new one. */
+interface ServiceTimeRow {
+  knownMs: number
+  newMs: number
+}
+
+/** Learns how long endpoints work on a request of each route, without network delay and waiting. */
+export class ServiceTimes {
+  private readonly rows = new Map<string, ServiceTimeRow>()
+
+  record (route: Route, isKnown: boolean, serviceMs: number): void {
+    const row = this.rows.get(route.name) ?? createRow(route)
+    this.rows.set(route.name, row)
+    const field = isKnown ? 'knownMs' : 'newMs'
+    row[field] += placementLimits.serviceTimeWeight * (serviceMs - row[field])
+  }
+
+  expect (route: Route, isKnown: boolean): number {
+    const row = this.rows.get(route.name) ?? createRow(route)
+    return isKnown ? row.knownMs : Math.max(row.newMs, row.knownMs)
+  }
+}
+
+/** Until requests have been measured, the objective is taken for the time of a new object. */
+function createRow (route: Route): ServiceTimeRow {
+  return { newMs: route.objectiveMs, knownMs: route.objectiveMs * placementLimits.initialKnownShare }
+}
--- a/src/placing/placementLimits.ts
+++ b/src/placing/placementLimits.ts
@@ -4,18 +4,20 @@
   maxLoadPerSlot: 2.5,
   /** Number of endpoints in the local region, and in all regions, that are tried for an object before the others. */
   affinityEndpoints: 2,
-  /** Expected additional service time for an object that the endpoint hasn't handled recently, relative to the median. */
-  newObjectFactor: 2,
-  /** Growth of that additional time with each rank in the object's ranking, so that few endpoints handle the object. */
+  /** Growth of the additional time for a new object with each rank in its ranking, so that few endpoints handle the object. */
   rankFactor: 0.2,
+  /** Weight of one request in the mean service times by route. */
+  serviceTimeWeight: 0.05,
+  /** Service time for a known object as a share of the objective, until it has been measured. */
+  initialKnownShare: 0.4,
   /** Load per slot up to which a request may wait beyond the objective, as long as its deadline allows. */
   shortQueueLoadPerSlot: 1.34,
   /** Time in ms for which an object counts as recently handled by an endpoint. */
   recentObjectMs: 15_000,
   /** Recent objects that are recorded for each endpoint. */
   maxRecentObjects: 128,
-  /** Utilization of a service below which requests may spill over beyond the affinity endpoints of their object. */
-  maxSpreadUtilization: 0.6,
+  /** Utilization of a service below which a request that no affinity endpoint can take goes to another endpoint. */
+  maxSpreadUtilization: 0.3,
   /** Minimum of the wait limit, as a share of the objective; the limit is higher when the service time leaves room. */
   minWaitShare: 0.3,
   /** Service time relative to the median above which an endpoint counts as slow. */
--- a/test/placing/EndpointSelector.test.ts
+++ b/test/placing/EndpointSelector.test.ts
@@ -16,6 +16,8 @@
   readonly endpoints = new EndpointTable((zone) => zone.split('-')[0]!)
   readonly evacuated = new Set<string>()
   readonly shares = new LocalShares()
+  /** Round trip time in ms to the other region. */
+  roundTripMs = 0
   readonly selector: EndpointSelector
 
   constructor (records: readonly EndpointRecord[], random = (): number => 0) {
@@ -28,11 +30,17 @@
       routing,
       coldStartLimiter: new ColdStartRateLimiter('me', () => ['me']),
       shares: this.shares,
+      measureRoundTrip: (region) => region === 'north' ? 0 : this.roundTripMs,
       evacuated: this.evacuated,
       random
     })
   }
 
+  /** Records that an endpoint handles a request for an object. */
+  visit (endpoint: string, object: string, route: Route = createRoute()): void {
+    this.selector.recordVisit(this.endpoints.get(endpoint)!, { route, service: 'stock', object }, 10)
+  }
+
   choose (object: string | undefined, route: Route = createRoute(), excluded: readonly string[] = []): string | undefined {
     return this.selector.choose({ route, service: 'stock', object, remainingMs: 2_000, excluded: new Set(excluded) }, 10)?.record.id
   }
@@ -59,13 +67,85 @@
   const fixture = new SelectorFixture(six)
   for (const row of fixture.endpoints) row.serviceTimeMs = 100
   const first = fixture.choose('object-7')!
-  fixture.selector.recordSuccess(first, 'object-7', 10)
+  fixture.visit(first, 'object-7')
   fixture.endpoints.get(first)!.inFlight = 4
   expect(fixture.choose('object-7')).toEqual(first)
-  for (const row of fixture.endpoints) if (row.record.id !== first) fixture.selector.recordSuccess(row.record.id, 'object-7', 10)
+  for (const row of fixture.endpoints) if (row.record.id !== first) fixture.visit(row.record.id, 'object-7')
   expect(fixture.choose('object-7') === first).toEqual(false)
 })
 
+// Guards against sending a request to an endpoint that knows its object from requests of another kind only, past one that knows it.
+test('an endpoint that handled another kind of request for an object is new to it', () => {
+  const fixture = new SelectorFixture(six)
+  const order = createRoute({ name: 'r-2', kind: 'once' })
+  const first = fixture.choose('object-7')!
+  const second = fixture.choose('object-7', createRoute(), [first])!
+  fixture.visit(first, 'object-7', order)
+  fixture.visit(second, 'object-7')
+  expect([fixture.choose('object-7', order), fixture.choose('object-7')]).toEqual([first, second])
+})
+
+// Guards against doing the work for a new object twice, because a second request comes while the first is at work elsewhere.
+test('requests follow the first one for their object while it runs', () => {
+  const fixture = new SelectorFixture(six)
+  const first = fixture.choose('object-7')!
+  const second = fixture.choose('object-7', createRoute(), [first])!
+  fixture.visit(second, 'object-7')
+  expect(fixture.choose('object-7')).toEqual(second)
+  fixture.selector.forgetVisit(fixture.endpoints.get(second)!, { route: createRoute(), service: 'stock', object: 'object-7' })
+  expect(fixture.choose('object-7')).toEqual(first)
+})
+
+// Guards against a spill at low utilization that makes every endpoint handle every object, and forget those that it knew.
+test('an object stays at its affinity endpoints while they can take it', () => {
+  const fixture = new SelectorFixture(six)
+  const chosen = new Set<string>()
+  for (let count = 0; count < 16; count++) {
+    const id = fixture.choose('object-7')!
+    chosen.add(id)
+    fixture.endpoints.get(id)!.inFlight += 1
+  }
+  expect(chosen.size <= 4).toEqual(true)
+})
+
+// Guards against a loaded service in which requests that their affinity endpoints can't take make others forget their objects.
+test('a request that no affinity endpoint can take is refused under load', () => {
+  const fixture = new SelectorFixture(six)
+  for (let count = 0; count < 4; count++) fixture.endpoints.get(fixture.choose('object-7')!)!.shedBackoffUntilMs = 100
+  for (const row of fixture.endpoints) row.inFlight = 2
+  expect(fixture.choose('object-7')).toEqual(undefined)
+})
+
+// Guards against refusing a request because its affinity endpoints are full, although most slots are free.
+test('another endpoint takes a request that no affinity endpoint can take', () => {
+  const fixture = new SelectorFixture(six)
+  for (let count = 0; count < 4; count++) fixture.endpoints.get(fixture.choose('object-7')!)!.shedBackoffUntilMs = 100
+  expect(fixture.choose('object-7') === undefined).toEqual(false)
+})
+
+// Guards against a far endpoint that is preferred for a slightly shorter wait than the network delay.
+test('the round trip to another region counts as delay', () => {
+  const fixture = new SelectorFixture(six)
+  fixture.shares.moveToward('stock', 1, 1, 0)
+  for (const row of fixture.endpoints) {
+    row.serviceTimeMs = 100
+    if (row.region === 'north') row.inFlight = row.record.slots
+    fixture.visit(row.record.id, 'object-7')
+  }
+  expect(fixture.choose('object-7')!.startsWith('s')).toEqual(true)
+  fixture.roundTripMs = 70
+  expect(fixture.choose('object-7')!.startsWith('n')).toEqual(true)
+})
+
+// Guards against a slot that works for a caller whose timeout passes before the response.
+test('no request is sent where it can\'t be answered before its timeout', () => {
+  const fixture = new SelectorFixture(six)
+  const route = createRoute({ timeoutMs: 600 })
+  const request = { route, service: 'stock', object: 'object-7', remainingMs: 600, excluded: new Set<string>() }
+  for (const row of fixture.endpoints) for (let count = 0; count < 20; count++) fixture.selector.recordDuration(row, request, false, 700)
+  expect([fixture.selector.choose({ ...request, remainingMs: 800 }, 10) === undefined, fixture.selector.choose(request, 10)]).toEqual([false, undefined])
+})
+
 // Guards against a loaded service in which every endpoint handles every object and none has handled its objects recently.
 test('under load an object stays at its affinity endpoints', () => {
   const fixture = new SelectorFixture(six)
--- a/test/placing/LoadSimulator.ts
+++ b/test/placing/LoadSimulator.ts
@@ -6,6 +6,8 @@
 import { LocalShares } from '../../src/placing/LocalShares.js'
 import type { SelectionRequest } from '../../src/placing/SelectionRequest.js'
 import { EndpointSelector } from '../../src/placing/EndpointSelector.js'
+import { RequestKind } from '../../src/routing/RequestKind.js'
+import type { Route } from '../../src/routing/Route.js'
 import { RoutingTable } from '../../src/routing/RoutingTable.js'
 import { createEndpoint } from '../support/createEndpoint.js'
 import { createRoute } from '../support/createRoute.js'
@@ -17,7 +19,9 @@
   readonly slots: number
   /** Number of objects, all requested equally often. */
   readonly objects: number
-  /** Number of most recent objects that an endpoint caches. */
+  /** Kinds of requests, all equally often; idempotent requests only when absent. Each does different work for an object. */
+  readonly kinds?: readonly RequestKind[]
+  /** Number of most recent objects that an endpoint caches, counted for each kind. */
   readonly cachedObjects: number
   /** Service time in ms for an object that the endpoint hasn't cached, and for one that it has. */
   readonly uncachedServiceTimeMs: number
@@ -41,9 +45,12 @@
 /** A request that is queued or running at an endpoint. */
 interface EndpointRequest {
   readonly row: EndpointRow
+  readonly route: Route
   readonly object: string
   readonly arrivedMs: number
   readonly loadAtStart: number
+  /** The selector took the endpoint to have handled the object recently. */
+  readonly isKnown: boolean
 }
 
 /** Simulates an endpoint with a queue and an LRU cache of objects. */
@@ -86,6 +93,7 @@
       routing,
       coldStartLimiter: new ColdStartRateLimiter('me', () => ['me']),
       shares: new LocalShares(),
+      measureRoundTrip: () => 0,
       evacuated: new Set(),
       random: () => this.random.next()
     })
@@ -105,9 +113,10 @@
   }
 
   private send (choose: Choose, nowMs: number): void {
-    const { objects, objectiveMs, timeoutMs } = this.options
+    const { objects, objectiveMs, timeoutMs, kinds = [RequestKind.idempotent] } = this.options
     const object = String(Math.floor(this.random.next() * objects))
-    const route = createRoute({ objectiveMs, timeoutMs })
+    const kind = kinds[kinds.length === 1 ? 0 : this.random.integer(kinds.length)]!
+    const route = createRoute({ name: kind, kind, objectiveMs, timeoutMs })
     const row = choose({ route, service: 'stock', object, remainingMs: timeoutMs, excluded: new Set() }, nowMs)
     if (this.isMeasured(nowMs)) this.tally.sent += 1
     if (row === undefined) {
@@ -115,7 +124,8 @@
       return
     }
     row.inFlight += 1
-    this.simulated.get(row.record.id)!.queue.push({ row, object, arrivedMs: nowMs, loadAtStart: row.inFlight })
+    this.simulated.get(row.record.id)!.queue.push({ row, route, object, arrivedMs: nowMs, loadAtStart: row.inFlight, isKnown: this.selector.hasRecentlyHandled(row, { route, service: 'stock', object }, nowMs) })
+    this.selector.recordVisit(row, { route, service: 'stock', object }, nowMs)
     this.startNext(row, nowMs)
   }
 
@@ -125,18 +135,19 @@
     const request = endpoint.queue.shift()
     if (request === undefined) return
     endpoint.running += 1
-    const serviceTimeMs = endpoint.touch(request.object) ? this.options.cachedServiceTimeMs : this.options.uncachedServiceTimeMs
+    const serviceTimeMs = endpoint.touch(`${request.route.kind} ${request.object}`) ? this.options.cachedServiceTimeMs : this.options.uncachedServiceTimeMs
     const endMs = nowMs + serviceTimeMs
     this.ends.set(endMs, [...this.ends.get(endMs) ?? [], () => this.end(request, endMs)])
   }
 
   private end (request: EndpointRequest, nowMs: number): void {
-    const { row, object, arrivedMs, loadAtStart } = request
+    const { row, route, object, arrivedMs, loadAtStart, isKnown } = request
     const elapsedMs = nowMs - arrivedMs
     this.simulated.get(row.record.id)!.running -= 1
     row.inFlight -= 1
     recordAttempt(row, { result: 'ok', elapsedMs, loadAtStart }, nowMs)
-    this.selector.recordSuccess(row.record.id, object, nowMs)
+    this.selector.recordVisit(row, { route, service: 'stock', object }, nowMs)
+    if (loadAtStart <= row.record.slots) this.selector.recordDuration(row, { route, service: 'stock', object }, isKnown, elapsedMs)
     if (this.isMeasured(arrivedMs)) {
       if (elapsedMs <= this.options.objectiveMs) this.tally.onTime += 1
       this.tally.slowestMs = Math.max(this.tally.slowestMs, elapsedMs)
--- a/test/placing/load.test.ts
+++ b/test/placing/load.test.ts
@@ -1,5 +1,6 @@
 import { test } from 'node:test'
 import { expect } from 'earl'
+import { RequestKind } from '../../src/routing/RequestKind.js'
 import { LoadSimulator } from './LoadSimulator.js'
 
 /** A heavy load: it needs half of the slots when all objects are cached, and 1.7 times the slots when none is. */
@@ -39,3 +40,25 @@
   // The slots can serve 500 of the 700 requests per second when all objects are cached.
   expect(result.onTimeShare > 0.5).toEqual(true)
 })
+
+/** A moderate load of two kinds of requests for the same objects; each endpoint caches a few objects for a kind. */
+const twoKinds = {
+  endpoints: 28,
+  slots: 3,
+  objects: 80,
+  kinds: [RequestKind.idempotent, RequestKind.once],
+  cachedObjects: 12,
+  uncachedServiceTimeMs: 700,
+  cachedServiceTimeMs: 210,
+  perSecond: 120,
+  seconds: 20,
+  objectiveMs: 500,
+  timeoutMs: 1_500
+}
+
+// Guards against endpoints that are taken to know an object from a request of another kind, or that handle more objects than they cache.
+test('two kinds of requests for the same objects are served in time', () => {
+  const simulator = new LoadSimulator(twoKinds)
+  const result = simulator.simulate((request, nowMs) => simulator.selector.choose(request, nowMs))
+  expect([result.onTimeShare > 0.9, result.refusedShare]).toEqual([true, 0])
+})
