Use a free slot whatever the expected time, and bound what is kept of routes

Cause, found on reading the change: a response corrects the expected service time, so after a lowered timeout every request of a route could be refused for ever. Change: the check against the time that is left applies to requests that would have to wait; a free slot is used. Service times are kept for 10,000 routes. A connection is closed later only while the host is closing.

--- a/src/entry/DrainableHttpServer.ts
+++ b/src/entry/DrainableHttpServer.ts
@@ -214,7 +214,7 @@
   private endSilently (connection: TrackedConnection): void {
     const remainingMs = connection.idleSinceMs + minIdleMs - this.options.clock.nowMs()
     if (remainingMs > 0) {
-      setTimeout(() => this.endIdle(connection), remainingMs)
+      setTimeout(() => { if (this.isClosingIdle) this.endIdle(connection) }, remainingMs)
       return
     }
     connection.isRefusingRequests = true
--- a/src/placing/EndpointSelector.ts
+++ b/src/placing/EndpointSelector.ts
@@ -140,7 +140,8 @@
 
   /**
    * Estimates the time in ms until the response, increased by rank for an endpoint that is new to the object. Returns
-   * undefined when the endpoint must not receive the request, or its response can't arrive within the time that is left.
+   * undefined when the endpoint must not receive the request, or when the request would wait and then not be answered within
+   * the time that is left. A free slot is always used, since the expected service time is corrected by responses only.
    */
   private estimateDelay (row: EndpointRow, rank: number, choice: Choice): number | undefined {
     const { request, objectKey, nowMs } = choice
@@ -148,7 +149,7 @@
     const serviceMs = this.serviceTimes.expect(request.route, isKnown)
     const workMs = serviceMs + this.options.measureRoundTrip(row.region)
     const waitMs = estimateWait(row, choice, workMs)
-    if (waitMs === undefined || waitMs + workMs > request.remainingMs) return undefined
+    if (waitMs === undefined || (waitMs > 0 && waitMs + workMs > request.remainingMs)) return undefined
     const newObjectMs = isKnown ? 0 : serviceMs - this.serviceTimes.expect(request.route, true)
     return waitMs + workMs + newObjectMs * rank * placementLimits.rankFactor
   }
--- a/src/placing/ServiceTimes.ts
+++ b/src/placing/ServiceTimes.ts
@@ -12,12 +12,22 @@
   private readonly rows = new Map<string, ServiceTimeRow>()
 
   record (route: Route, isKnown: boolean, serviceMs: number): void {
-    const row = this.rows.get(route.name) ?? createRow(route)
-    this.rows.set(route.name, row)
+    const row = this.ensureRow(route)
     const field = isKnown ? 'knownMs' : 'newMs'
     row[field] += placementLimits.serviceTimeWeight * (serviceMs - row[field])
   }
 
+  /** Returns the row of a route; the route that was added first makes room for a further one. */
+  private ensureRow (route: Route): ServiceTimeRow {
+    const existing = this.rows.get(route.name)
+    if (existing !== undefined) return existing
+    const row = createRow(route)
+    this.rows.set(route.name, row)
+    const oldest = this.rows.keys().next()
+    if (this.rows.size > placementLimits.maxTimedRoutes && oldest.done !== true) this.rows.delete(oldest.value)
+    return row
+  }
+
   expect (route: Route, isKnown: boolean): number {
     const row = this.rows.get(route.name) ?? createRow(route)
     return isKnown ? row.knownMs : Math.max(row.newMs, row.knownMs)
--- a/src/placing/placementLimits.ts
+++ b/src/placing/placementLimits.ts
@@ -8,6 +8,8 @@
   rankFactor: 0.2,
   /** Weight of one request in the mean service times by route. */
   serviceTimeWeight: 0.05,
+  /** Number of routes whose service times are kept. */
+  maxTimedRoutes: 10_000,
   /** Service time for a known object as a share of the objective, until it has been measured. */
   initialKnownShare: 0.4,
   /** Load per slot up to which a request may wait beyond the objective, as long as its deadline allows. */
