--- a/test/host/plannedStop.test.ts
+++ b/test/host/plannedStop.test.ts
@@ -6,12 +6,18 @@
 
 const callerCount = 12
 
-/** Stops a host, and calls `act` at about the moment at which it closes its listener; waits for the stop. */
-async function stopWith (group: HostGroup, delayMs: number, act: () => Promise<void>): Promise<void> {
+/** Connects callers shortly before a host closes its listener, lets them send after `pause`, and returns the statuses they get. */
+async function sendDuringStop (pause: () => Promise<void> | void): Promise<number[]> {
+  const group = await HostGroup.start(1, 4)
   const stopped = group.hosts[0]!.stop()
-  await new Promise((resolve) => setTimeout(resolve, delayMs))
-  await act()
+  await new Promise((resolve) => setTimeout(resolve, hostLimits.listenerCloseDelayMs - 30))
+  const callers = Array.from({ length: callerCount }, () => new RawCaller(group.connect()))
+  await pause()
+  for (const [index, caller] of callers.entries()) caller.send(`q-${index}`, '/read/1', { object: String(index) })
+  await Promise.all(callers.map(async (caller) => await caller.ended))
   await stopped
+  await group.stop()
+  return callers.map((caller) => caller.responses[0]?.status ?? 0)
 }
 
 /** Blocks the event loop, as a burst of work does. */
@@ -22,31 +28,14 @@
 
 // Guards against resetting connections that wait to be accepted when a busy host closes its listener.
 test('connections that wait when the listener closes are answered', async () => {
-  const group = await HostGroup.start(1, 4)
-  const callers: RawCaller[] = []
-  await stopWith(group, hostLimits.listenerCloseDelayMs - 30, async () => {
-    for (let index = 0; index < callerCount; index++) callers.push(new RawCaller(group.connect()))
-    // The timer that closes the listener is due before the host has accepted the connections.
-    block(100)
-    for (const [index, caller] of callers.entries()) caller.send(`q-${index}`, '/read/1', { object: String(index) })
-    await Promise.all(callers.map(async (caller) => await caller.ended))
-  })
-  await group.stop()
-  expect(callers.map((caller) => caller.responses[0]?.status ?? 0)).toEqual(callers.map(() => 200))
+  // After the block, the timer that closes the listener is due before the host has accepted the connections.
+  expect(await sendDuringStop(() => block(100))).toEqual(Array(callerCount).fill(200))
 })
 
 // Guards against closing a connection that has just been accepted before its request arrives.
 test('a connection that was accepted just before the listener closed is answered', async () => {
-  const group = await HostGroup.start(1, 4)
-  const callers: RawCaller[] = []
-  await stopWith(group, hostLimits.listenerCloseDelayMs - 30, async () => {
-    for (let index = 0; index < callerCount; index++) callers.push(new RawCaller(group.connect()))
-    await new Promise((resolve) => setTimeout(resolve, 100))
-    for (const [index, caller] of callers.entries()) caller.send(`q-${index}`, '/read/1', { object: String(index) })
-    await Promise.all(callers.map(async (caller) => await caller.ended))
-  })
-  await group.stop()
-  expect(callers.map((caller) => caller.responses[0]?.status ?? 0)).toEqual(callers.map(() => 200))
+  const pause = async (): Promise<void> => { await new Promise((resolve) => setTimeout(resolve, 100)) }
+  expect(await sendDuringStop(pause)).toEqual(Array(callerCount).fill(200))
 })
 
 // Guards against a stop that waits for callers that keep idle connections open.
