--- a/src/placing/ServiceTimes.ts
+++ b/src/placing/ServiceTimes.ts
@@ -17,6 +17,12 @@
     row[field] += placementLimits.serviceTimeWeight * (serviceMs - row[field])
   }
 
+  /** Returns the expected service time in ms; a new object never takes less than a known one. */
+  expect (route: Route, isKnown: boolean): number {
+    const row = this.rows.get(route.name) ?? createRow(route)
+    return isKnown ? row.knownMs : Math.max(row.newMs, row.knownMs)
+  }
+
   /** Returns the row of a route; the route that was added first makes room for a further one. */
   private ensureRow (route: Route): ServiceTimeRow {
     const existing = this.rows.get(route.name)
@@ -27,11 +33,6 @@
     if (this.rows.size > placementLimits.maxTimedRoutes && oldest.done !== true) this.rows.delete(oldest.value)
     return row
   }
-
-  expect (route: Route, isKnown: boolean): number {
-    const row = this.rows.get(route.name) ?? createRow(route)
-    return isKnown ? row.knownMs : Math.max(row.newMs, row.knownMs)
-  }
 }
 
 /** Until requests have been measured, the objective is taken for the time of a new object. */
