Name the round trip to a region for what it is, a stored value

measureRoundTrip took no measurement; heartbeats do. Rename only: getRoundTripMs in the peer table and the selector's options. Lint and the tests of placing, peers and host pass; no behaviour changes.

--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -261,7 +261,7 @@
       routing,
       coldStartLimiter: new ColdStartRateLimiter(settings.name, () => this.listLiveHostNames()),
       shares,
-      measureRoundTrip: (region) => region === settings.region ? 0 : peers.measureRoundTrip(region),
+      getRoundTripMs: (region) => region === settings.region ? 0 : peers.getRoundTripMs(region),
       evacuated: state.evacuatedZones,
       random
     })
--- a/src/peers/PeerTable.ts
+++ b/src/peers/PeerTable.ts
@@ -49,7 +49,7 @@
   }
 
   /** Returns the round trip time in ms to the nearest host of a region; 0 when none has been measured. */
-  measureRoundTrip (region: string): number {
+  getRoundTripMs (region: string): number {
     let nearestMs = Infinity
     for (const row of this.rows) if (row.record.region === region && row.roundTripMs !== undefined) nearestMs = Math.min(nearestMs, row.roundTripMs)
     return nearestMs === Infinity ? 0 : nearestMs
--- a/src/placing/EndpointSelector.ts
+++ b/src/placing/EndpointSelector.ts
@@ -23,7 +23,7 @@
   readonly coldStartLimiter: ColdStartRateLimiter
   readonly shares: LocalShares
   /** Returns the round trip time in ms from this host to a region. */
-  readonly measureRoundTrip: (region: string) => number
+  readonly getRoundTripMs: (region: string) => number
   /** Zones that receive no requests. */
   readonly evacuated: ReadonlySet<string>
   readonly random: () => number
@@ -87,7 +87,7 @@
 
   /** Records the duration of a request that did not wait for a slot. */
   recordDuration (row: EndpointRow, request: ObjectRequest, isKnown: boolean, elapsedMs: number): void {
-    this.serviceTimes.record(request.route, isKnown, Math.max(0, elapsedMs - this.options.measureRoundTrip(row.region)))
+    this.serviceTimes.record(request.route, isKnown, Math.max(0, elapsedMs - this.options.getRoundTripMs(row.region)))
   }
 
   /** Returns true when an endpoint is eligible for the request, whatever its health and load. */
@@ -147,7 +147,7 @@
     const { request, objectKey, nowMs } = choice
     const isKnown = objectKey === undefined || this.recentObjects.has(row.record.id, objectKey, nowMs)
     const serviceMs = this.serviceTimes.expect(request.route, isKnown)
-    const workMs = serviceMs + this.options.measureRoundTrip(row.region)
+    const workMs = serviceMs + this.options.getRoundTripMs(row.region)
     const waitMs = estimateWait(row, choice, workMs)
     if (waitMs === undefined || (waitMs > 0 && waitMs + workMs > request.remainingMs)) return undefined
     const newObjectMs = isKnown ? 0 : serviceMs - this.serviceTimes.expect(request.route, true)
--- a/test/placing/EndpointSelector.test.ts
+++ b/test/placing/EndpointSelector.test.ts
@@ -30,7 +30,7 @@
       routing,
       coldStartLimiter: new ColdStartRateLimiter('me', () => ['me']),
       shares: this.shares,
-      measureRoundTrip: (region) => region === 'north' ? 0 : this.roundTripMs,
+      getRoundTripMs: (region) => region === 'north' ? 0 : this.roundTripMs,
       evacuated: this.evacuated,
       random
     })
--- a/test/placing/LoadSimulator.ts
+++ b/test/placing/LoadSimulator.ts
@@ -93,7 +93,7 @@
       routing,
       coldStartLimiter: new ColdStartRateLimiter('me', () => ['me']),
       shares: new LocalShares(),
-      measureRoundTrip: () => 0,
+      getRoundTripMs: () => 0,
       evacuated: new Set(),
       random: () => this.random.next()
     })
