Let a starting host rely on its tables once each was read from the store

Cause: StartupGate opened with the first successful call to the store, for whichever table. The three tables are read by calls of their own, so for the moments between the first and the last of them the host used the endpoints that a peer cut off from the store had sent.

Change: StoreHealth records the tables that were read, and the gate asks for all of them, a failed call, or the end of the wait. The test delays only the endpoints, so that it fails without the change in each run; the delay is 500 instead of 800 ms, which leaves 500 ms to the end of the wait on a busy machine.

--- a/src/catalog/CatalogFollower.ts
+++ b/src/catalog/CatalogFollower.ts
@@ -71,7 +71,7 @@
   private handleSuccess (): void {
     this.backoffMs = catalogLimits.minBackoffMs
     const { health, clock, logger } = this.options
-    if (health.recordSuccess(clock.nowMs())) logger.info('store-regained', { table: this.table })
+    if (health.recordSuccess(this.table, clock.nowMs())) logger.info('store-regained', { table: this.table })
   }
 
   private handleFailure (failure: StoreFailure): number {
--- a/src/catalog/StoreHealth.ts
+++ b/src/catalog/StoreHealth.ts
@@ -1,12 +1,15 @@
+import { CatalogTable } from './CatalogTable.js'
+
 /** Tracks whether the store is reachable from this host, and since when. */
 export class StoreHealth {
+  private readonly readTables = new Set<CatalogTable>()
   private recoveredAtMs: number | undefined
   private lastSuccessAtMs: number | undefined
   private down = false
 
-  /** True once a call has succeeded or failed. */
-  get hasResult (): boolean {
-    return this.down || this.lastSuccessAtMs !== undefined
+  /** True once a call for each table has succeeded. */
+  get hasReadAll (): boolean {
+    return this.readTables.size === Object.keys(CatalogTable).length
   }
 
   get isDown (): boolean {
@@ -20,8 +23,9 @@
     return wasReachable
   }
 
-  /** Records a successful call and returns true when the store was unreachable before. */
-  recordSuccess (nowMs: number): boolean {
+  /** Records a successful call for a table and returns true when the store was unreachable before. */
+  recordSuccess (table: CatalogTable, nowMs: number): boolean {
+    this.readTables.add(table)
     this.lastSuccessAtMs = nowMs
     if (!this.down) return false
     this.down = false
--- a/src/host/StartupGate.ts
+++ b/src/host/StartupGate.ts
@@ -20,10 +20,10 @@
     this.startMs = options.clock.nowMs()
   }
 
-  /** True once the store has answered, is known to be unreachable, or has not answered within the longest wait. */
+  /** True once every table was read from the store, the store is known to be unreachable, or the longest wait is over. */
   get mayRelyOnTables (): boolean {
     const { health, clock } = this.options
-    this.isOpen ||= health.hasResult || clock.nowMs() - this.startMs >= hostLimits.maxStartupWaitMs
+    this.isOpen ||= health.hasReadAll || health.isDown || clock.nowMs() - this.startMs >= hostLimits.maxStartupWaitMs
     return this.isOpen
   }
 }
--- a/test/host/restart.test.ts
+++ b/test/host/restart.test.ts
@@ -3,13 +3,14 @@
 import { HostGroup } from '../support/HostGroup.js'
 
 // Guards against a restarted host that uses an endpoint that has left, since a host that is cut off from the store told it so.
+// The other tables are read at once, which must not count as a read of the endpoints.
 test('a restarted host doesn\'t send to an endpoint that has left', async () => {
   const group = await HostGroup.start(2, 2)
   await group.hosts[1]!.stop()
   group.hostStores[0]!.isCut = true
   group.store.tables.remove('servers', 'e-0')
   group.endpoints[0]!.runs.length = 0
-  await group.addHost('host-1', 800)
+  await group.addHost('host-1', { endpoints: 500 })
   const statuses = new Set<number>()
   const untilMs = performance.now() + 2_000
   for (let index = 0; performance.now() < untilMs; index++) {
--- a/test/support/HostGroup.ts
+++ b/test/support/HostGroup.ts
@@ -93,11 +93,11 @@
     await this.waitUntil(isListed)
   }
 
-  /** Starts a host; `name` is that of an earlier one when it is a restart, and `storeDelayMs` delays its calls to the store. */
-  async addHost (name = `host-${this.hosts.length}`, storeDelayMs = 0): Promise<HostProcess> {
+  /** Starts a host; `name` is that of an earlier one when it is a restart, and `storeDelaysMs` delays its calls to the store. */
+  async addHost (name = `host-${this.hosts.length}`, storeDelaysMs: CuttableStore['delaysMs'] = {}): Promise<HostProcess> {
     const settings = await this.createSettings(name)
     const store = new CuttableStore(new HttpCatalogStore(this.storeAddress, this.logger))
-    store.delayMs = storeDelayMs
+    store.delaysMs = storeDelaysMs
     this.hostStores.push(store)
     const host = new HostProcess({
       settings,
