Let a starting agent apply no configuration of a peer while it reads the platform

It happens: an agent that starts takes the configuration of the first peer that announces one. When that peer is cut off from the platform, the configuration may be older than the one that the agent's own read of the platform is about to return, and with it come credentials that have been withdrawn meanwhile. The new test in test/control/Agent has agent a-1 cut off at version 1, version 2 written by b-1, and b-1 restarted while a read takes 700 ms: before the change it applies versions 1 and 2, with it only 2.

Ruled out: refusing the peer's configuration by its age, since a peer doesn't know that it is cut off until its own reads fail, and a platform outage leaves the peers as the only source.

Change: the gate of the host process moves to src/common and serves both; an agent neither pulls nor accepts a configuration from peers until its first read has ended, at most 1 s. A second test holds that an agent still has the configuration within 3 s when a read takes 4 s. StoreHealth tells itself whether a start has a result.

The withdrawn credential at an agent that stays cut off is unchanged: it keeps its last configuration, as during an outage of the platform.

--- a/src/catalog/StoreHealth.ts
+++ b/src/catalog/StoreHealth.ts
@@ -7,9 +7,9 @@
   private lastSuccessAtMs: number | undefined
   private down = false
 
-  /** True once a call for each table has succeeded. */
-  get hasReadAll (): boolean {
-    return this.readTables.size === Object.keys(CatalogTable).length
+  /** True once a call for each table has succeeded, or while the store is unreachable. */
+  get hasStartResult (): boolean {
+    return this.down || this.readTables.size === Object.keys(CatalogTable).length
   }
 
   get isDown (): boolean {
--- a/src/control/Agent.ts
+++ b/src/control/Agent.ts
@@ -9,6 +9,7 @@
 import { DialMap } from '../common/DialMap.js'
 import type { Failure } from '../common/Failure.js'
 import type { Logger } from '../common/Logger.js'
+import { StartupGate } from '../common/StartupGate.js'
 import { decodeCustomerUsage } from '../membership/decodeCustomerUsage.js'
 import { digestSchema } from '../membership/digestSchema.js'
 import type { Listing } from '../membership/Listing.js'
@@ -120,6 +121,7 @@
       onRequest: async (request) => await api.handle(request),
       findNotReadyReason: () => this.findNotReadyReason()
     })
+    const gate = new StartupGate({ clock, hasResult: () => this.reader.hasResult })
     this.exchange = new PeerExchange({
       self: { name, role: 'agent', incarnation },
       clusterKey,
@@ -128,6 +130,7 @@
       log: createLog('exchange'),
       membership: this.membership,
       holder: this.holder,
+      mayRelyOnPeers: () => gate.isOpen,
       seeds: settings.seeds.filter((seed) => seed !== `${settings.address}:${settings.ports.agent}`),
       onChange: (urgent) => this.publisher.schedule(urgent),
       onSuspect: () => this.metrics.suspicions.inc(),
--- a/src/control/ConfigReader.ts
+++ b/src/control/ConfigReader.ts
@@ -21,6 +21,7 @@
   private pausedUntilMs = -Infinity
   private lastFault: Failure | undefined
   private lastHeadAbsent = false
+  private hasEndedRead = false
 
   constructor (private readonly options: ConfigReaderOptions) {}
 
@@ -29,6 +30,11 @@
     return this.lastFault
   }
 
+  /** True once a read has succeeded or failed. */
+  get hasResult (): boolean {
+    return this.hasEndedRead
+  }
+
   /** True when the last read succeeded and found no head, so no configuration was ever accepted. */
   get isPlatformEmpty (): boolean {
     return this.lastHeadAbsent
@@ -71,5 +77,6 @@
       else log.warn('head-read-failed', { failure: failure.name, message: failure.message })
     }
     this.lastFault = failure
+    this.hasEndedRead = true
   }
 }
--- a/src/control/PeerExchange.ts
+++ b/src/control/PeerExchange.ts
@@ -28,6 +28,8 @@
   readonly log: Logger
   readonly membership: Membership
   readonly holder: ConfigHolder
+  /** Returns false while a configuration of a peer may be older than the one that this agent is about to read. */
+  readonly mayRelyOnPeers: () => boolean
   /** Addresses of agents to contact while there is no configuration or no contact with other agents. */
   readonly seeds: readonly string[]
   /** Called when members or links changed; `urgent` when local processes must receive the change at once. */
@@ -208,7 +210,7 @@
     const relation = holder.compare(exchange)
     if (relation === 'foreign') return this.reportRefusedConfig(relation, exchange)
     holder.observeVersion(exchange.version)
-    if (relation !== 'newer' || sendRequest === undefined || this.isPulling) return
+    if (relation !== 'newer' || sendRequest === undefined || this.isPulling || !this.options.mayRelyOnPeers()) return
     this.isPulling = true
     this.pull(sendRequest).catch((err: unknown) => this.logCrash(err)).finally(() => { this.isPulling = false })
   }
@@ -219,7 +221,7 @@
   }
 
   private receiveConfig (data: unknown): void {
-    const held = decodeConfig(data)
+    const held = this.options.mayRelyOnPeers() ? decodeConfig(data) : undefined
     if (held === undefined) return
     const relation = this.options.holder.offer(held)
     if (relation === 'foreign') this.reportRefusedConfig(relation, { lineage: held.doc.lineage, version: held.doc.version, writeId: held.writeId })
--- a/src/host/ClusterState.ts
+++ b/src/host/ClusterState.ts
@@ -8,7 +8,7 @@
 import { endpointLimits } from '../endpoints/endpointLimits.js'
 import type { EndpointTable } from '../endpoints/EndpointTable.js'
 import type { RoutingTable } from '../routing/RoutingTable.js'
-import { StartupGate } from './StartupGate.js'
+import { StartupGate } from '../common/StartupGate.js'
 import { update } from '../common/update.js'
 
 /** Tables that shared state is applied to, and hooks. */
@@ -39,12 +39,13 @@
   private readonly gate: StartupGate
 
   constructor (private readonly options: ClusterStateOptions) {
-    this.gate = new StartupGate(options)
+    const { clock, health } = options
+    this.gate = new StartupGate({ clock, hasResult: () => health.hasStartResult })
   }
 
   /** True once the configuration and the endpoints have been received and may be relied on. */
   get isSynced (): boolean {
-    return this.options.routing.config !== undefined && this.catalog.versionOf(CatalogTable.endpoints) >= 0 && this.gate.mayRelyOnTables
+    return this.options.routing.config !== undefined && this.catalog.versionOf(CatalogTable.endpoints) >= 0 && this.gate.isOpen
   }
 
   /** Removes endpoints whose entries did not reappear after the store became reachable again. */
--- a/src/host/hostLimits.ts
+++ b/src/host/hostLimits.ts
@@ -14,8 +14,6 @@
   connectTimeoutMs: 500,
   /** Deadline in ms of a request that carries none. */
   defaultDeadlineMs: 30_000,
-  /** Time in ms for which a starting host waits for the store before it relies on the tables that peers have sent. */
-  maxStartupWaitMs: 1_000,
   /** Idle timeout in ms of a caller's connection until a configuration has been received. */
   defaultIdleTimeoutMs: 15_000,
   /** Time in ms from the start of a planned stop until the listener closes; look-ups may still return the host until then. */
--- a/test/control/Agent.test.ts
+++ b/test/control/Agent.test.ts
@@ -1,7 +1,9 @@
 import { test } from 'node:test'
 import { expect } from 'earl'
 import { AgentGroup } from './AgentGroup.js'
+import { MemoryPlatform } from './MemoryPlatform.js'
 import { sampleContract } from './sampleContract.js'
+import { sampleDeployment } from './sampleDeployment.js'
 import { sampleDigest } from './sampleDigest.js'
 
 const hosts = ['a-1', 'a-2', 'b-1', 'c-1', 'd-1', 'e-1', 'f-1']
@@ -49,6 +51,41 @@
   expect({ name: refused.body.name, outcome: refused.body.outcome }).toEqual({ name: 'platformUnavailable', outcome: 'not-run' })
 })
 
+// Guards against a withdrawn credential that a restarted agent accepts again, since an agent that is cut off told it so.
+test('a restarted agent applies no older configuration of its peers while it reads the platform', async (t) => {
+  const group = new AgentGroup(t, ['a-1', 'b-1'], '127.20.16')
+  const cutPlatform = new MemoryPlatform(group.platform.rows, group.platform.bytes)
+  const unreachable = `${group.getAddress('a-1')}:1`
+  await group.start('a-1', { [`${group.getAddress('b-1')}:8084`]: unreachable }, cutPlatform)
+  await group.start('b-1', { [`${group.getAddress('a-1')}:8084`]: unreachable })
+  const load = { kind: 'deployment', deployment: sampleDeployment(group.hosts, '127.20.16'), expectVersion: undefined, force: false } as const
+  const loaded = await group.getAgent('b-1').writer.write({ writeId: 'load', by: 'anna', change: load })
+  loaded._unsafeUnwrap()
+  await group.waitUntil(() => group.getAgent('a-1').holder.version === 1, 3_000)
+  cutPlatform.isDown = true
+  await group.callOperatorApi('b-1', 'PUT', '/admin/v1/contracts/gyms', { contract: sampleContract(), expectVersion: 0, writeId: 'w1' })
+  expect([group.getAgent('a-1').holder.version, group.getAgent('b-1').holder.version]).toEqual([1, 2])
+  await group.stopAgent('b-1')
+  group.platform.readDelayMs = 700
+  const starting = group.start('b-1')
+  const applied: number[] = []
+  group.getAgent('b-1').holder.on('applied', ({ doc }) => applied.push(doc.version))
+  await starting
+  expect(applied).toEqual([2])
+})
+
+// Guards against an agent that has no configuration for as long as a read of the platform takes.
+test('a restarted agent applies the configuration of its peers while the platform is slow', async (t) => {
+  const group = new AgentGroup(t, ['a-1', 'b-1'], '127.20.17')
+  await group.startAll()
+  await group.stopAgent('b-1')
+  group.platform.readDelayMs = 4_000
+  const starting = group.start('b-1')
+  const elapsedMs = await group.waitUntil(() => group.getAgent('b-1').holder.version === 1, 3_900)
+  expect(elapsedMs < 3_000).toEqual(true)
+  await starting
+})
+
 // Guards against hosts that keep using upstreams that the platform lists as leaving, and against too many reads of the platform.
 test('one host per zone reads the platform list and it reaches all hosts', async (t) => {
   const group = new AgentGroup(t, ['a-1', 'a-2', 'a-3', 'b-1'], '127.20.14')
--- a/test/control/AgentGroup.ts
+++ b/test/control/AgentGroup.ts
@@ -35,8 +35,8 @@
     this.addresses = new Map(hosts.map((host, i) => [host, `${addressPrefix}.${i + 1}`]))
   }
 
-  /** Starts an agent; `dial` translates its outgoing addresses. */
-  async start (host: string, dial: Record<string, string> = {}): Promise<Agent> {
+  /** Starts an agent; `dial` translates its outgoing addresses, and `platform` is the platform as this agent reaches it. */
+  async start (host: string, dial: Record<string, string> = {}, platform = this.platform): Promise<Agent> {
     const clock = new SystemClock()
     const log = new SilentLogger()
     const settings: Settings = {
@@ -55,9 +55,9 @@
     }
     const agent = new Agent({
       context: { settings, clock, createModuleLogger: () => log },
-      table: this.platform.table,
-      objects: this.platform.objects,
-      hosts: this.platform.hosts,
+      table: platform.table,
+      objects: platform.objects,
+      hosts: platform.hosts,
       computePortions
     })
     this.agents.set(host, agent)
--- a/test/control/MemoryPlatform.ts
+++ b/test/control/MemoryPlatform.ts
@@ -15,10 +15,10 @@
 
 /** In-memory platform with faults that tests inject. */
 export class MemoryPlatform {
-  readonly rows = new Map<string, TableRow>()
-  readonly bytes = new Map<string, Buffer>()
   listedHosts: ListedHost[] = []
   isDown = false
+  /** Duration in ms of a read of a row. */
+  readDelayMs = 0
   tableReads = 0
   /** Number of coming writes that take effect but lose their response. */
   lostResponses = 0
@@ -31,6 +31,9 @@
   readonly objects: ObjectStore = new MemoryObjects(this)
   readonly hosts: HostList = new MemoryHosts(this)
 
+  /** Two platforms with the same contents are one platform with faults for some agents only. */
+  constructor (readonly rows = new Map<string, TableRow>(), readonly bytes = new Map<string, Buffer>()) {}
+
   write ({ row, ifVersion, value }: TableWrite): Result<WriteReply, Failure> {
     if (this.isDown) return err(unavailable)
     if (this.lostRequests > 0) {
@@ -53,6 +56,7 @@
 
   override async read (row: string): Promise<Result<TableRow | undefined, Failure>> {
     this.platform.tableReads += 1
+    if (this.platform.readDelayMs > 0) await new Promise((resolve) => setTimeout(resolve, this.platform.readDelayMs))
     return this.platform.isDown ? err(unavailable) : ok(this.platform.rows.get(row))
   }
 
