Play the hand-over of a home and the leaving upstreams of a restart, and record how a process of the soak ended

Two stories had no test of their own. Both are played now and show no fault: a key that runs while its home hands over to the next process of its host is not granted again, whenever the request settles (before the stop, during it, after the start, after the recovery); and the first view of a restarted agent lists the upstreams that the platform lists as leaving.

--- a/dev/cluster/ManagedProcess.ts
+++ b/dev/cluster/ManagedProcess.ts
@@ -38,6 +38,13 @@
     return this.child !== undefined && this.child.exitCode === null && this.child.signalCode === null
   }
 
+  /** Describes how the process ended, for error messages. */
+  describeExit (): string {
+    const { exitCode = null, signalCode = null } = this.child ?? {}
+    if (signalCode !== null) return `signal ${signalCode}`
+    return exitCode === null ? 'no exit' : `exit code ${exitCode}`
+  }
+
   start (): void {
     if (this.isRunning) throw new Error(`${this.name} is running already`)
     const log = openSync(this.options.logFile, 'a')
--- a/dev/soak/SoakCluster.ts
+++ b/dev/soak/SoakCluster.ts
@@ -235,7 +235,7 @@
     for (const host of this.hosts) {
       if (host.isExpectedDown || host.process.isRunning) continue
       host.isExpectedDown = true
-      this.history.hostErrors.push(`${host.name} ended by itself:\n${host.process.readLogTail()}`)
+      this.history.hostErrors.push(`${host.name} ended by itself (${host.process.describeExit()}):\n${host.process.readLogTail()}`)
     }
   }
 
--- a/test/claim/ClaimService.test.ts
+++ b/test/claim/ClaimService.test.ts
@@ -150,6 +150,30 @@
   expect(describe(await cluster.claim('f1', findHashedKey(cluster, 'a1', 2_000)))).toEqual('keyUnknown unknown')
 })
 
+// Guards against an order that runs twice since the processes before and after a planned restart of its home both grant it.
+test('a running key is not granted again around the handover of its home', async () => {
+  for (const settleStep of [0, 1, 2, 3]) {
+    const cluster = await startCluster(700_000)
+    const key = findHashedKey(cluster, 'a1')
+    const running = expectGranted(await cluster.claim('c1', key))
+    const kinds: string[] = []
+    const steps = [
+      async () => { await cluster.stop('a1') },
+      async () => { cluster.start('a1', 2) },
+      async () => { await cluster.net.advance(500) }
+    ]
+    for (let step = 0; step <= steps.length; step++) {
+      const request = { customer: 'gyms', key, fingerprint: 'f', deadlineAtMs: cluster.net.nowMs + 5_000 }
+      for (const host of ['f1', 'c1']) cluster.services.get(host)!.claim(request).then((claimed) => kinds.push(describe(claimed)))
+      if (step === settleStep) running.settleDone(answer)
+      await steps[step]?.()
+    }
+    await cluster.net.advance(6_000)
+    expect([kinds.length, kinds.filter((kind) => kind === 'granted')]).toEqual([8, []])
+    expect(describe(await cluster.claim('f1', key))).toEqual('done')
+  }
+})
+
 // Guards against running a key at its new home while its former home still has a record of it.
 test('a key whose home moved is unknown for the retention time', async () => {
   const cluster = await startCluster(700_000)
--- a/test/control/Agent.test.ts
+++ b/test/control/Agent.test.ts
@@ -102,6 +102,21 @@
   expect(group.platform.tableReads - paused <= 2).toEqual(true)
 })
 
+// Guards against an upstream that a restarted host uses again although the platform lists it as leaving.
+test('the first view after a restart lists the leaving upstreams', async (t) => {
+  const group = new AgentGroup(t, ['a-1', 'a-2', 'b-1'], '127.20.18')
+  await group.startAll()
+  group.platform.listedHosts = [{ name: 'stock-b', kind: 'upstream', state: 'leaving' }]
+  await group.waitUntil(() => group.hosts.every((host) => group.getAgent(host).getLeavingListing().endpoints[0] === 'stock-b'), 3_000)
+  await group.stopAgent('a-2')
+  const link = group.connectEntry('a-2', 2)
+  const listed: string[][] = []
+  link.on('view', (view) => { if (view.configVersion > 0) listed.push([...view.leavingEndpoints]) })
+  await group.start('a-2')
+  await group.waitUntil(() => listed.length >= 2, 3_000)
+  expect(listed.slice(0, 2)).toEqual([['stock-b'], ['stock-b']])
+})
+
 // Guards against views that stop, and against views that repeat the whole configuration.
 test('views are sent every 500 ms and include the configuration once', async (t) => {
   const group = new AgentGroup(t, ['a-1'], '127.20.15')
