Split ShareTable, ClaimService and Membership by job

Behaviour is unchanged.

ShareTable: StartupRecovery holds what a started process must assume of its predecessor's loans, AnnouncementSender decides which announcements are due, updatePortions applies a contract to a row. ClaimService: HandoverClient sends and reads the records of a home, toClaimResult converts a decision. Membership: AntiEntropy compares rows with peers, createPeer is a function.

Tests of share, model, claim, membership and control pass (57 of share and model, 74 with claim; 37 of membership and control).

--- a/src/claim/ClaimService.ts
+++ b/src/claim/ClaimService.ts
@@ -19,6 +19,7 @@
 import type { ClaimServiceOptions } from './ClaimServiceOptions.js'
 import { CopyTable } from './CopyTable.js'
 import { GrantedClaim } from './GrantedClaim.js'
+import { HandoverClient } from './HandoverClient.js'
 import type { HandoverRow } from './HandoverRow.js'
 import { HandoverTable } from './HandoverTable.js'
 import { HomeMap } from './HomeMap.js'
@@ -26,11 +27,11 @@
 import { parseClaimKey } from './parseClaimKey.js'
 import type { Settlement } from './Settlement.js'
 import { SettlementQueue } from './SettlementQueue.js'
+import { toClaimResult } from './toClaimResult.js'
 
 type ClaimMessage = z.infer<typeof claimMessages.claim>
 type ResultMessage = z.infer<typeof claimMessages.result>
 type Decision = z.infer<typeof claimMessages.decision>
-type HandoverRows = z.infer<typeof claimMessages.handoverRows>
 type ClaimDecision = { kind: 'granted', claim: ClaimHandle } | { kind: 'done', answer: StoredAnswer }
 
 /** A claim that was granted to this process and is not settled. */
@@ -47,6 +48,7 @@
   private readonly home: ClaimHome
   private readonly copies = new CopyTable()
   private readonly handovers = new HandoverTable()
+  private readonly handoverClient: HandoverClient
   private readonly settlements: SettlementQueue
   private readonly openClaims = new Map<string, OpenClaim>()
   private readonly incarnations = new Map<string, number>()
@@ -62,6 +64,7 @@
     super()
     this.home = new ClaimHome(options, this.homes, (executor) => this.isCurrent(executor))
     this.settlements = new SettlementQueue(options)
+    this.handoverClient = new HandoverClient(options.messenger)
     this.incarnations.set(options.host, options.incarnation)
     this.recoverUntilMs = options.clock.nowMs() + claimLimits.recoveryMs
   }
@@ -175,7 +178,7 @@
     const candidates = this.homes.rankWitnesses(createHandoverId(host), host).filter((name) => !this.deadHosts.has(name))
     for (const candidate of candidates.slice(0, claimLimits.handoverHosts)) {
       this.home.setHandoverHost(candidate)
-      if (await this.handOver(candidate, rows, coverage)) return true
+      if (await this.handoverClient.send(candidate, rows, coverage)) return true
     }
     return false
   }
@@ -293,26 +296,6 @@
     return { t: 'claim_handover', found: true, total: page.total, rows: page.rows, ...page.coverage }
   }
 
-  private async handOver (target: string, rows: readonly HandoverRow[], coverage: { hostSets: string[][], incompleteMs: number }): Promise<boolean> {
-    let frame: HandoverRow[] = []
-    let bytes = 0
-    for (const row of rows) {
-      frame.push(row)
-      bytes += claimLimits.rowBytes + (row.answer?.body.length ?? 0)
-      if (bytes < claimLimits.handoverFrameBytes) continue
-      if (!await this.sendHandover(target, { rows: frame })) return false
-      frame = []
-      bytes = 0
-    }
-    if (frame.length > 0 && !await this.sendHandover(target, { rows: frame })) return false
-    return await this.sendHandover(target, { rows: [], complete: { rows: rows.length, ...coverage } })
-  }
-
-  private async sendHandover (target: string, content: Record<string, unknown>): Promise<boolean> {
-    const answer = await this.options.messenger.request(target, { t: 'claim_handover', ...content }, claimLimits.handoverTimeoutMs)
-    return answer.isOk() && answer.value.t === 'claim_noted'
-  }
-
   /** Looks for the handover of this host's previous process, until one is found or `recoveryMs` are over. */
   private async recover (): Promise<void> {
     const { host, clock } = this.options
@@ -323,7 +306,7 @@
     }
     this.isRecovering = true
     const candidates = this.homes.rankWitnesses(createHandoverId(host), host).slice(0, claimLimits.recoveryHosts)
-    const received = await Promise.all(candidates.map(async (name) => await this.readHandoverFrom(name)))
+    const received = await Promise.all(candidates.map(async (name) => await this.handoverClient.read(name)))
     for (const handover of received) {
       if (handover === undefined) continue
       this.home.loadHandover(handover.rows, handover)
@@ -332,19 +315,6 @@
     this.isRecovering = false
   }
 
-  /** Reads a whole handover from one host; returns undefined when it has none or a frame is lost. */
-  private async readHandoverFrom (holder: string): Promise<HandoverRows | undefined> {
-    const rows: HandoverRow[] = []
-    for (;;) {
-      const answer = await this.options.messenger.request(holder, { t: 'claim_read', handoverFrom: rows.length }, claimLimits.handoverTimeoutMs)
-      const page = claimMessages.handoverRows.safeParse(answer.unwrapOr(undefined)).data
-      if (page === undefined || !page.found) return undefined
-      rows.push(...page.rows)
-      if (rows.length >= page.total) return { ...page, rows }
-      if (page.rows.length === 0) return undefined
-    }
-  }
-
   private isHomeGone ({ bound }: ClaimKey): boolean {
     return bound !== undefined && (this.incarnations.get(bound.host) ?? 0) > bound.incarnation
   }
@@ -360,22 +330,6 @@
   }
 }
 
-/** Converts a home's final decision into the result of a claim. */
-function toClaimResult (decision: Decision): Result<ClaimDecision, Failure> {
-  const { unknown } = Outcome
-  if (decision.kind === 'done' && decision.answer !== undefined) return ok({ kind: 'done', answer: decision.answer })
-  if (decision.kind === 'done') {
-    return err(createFailure('keyUnknown', { outcome: unknown, message: 'the request with this key has run, but its answer is not stored' }))
-  }
-  if (decision.kind === 'mismatch') return err(createFailure('keyMismatch', { outcome: unknown }))
-  // The home has complete records and no room for another key, so the request with this key has certainly not run.
-  if (decision.kind === 'full') return err(createFailure('shed', { message: 'the home of this key has no room for more keys', retryAfterMs: 10_000 }))
-  if (decision.kind === 'notHome' || decision.kind === 'stopping') {
-    return err(createFailure('keyHomeUnreachable', { outcome: unknown, retryAfterMs: 1_000 }))
-  }
-  return err(createFailure('keyUnknown', { outcome: unknown }))
-}
-
 function createResultMessage (message: ClaimMessage, remainingMs: number, { outcome, answer }: Settlement): ResultMessage {
   const { customer, key, fingerprint, claimId } = message
   const result = { t: 'claim_result', customer, key, fingerprint, claimId, outcome, remainingMs } as const
--- a/src/membership/Membership.ts
+++ b/src/membership/Membership.ts
@@ -1,6 +1,7 @@
 import { Table } from '../common/Table.js'
 import { MemberState } from '../model/MemberState.js'
-import { compareReports } from './compareReports.js'
+import { AntiEntropy } from './AntiEntropy.js'
+import { createPeer } from './createPeer.js'
 import type { MembershipAction } from './MembershipAction.js'
 import type { Exchange } from './Exchange.js'
 import { listNeighbours } from './listNeighbours.js'
@@ -8,10 +9,8 @@
 import type { MemberTable } from './MemberTable.js'
 import { membershipTimes as times } from './membershipTimes.js'
 import type { Peer } from './Peer.js'
-import { stateRanks } from './stateRanks.js'
 import type { SummaryRow } from './SummaryRow.js'
 import { Topology } from './Topology.js'
-import type { WireRow } from './WireRow.js'
 import { update } from '../common/update.js'
 
 /** Identifies the configuration that this agent holds. */
@@ -53,10 +52,11 @@
   private lastStepMs = -Infinity
   private lastContactMs = -Infinity
   private reconnectCursor = 0
-  private summaryCursor = 0
-  private summaryRound = 0
+  private readonly antiEntropy: AntiEntropy
 
-  constructor (readonly table: MemberTable, private readonly epoch: number) {}
+  constructor (readonly table: MemberTable, private readonly epoch: number) {
+    this.antiEntropy = new AntiEntropy(table)
+  }
 
   setTopology (topology: Topology): void {
     this.topology = topology
@@ -115,13 +115,13 @@
       epoch: this.epoch,
       from,
       upTo: page.upTo,
-      rows: [...page.rows, ...this.collectNewerRows(summaryOf)],
+      rows: [...page.rows, ...this.antiEntropy.collectNewerRows(summaryOf)],
       got: peer?.receivedUpTo ?? 0,
       gotEpoch: peer?.epoch ?? 0,
       down: peer !== undefined && this.isUnresponsive(peer, nowMs),
       wants: this.listLinkDownHosts(),
       wantZones: this.listLinkDownZones(nowMs),
-      summary: host === undefined ? [] : this.buildSummary(host),
+      summary: host === undefined ? [] : this.antiEntropy.buildSummary(host, this.listPeers(), this.topology.hosts),
       ...this.held
     }
   }
@@ -192,7 +192,7 @@
       if (!peer.watched) update(peer, { watched: true, watchedSinceMs: nowMs })
     }
     this.peers.deleteWhere((peer) => !peer.watched && nowMs - peer.lastFrameMs > idlePeerMs)
-    this.summaryRound += 1
+    this.antiEntropy.startRound()
     return [...live, ...this.listReconnectCandidates(watched)].flatMap((host) => this.planHeartbeat(host))
   }
 
@@ -344,47 +344,7 @@
     return [...new Set(zones)].filter((zone) => zone !== undefined && zone !== this.zone) as string[]
   }
 
-  /** Sends a summary of the next rows to one peer per round (anti-entropy); this repairs rows that change propagation missed. */
-  private buildSummary (host: string): SummaryRow[] {
-    const { hosts } = this.topology
-    const watched = this.listPeers()
-    if (watched[this.summaryRound % Math.max(1, watched.length)] !== host) return []
-    const count = Math.min(times.summaryRows, hosts.length)
-    const names = Array.from({ length: count }, (_, i) => hosts[(this.summaryCursor + i) % hosts.length]!)
-    this.summaryCursor = (this.summaryCursor + count) % Math.max(1, hosts.length)
-    return names.map((name) => {
-      const row = this.table.get(name)
-      return [name, row?.incarnation ?? 0, row === undefined ? 0 : stateRanks.indexOf(row.state), row?.configVersion ?? 0, row?.report?.incarnation ?? 0, row?.report?.no ?? 0]
-    })
-  }
-
-  private collectNewerRows (summary: readonly SummaryRow[]): WireRow[] {
-    return summary.flatMap(([host, incarnation, state, configVersion, reportIncarnation, no]) => {
-      const row = this.table.get(host)
-      if (row === undefined || row.incarnation === 0) return []
-      const withReport = compareReports(row.report, { incarnation: reportIncarnation, no }) > 0
-      const differs = row.incarnation > incarnation || row.configVersion > configVersion || stateRanks.indexOf(row.state) !== state
-      return withReport || differs ? [this.table.encode(row, withReport ? 0 : Infinity)] : []
-    })
-  }
-
   private ensurePeer (host: string): Peer {
-    return this.peers.ensure(host, () => ({
-      host,
-      watchedSinceMs: -Infinity,
-      watched: false,
-      lastAckMs: -Infinity,
-      lastFrameMs: -Infinity,
-      lastIndirectAckMs: -Infinity,
-      lastProbeMs: -Infinity,
-      lastSentMs: -Infinity,
-      lastReportedDownMs: -Infinity,
-      epoch: 0,
-      receivedUpTo: 0,
-      confirmedUpTo: 0,
-      checkedUpTo: 0,
-      linkDownHosts: new Set<string>(),
-      linkDownZones: new Set<string>()
-    }))
+    return this.peers.ensure(host, () => createPeer(host))
   }
 }
--- a/src/share/ShareTable.ts
+++ b/src/share/ShareTable.ts
@@ -4,23 +4,22 @@
 import { MemberState } from '../model/MemberState.js'
 import type { View } from '../model/View.js'
 import { Table } from '../common/Table.js'
+import { AnnouncementSender } from './AnnouncementSender.js'
 import { BorrowingPlan } from './BorrowingPlan.js'
 import { combineAmounts } from './combineAmounts.js'
-import { computePortions } from './computePortions.js'
-import { computeUsablePortion } from './computeUsablePortion.js'
 import { createAmount } from './createAmount.js'
 import { createShareRow } from './createShareRow.js'
-import { emptyPortion } from './emptyPortion.js'
 import { isEmptyAmount } from './isEmptyAmount.js'
 import { isSettledRequest } from './isSettledRequest.js'
 import { LendingPlan } from './LendingPlan.js'
 import type { loanMessages } from './loanMessages.js'
 import type { LoanPeer } from './LoanPeer.js'
-import { rankLenders } from './rankLenders.js'
 import { recordSettledSeq } from './recordSettledSeq.js'
 import { shareLimits } from './shareLimits.js'
 import type { ShareRow } from './ShareRow.js'
+import { StartupRecovery } from './StartupRecovery.js'
 import { updateBackoff } from './updateBackoff.js'
+import { updatePortions } from './updatePortions.js'
 
 type LoanRequest = z.infer<typeof loanMessages.request>
 type LoanStatement = z.infer<typeof loanMessages.statement>
@@ -49,26 +48,17 @@
   private readonly incarnations = new Map<string, number>()
   private readonly appliedVersions = new Map<string, number>()
   private readonly deadHosts = new Set<string>()
-  /** Hosts whose complete announcement was received. */
-  private readonly receivedAnnouncements = new Set<string>()
-  /** Hosts that announced that they hold no loans from an earlier process of this host. */
-  private readonly hostsHoldingNothing = new Set<string>()
-  /** Last announcement that each host acknowledged. */
-  private readonly sentAnnouncements = new Map<string, { readonly incarnation: number, readonly holdsNothing: boolean }>()
+  private readonly announcements = new AnnouncementSender(this.rows)
+  private readonly recovery: StartupRecovery
   private customersWithPriorCaps = new Set<string>()
   private doc: ConfigDoc | undefined
   private fullyAppliedVersion = 0
   private seq = 0
-  /** True until every other host has announced the long permits that it holds, or none can be in use any more. */
-  private recovering = true
-  private rateQuarantineEndsAtMs: number
-  private permitQuarantineEndsAtMs: number
   /** True after a planned stop began; no more loans are then requested or granted. */
   private stopping = false
 
   constructor (private readonly options: ShareTableOptions) {
-    this.rateQuarantineEndsAtMs = options.startedMs + shareLimits.rateQuarantineMs
-    this.permitQuarantineEndsAtMs = options.startedMs + shareLimits.permitQuarantineMs
+    this.recovery = new StartupRecovery(options.startedMs)
   }
 
   /** Highest configuration version whose portions no row of this host exceeds. */
@@ -82,7 +72,7 @@
 
   /** End of the quarantine of permits, which outlasts that of the rate. */
   get quarantineEndsAtMs (): number {
-    return this.permitQuarantineEndsAtMs
+    return this.recovery.permitQuarantineEndsAtMs
   }
 
   /** Applies a configuration; a document with a lower version or of another lineage is ignored. */
@@ -149,7 +139,8 @@
     row.share.advance(nowMs)
     const loanDemand = combineAmounts(row.share.computeDemand(nowMs), row.share.computeOwnAmount(nowMs), (a, b) => Math.max(0, a - b))
     return new BorrowingPlan(row, this.deadHosts, nowMs).planRequests().map(({ lender, requested }) => {
-      const seq = this.nextSeq()
+      this.seq += 1
+      const { seq } = this
       row.pending.set(lender, { seq, sentAtMs: nowMs, requested })
       if (!row.unansweredSinceMs.has(lender)) row.unansweredSinceMs.set(lender, nowMs)
       const held = row.share.borrowed.createStatementRows(lender)
@@ -220,30 +211,21 @@
   /** Records the long permits that another host holds from an earlier process of this host. */
   applyAnnouncement (announcement: Announcement, peer: LoanPeer, nowMs: number): boolean {
     if (announcement.to !== this.options.incarnation || !this.isPeer(peer.name) || !this.recordIncarnation(peer)) return false
-    if (this.recovering && !this.receivedAnnouncements.has(peer.name)) this.restoreLoans(announcement, peer, nowMs)
-    if (announcement.complete) this.receivedAnnouncements.add(peer.name)
-    if (announcement.complete && announcement.holdsNothing) this.hostsHoldingNothing.add(peer.name)
-    if (this.listPeers().every((host) => this.hostsHoldingNothing.has(host))) this.endQuarantine(nowMs)
+    if (this.recovery.needsAnnouncementOf(peer.name)) this.restoreLoans(announcement, peer, nowMs)
+    this.recovery.recordAnnouncement(peer.name, announcement)
+    if (this.recovery.doAllHoldNothing(this.listPeers())) this.endQuarantine(nowMs)
     this.updateRecovery()
     return true
   }
 
-  /**
-   * Returns the announcements that are due to other hosts, by host; the frames must be sent in order. After an
-   * announcement of held loans, another one follows once none is held, so that the receiver can end its quarantine.
-   */
+  /** Returns the announcements that are due to other hosts, by host; the frames must be sent in order. */
   listAnnouncements (): Map<string, Announcement[]> {
-    const due = new Map<string, Announcement[]>()
-    for (const [host, incarnation] of this.incarnations) {
-      const sent = this.sentAnnouncements.get(host)
-      const isDue = sent?.incarnation !== incarnation || (!sent.holdsNothing && this.holdsNothingFrom(host))
-      if (isDue) due.set(host, this.createAnnouncements(host, incarnation))
-    }
-    return due
+    const due = [...this.incarnations].map(([host, incarnation]) => [host, this.announcements.listDue(host, incarnation)] as const)
+    return new Map(due.filter(([, frames]) => frames.length > 0))
   }
 
   recordAnnouncementSent (host: string, incarnation: number, holdsNothing: boolean): void {
-    if (this.incarnations.get(host) === incarnation) this.sentAnnouncements.set(host, { incarnation, holdsNothing })
+    if (this.incarnations.get(host) === incarnation) this.announcements.recordSent(host, { incarnation, holdsNothing })
   }
 
   /** Returns the borrowers to send a recall since requests are queued here; none within `recallIntervalMs` of the last recall. */
@@ -285,13 +267,10 @@
   }
 
   private createRow (contract: Contract, nowMs: number): ShareRow {
-    const row = createShareRow(contract, {
-      rateQuarantineEndsAtMs: this.rateQuarantineEndsAtMs,
-      permitQuarantineEndsAtMs: this.permitQuarantineEndsAtMs,
-      nowMs: this.options.startedMs
-    })
+    const { rateQuarantineEndsAtMs, permitQuarantineEndsAtMs, isRecovering } = this.recovery
+    const row = createShareRow(contract, { rateQuarantineEndsAtMs, permitQuarantineEndsAtMs, nowMs: this.options.startedMs })
     const { share } = row
-    share.recovering = this.recovering
+    share.recovering = isRecovering
     this.updatePortions(row)
     share.lastUsedAtMs = nowMs
     share.advance(nowMs)
@@ -304,25 +283,10 @@
   }
 
   private updatePortions (row: ShareRow): void {
-    const { doc, options: { host } } = this
+    const { doc, contracts, appliedVersions, options: { host } } = this
+    const { customer } = row
     if (doc === undefined) return
-    const contract = this.contracts.get(row.customer)
-    const { share } = row
-    if (contract === undefined) {
-      share.portion = share.usable = emptyPortion
-      row.lenders = new Map()
-      return
-    }
-    const portions = computePortions(doc, contract)
-    share.contract = contract
-    share.portion = portions.get(host) ?? emptyPortion
-    share.usable = this.customersWithPriorCaps.has(row.customer)
-      ? computeUsablePortion({ doc, contract, host, appliedVersions: this.appliedVersions })
-      : share.portion
-    row.lenders = new Map(rankLenders(doc, host, [...portions.keys()]).map((name) => {
-      const { rate, burst, permits, upload } = portions.get(name) ?? emptyPortion
-      return [name, { rate, burst, short: permits, long: Math.floor(permits / 2), upload }]
-    }))
+    updatePortions(row, { doc, contract: contracts.get(customer), host, hasPriorCap: this.customersWithPriorCaps.has(customer), appliedVersions })
   }
 
   private updateAppliedVersion (): void {
@@ -360,18 +324,17 @@
 
   /** Ends the quarantine. No loan of an earlier process is in use anywhere, so the portions are available at once. */
   private endQuarantine (nowMs: number): void {
-    this.rateQuarantineEndsAtMs = Math.min(this.rateQuarantineEndsAtMs, nowMs)
-    this.permitQuarantineEndsAtMs = Math.min(this.permitQuarantineEndsAtMs, nowMs)
+    this.recovery.endQuarantine(nowMs)
     for (const { share } of this.rows) share.endQuarantine(nowMs)
   }
 
   private updateRecovery (): void {
-    if (this.listPeers().every((host) => this.receivedAnnouncements.has(host))) this.endRecovery()
+    if (this.recovery.haveAllAnnounced(this.listPeers())) this.endRecovery()
   }
 
   private endRecovery (): void {
-    if (!this.recovering) return
-    this.recovering = false
+    if (!this.recovery.isRecovering) return
+    this.recovery.isRecovering = false
     for (const { share } of this.rows) share.recovering = false
   }
 
@@ -382,27 +345,4 @@
       row.share.lent.grant(peer.name, peer.incarnation, seq, createAmount({ long }), nowMs)
     }
   }
-
-  /** True when no loan from a host is held and no request to it is pending. */
-  private holdsNothingFrom (host: string): boolean {
-    return [...this.rows].every((row) => row.share.borrowed.listByLender(host).length === 0 && !row.pending.has(host))
-  }
-
-  private createAnnouncements (host: string, to: number): Announcement[] {
-    const rows = [...this.rows].flatMap((row) => row.share.borrowed.createStatementRows(host)
-      .filter(({ long }) => long > 0)
-      .map(({ seq, long }) => ({ customer: row.customer, seq, long })))
-    const holdsNothing = this.holdsNothingFrom(host)
-    const frames: Announcement[] = []
-    for (let start = 0; start === 0 || start < rows.length; start += shareLimits.maxAnnouncementRows) {
-      const complete = start + shareLimits.maxAnnouncementRows >= rows.length
-      frames.push({ t: 'loan_return', to, rows: rows.slice(start, start + shareLimits.maxAnnouncementRows), complete, holdsNothing })
-    }
-    return frames
-  }
-
-  private nextSeq (): number {
-    this.seq += 1
-    return this.seq
-  }
 }
