--- a/dev/Cluster.ts
+++ b/dev/Cluster.ts
@@ -11,16 +11,15 @@
 import { Guard } from './cluster/Guard.js'
 import { ManagedProcess } from './cluster/ManagedProcess.js'
 import { TestOperatorClient } from './cluster/TestOperatorClient.js'
+import { clusterPorts } from './cluster/clusterPorts.js'
 import { planLinks } from './cluster/planLinks.js'
+import { planStandIns } from './cluster/planStandIns.js'
 import { readExample } from './cluster/readExample.js'
 import { StandInClient } from './cluster/StandInClient.js'
 import { sendRequest } from './common/sendRequest.js'
 import type { LinkFaults } from './proxy/LinkFaults.js'
 import type { LinkPlan } from './proxy/LinkPlan.js'
 import type { LinkSelection } from './proxy/LinkSelection.js'
-import type { StorePlan } from './store/StorePlan.js'
-import type { ProxyPlan } from './proxy/ProxyPlan.js'
-import type { UpstreamPlan } from './upstream/UpstreamPlan.js'
 
 /** A daemon of a host. */
 type Role = 'agent' | 'entry' | 'lookup'
@@ -28,10 +27,8 @@
 /** A partition: data is held back (`silent`) or connections are reset (`reset`). */
 type CutMode = 'silent' | 'reset'
 
-const ports = { platform: 8070, platformControl: 8071, upstreamControl: 8072, proxyControl: 8073 }
 const delays = { betweenZonesMs: 1, betweenRegionsMs: 35, toClientsMs: 8 }
 const noDelays = { betweenZonesMs: 0, betweenRegionsMs: 0, toClientsMs: 0 }
-const defaultServiceMs = { interactive: 40, order: 80, bulk: 150 }
 const readyTimeoutMs = 20_000
 const firstErrorStatus = 300
 /** Refusals that say that the store did not answer in time. */
@@ -61,12 +58,12 @@
     this.contracts = options.changeContracts?.(example.contracts) ?? example.contracts
     this.folder = mkdtempSync(join(tmpdir(), `shunt-${options.example}-${options.network}-`))
     if (options.keepFolder !== true) this.guard.addFolder(this.folder)
-    this.platformAddress = `${this.address(1)}:${ports.platform}`
+    this.platformAddress = `${this.address(1)}:${clusterPorts.platform}`
     this.links = planLinks(this.deployment, this.platformAddress, options.delays === false ? noDelays : delays)
     this.standIns = new StandInClient({
-      platform: `${this.address(1)}:${ports.platformControl}`,
-      upstreams: `${this.address(2)}:${ports.upstreamControl}`,
-      proxy: `${this.address(3)}:${ports.proxyControl}`
+      platform: `${this.address(1)}:${clusterPorts.platformControl}`,
+      upstreams: `${this.address(2)}:${clusterPorts.upstreamControl}`,
+      proxy: `${this.address(3)}:${clusterPorts.proxyControl}`
     })
     this.settings = new Map(this.deployment.hosts.map((host) => [host.name, this.createSettings(host, example.settings)]))
     this.createProcesses()
@@ -274,9 +271,11 @@
 
   private createProcesses (): void {
     mkdirSync(join(this.folder, 'logs'))
-    this.addStandIn('platform', 'runStore', this.planStore())
-    this.addStandIn('upstreams', 'runUpstreams', this.planUpstreams())
-    this.addStandIn('proxy', 'runProxy', this.planProxy())
+    const addresses = { platform: this.address(1), upstreams: this.address(2), proxy: this.address(3) }
+    const plans = planStandIns({ options: this.options, deployment: this.deployment, links: this.links, addresses })
+    this.addStandIn('platform', 'runStore', plans.platform)
+    this.addStandIn('upstreams', 'runUpstreams', plans.upstreams)
+    this.addStandIn('proxy', 'runProxy', plans.proxy)
     for (const host of this.deployment.hosts) {
       const settingsFile = this.writeJson(`${host.name}.json`, this.settings.get(host.name))
       for (const role of this.roles) this.addProcess(`${host.name}-${role}`, this.daemonArgs(role, settingsFile), false)
@@ -304,36 +303,8 @@
     return file
   }
 
-  private planStore (): StorePlan {
-    return {
-      address: this.address(1),
-      port: ports.platform,
-      controlPort: ports.platformControl,
-      registryLagMs: this.options.registryLagMs ?? 1_000,
-      upstreams: this.deployment.endpoints.map(({ name }) => name)
-    }
-  }
-
-  private planUpstreams (): UpstreamPlan {
-    const { zones, services, endpoints } = this.deployment
-    return {
-      address: this.address(2),
-      controlPort: ports.upstreamControl,
-      seed: this.options.seed ?? 1,
-      zones,
-      services,
-      endpoints,
-      meanServiceMs: { ...defaultServiceMs, ...this.options.meanServiceMs }
-    }
-  }
-
-  private planProxy (): ProxyPlan {
-    const groups = this.deployment.links.flatMap(({ regions: [a, b], bytesPerSecond }) => [[`${a}>${b}`, bytesPerSecond], [`${b}>${a}`, bytesPerSecond]] as const)
-    return { address: this.address(3), controlPort: ports.proxyControl, links: this.links, groups: Object.fromEntries(groups) }
-  }
-
   private async startStandIns (): Promise<void> {
-    for (const [name, last, port] of [['platform', 1, ports.platformControl], ['upstreams', 2, ports.upstreamControl], ['proxy', 3, ports.proxyControl]] as const) {
+    for (const [name, last, port] of [['platform', 1, clusterPorts.platformControl], ['upstreams', 2, clusterPorts.upstreamControl], ['proxy', 3, clusterPorts.proxyControl]] as const) {
       this.process(name).start()
       await this.poll(`the control port of ${name}`, async () => await this.isOpen(name, this.address(last), port))
     }
--- a/dev/slopes/measureBlockTable.ts
+++ b/dev/slopes/measureBlockTable.ts
@@ -17,14 +17,14 @@
 
 const lookupCount = 10_000_000
 
-/** Measures the block table: bytes per block, time to read the file and build the table, look-ups per second on one core. */
+/** Measures the block table: bytes per block, time to read the file and build the table, lookups per second on one core. */
 export async function measureBlockTable (sizes: readonly number[] = defaultSizes): Promise<SlopeSeries[]> {
   const rows = []
   for (const size of sizes) rows.push(await measureSize(size))
   return [
     { name: 'block table memory', unit: 'bytes per block', points: rows.map(({ size, bytesPerBlock }) => ({ size, value: bytesPerBlock })) },
     { name: 'block table build', unit: 'ms', points: rows.map(({ size, buildMs }) => ({ size, value: buildMs })) },
-    { name: 'block table look-ups', unit: 'per s and core', points: rows.map(({ size, perSecond }) => ({ size, value: perSecond })) }
+    { name: 'block table lookups', unit: 'per s and core', points: rows.map(({ size, perSecond }) => ({ size, value: perSecond })) }
   ]
 }
 
@@ -67,7 +67,7 @@
   return lookupCount / elapsedMs * 1_000
 }
 
-/** Returns addresses inside blocks, with large strides between successive ones, so that look-ups cover the whole table. */
+/** Returns addresses inside blocks, with large strides between successive ones, so that lookups cover the whole table. */
 function pickAddresses (size: number): Uint32Array {
   const starts = new Uint32Array(size)
   let count = 0
--- a/dev/slopes/measureLookups.ts
+++ b/dev/slopes/measureLookups.ts
@@ -15,13 +15,13 @@
 const customerCount = 1_000
 const lookupCount = 100_000
 
-/** Measures the ranking of entry hosts: look-ups per second on one core, time to apply a view, time of the first look-up of a customer. */
+/** Measures the ranking of entry hosts: lookups per second on one core, time to apply a view, time of the first lookup of a customer. */
 export function measureLookups (sizes: readonly number[] = defaultSizes): SlopeSeries[] {
   const rows = sizes.map((size) => ({ size, ...measureSize(size) }))
   return [
     { name: 'lookup ranking', unit: 'per s and core', points: rows.map(({ size, perSecond }) => ({ size, value: perSecond })) },
     { name: 'lookup view', unit: 'ms', points: rows.map(({ size, viewMs }) => ({ size, value: viewMs })) },
-    { name: 'first look-up of a customer', unit: 'ms', points: rows.map(({ size, firstLookupMs }) => ({ size, value: firstLookupMs })) }
+    { name: 'first lookup of a customer', unit: 'ms', points: rows.map(({ size, firstLookupMs }) => ({ size, value: firstLookupMs })) }
   ]
 }
 
--- a/dev/soak/SoakCaller.ts
+++ b/dev/soak/SoakCaller.ts
@@ -11,7 +11,7 @@
   readonly address: string
 }
 
-/** Random generator, history and look-up functions of a caller. */
+/** Random generator, history and lookup functions of a caller. */
 interface SoakCallerOptions {
   readonly name: string
   readonly random: SeededRandom
@@ -24,7 +24,7 @@
 
 const objectCount = 60
 const meanThinkMs = 120
-/** Number of requests between look-ups while the connection stays open. */
+/** Number of requests between lookups while the connection stays open. */
 const requestsPerLookup = 12
 const maxUploadBytes = 60_000
 const deadlinesMs = { read: 1_200, order: 2_000, upload: 2_500 }
--- a/src/bin/shuntLookup.ts
+++ b/src/bin/shuntLookup.ts
@@ -4,7 +4,7 @@
 
 await runDaemon({
   name: 'shunt-lookup',
-  description: 'Serves look-ups of the entry hosts that a caller should use.',
+  description: 'Serves lookups of the entry hosts that a caller should use.',
   start: async (context) => {
     const daemon = new LookupDaemon(context)
     await daemon.start()
--- a/src/config/Settings.ts
+++ b/src/config/Settings.ts
@@ -28,7 +28,7 @@
   readonly dial: Readonly<Record<string, string>>
   /** Log levels by module; `default` applies to all other modules. */
   readonly log: Readonly<Record<string, 'error' | 'warn' | 'info' | 'debug'>>
-  /** File that maps blocks of client addresses to regions, for look-ups. */
+  /** File that maps blocks of client addresses to regions, for lookups. */
   readonly blocksFile?: string | undefined
   /** TLS on the callers' and operators' ports; the files are read again when they change. */
   readonly tls?: {
--- a/src/host/AuxiliaryPorts.ts
+++ b/src/host/AuxiliaryPorts.ts
@@ -11,7 +11,7 @@
 /** Dependencies of the auxiliary ports. */
 interface AuxiliaryPortsOptions {
   readonly listen: HostSettings['listen']
-  /** Returns the longest permitted TTL in ms of a look-up response. */
+  /** Returns the longest permitted TTL in ms of a lookup response. */
   readonly readMaxTtlMs: () => number
   readonly httpBinding: HttpBinding
   readonly registry: Registry
@@ -21,7 +21,7 @@
   readonly listServing: () => readonly HostRecord[]
 }
 
-/** Serves readiness checks, host look-ups and metrics, each on its own port. */
+/** Serves readiness checks, host lookups and metrics, each on its own port. */
 export class AuxiliaryPorts {
   private readonly servers: readonly AuxiliaryServer[]
   private readonly metrics: AuxiliaryServer
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -51,7 +51,7 @@
 
 const drainPollMs = 20
 
-/** Runs a host: serves callers' requests, look-ups and readiness checks, and maintains the links to the store and to other hosts. */
+/** Runs a host: serves callers' requests, lookups and readiness checks, and maintains the links to the store and to other hosts. */
 export class HostProcess {
   private readonly log: Logger
   private settings: HostSettings
--- a/src/host/HostSettings.ts
+++ b/src/host/HostSettings.ts
@@ -8,7 +8,7 @@
   /** Region of each zone. */
   readonly regionOfZone: Readonly<Record<string, string>>
   readonly listen: {
-    /** `a.b.c.d:port` for callers, readiness checks, look-ups, other hosts and metrics. */
+    /** `a.b.c.d:port` for callers, readiness checks, lookups, other hosts and metrics. */
     readonly callers: string
     readonly readiness: string
     readonly directory: string
--- a/src/host/HttpBinding.ts
+++ b/src/host/HttpBinding.ts
@@ -52,7 +52,7 @@
 
   abstract isReadinessCheck (req: IncomingMessage): boolean
 
-  /** Returns undefined when the request is not a look-up. */
+  /** Returns undefined when the request is not a lookup. */
   abstract readLookup (req: IncomingMessage): LookupRequest | undefined
 
   /** Formats the JSON body that lists the hosts to use. */
--- a/src/host/hostLimits.ts
+++ b/src/host/hostLimits.ts
@@ -16,11 +16,11 @@
   defaultDeadlineMs: 30_000,
   /** Idle timeout in ms of a caller's connection until a configuration has been received. */
   defaultIdleTimeoutMs: 15_000,
-  /** Time in ms from the start of a planned stop until the listener closes; look-ups may still return the host until then. */
+  /** Time in ms from the start of a planned stop until the listener closes; lookups may still return the host until then. */
   listenerCloseDelayMs: 1_000,
   /** Time in ms before the end of the grace time at which the process stops waiting for requests in flight. */
   stopMarginMs: 300,
-  /** TTL in ms of a look-up response. */
+  /** TTL in ms of a lookup response. */
   lookupTtlMs: 2_000,
   /** Time in ms between checks of health, lapsed entries and loads. */
   tickMs: 100,
--- a/src/lookup/BlockTable.ts
+++ b/src/lookup/BlockTable.ts
@@ -16,7 +16,7 @@
 
 /**
  * Maps IPv4 addresses to sites. Addresses are stored as sorted intervals of 4 bytes each, grouped by their
- * upper 16 bits; a look-up is a binary search in one group.
+ * upper 16 bits; a lookup is a binary search in one group.
  */
 export class BlockTable {
   constructor (readonly data: BlockTableData) {}
--- a/src/lookup/LookupDaemon.ts
+++ b/src/lookup/LookupDaemon.ts
@@ -16,7 +16,7 @@
 import { LookupService } from './LookupService.js'
 import { NearestRanking } from './NearestRanking.js'
 
-/** Limits how long a stop waits for look-ups in flight; a look-up takes about 1 ms. */
+/** Limits how long a stop waits for lookups in flight; a lookup takes about 1 ms. */
 const closeTimeoutMs = 2_000
 
 /** The lookup process of a host. */
--- a/src/lookup/LookupIndex.ts
+++ b/src/lookup/LookupIndex.ts
@@ -9,7 +9,7 @@
   readonly hostNames: readonly string[]
 }
 
-/** Index of a configuration document for look-ups; built once per version. */
+/** Index of a configuration document for lookups; built once per version. */
 export class LookupIndex {
   readonly zoneRegions: ReadonlyMap<string, string>
   readonly regions: ReadonlySet<string>
--- a/src/lookup/LookupMetrics.ts
+++ b/src/lookup/LookupMetrics.ts
@@ -22,9 +22,9 @@
   private readonly latency: QuantileGauge
 
   constructor (registry: Registry, clock: Clock) {
-    this.lookups = new Counter({ name: 'shunt_lookups_total', help: 'Look-ups answered', registers: [registry] })
-    this.refusals = new Counter({ name: 'shunt_lookup_refused_total', help: 'Look-ups refused, by result code', labelNames: ['code', 'name'], registers: [registry] })
-    this.latency = new QuantileGauge({ name: 'shunt_lookup_ms', help: 'Time to answer a look-up, last 1 to 2 minutes', registry, clock, label: 'route', scale: latencyScale })
+    this.lookups = new Counter({ name: 'shunt_lookups_total', help: 'Lookups answered', registers: [registry] })
+    this.refusals = new Counter({ name: 'shunt_lookup_refused_total', help: 'Lookups refused, by result code', labelNames: ['code', 'name'], registers: [registry] })
+    this.latency = new QuantileGauge({ name: 'shunt_lookup_ms', help: 'Time to answer a lookup, last 1 to 2 minutes', registry, clock, label: 'route', scale: latencyScale })
   }
 
   recordLookup (elapsedMs: number): void {
--- a/src/lookup/LookupRoutes.ts
+++ b/src/lookup/LookupRoutes.ts
@@ -22,7 +22,7 @@
   readonly throttle: CredentialThrottle
   readonly metrics: LookupMetrics
   readonly clock: Clock
-  /** Address of this host. It is never throttled, because the entry process forwards the look-ups of many callers from it. */
+  /** Address of this host. It is never throttled, because the entry process forwards the lookups of many callers from it. */
   readonly ownAddress: string
 }
 
@@ -48,7 +48,7 @@
   }
 
   private processLookup (req: IncomingMessage, url: URL): Result<LookupResponse, Failure> {
-    if (req.method !== 'GET' && req.method !== 'HEAD') return err(createFailure('badRequest', { message: 'Look-ups accept only GET and HEAD.' }))
+    if (req.method !== 'GET' && req.method !== 'HEAD') return err(createFailure('badRequest', { message: 'Lookups accept only GET and HEAD.' }))
     const address = req.socket.remoteAddress ?? ''
     return this.authenticate(req, address).andThen((contract) => {
       const client = url.searchParams.get('client') ?? address
--- a/src/lookup/LookupService.ts
+++ b/src/lookup/LookupService.ts
@@ -29,7 +29,7 @@
   readonly findSite: (client: string) => string | undefined
 }
 
-/** Parameters of a look-up. */
+/** Parameters of a lookup. */
 interface LookupQuery {
   readonly service?: string | undefined
   /** IP address of the client. */
@@ -41,13 +41,13 @@
 /** Period after its announcement in which a drain shortens the lifetime of lookup responses. */
 const drainChangeMs = 30_000
 
-/** Answers look-ups from the latest configuration and view, regardless of their age. */
+/** Answers lookups from the latest configuration and view, regardless of their age. */
 export class LookupService {
   private index: LookupIndex | undefined
   private members: ReadonlyMap<string, Member> = new Map()
   private leavingHosts: ReadonlySet<string> = new Set()
   private view: View | undefined
-  /** Cached, because checking thousands of members on each look-up would take longer than the ranking. */
+  /** Cached, because checking thousands of members on each lookup would take longer than the ranking. */
   private isClusterChanging = true
 
   constructor (private readonly options: LookupServiceOptions) {}
--- a/src/lookup/loadBlockTable.ts
+++ b/src/lookup/loadBlockTable.ts
@@ -5,7 +5,7 @@
 
 type WorkerReply = { readonly data: BlockTable['data'] } | { readonly message: string }
 
-/** Reads a block file in a worker thread, so that look-ups are not blocked; fails with a message. */
+/** Reads a block file in a worker thread, so that lookups are not blocked; fails with a message. */
 export async function loadBlockTable (file: string): Promise<Result<BlockTable, string>> {
   return await new Promise((resolve) => {
     const worker = new Worker(new URL('blockWorker.js', import.meta.url), { workerData: file })
--- a/test/host/HostProcess.test.ts
+++ b/test/host/HostProcess.test.ts
@@ -194,7 +194,7 @@
   })
 })
 
-// Guards against a planned stop that aborts a request, and against look-ups that still return the host.
+// Guards against a planned stop that aborts a request, and against lookups that still return the host.
 test('a planned stop answers the requests that were received before it', async () => {
   await withGroup(1, 1, async (group) => {
     group.endpoints[0]!.serviceMs = 600
--- a/test/lookup/blocks.test.ts
+++ b/test/lookup/blocks.test.ts
@@ -72,7 +72,7 @@
   expect((await readBlockFile(join(folder, 'none')))._unsafeUnwrapErr()).toInclude('ENOENT')
 })
 
-// Guards against look-ups that fail while a file changes, and against an invalid file that replaces a valid table.
+// Guards against lookups that fail while a file changes, and against an invalid file that replaces a valid table.
 test('a changed file replaces the table, an invalid one does not', async () => {
   const path = join(folder, 'watched')
   const replace = (text: string): void => {
--- a/test/lookup/process.test.ts
+++ b/test/lookup/process.test.ts
@@ -48,7 +48,7 @@
 
 // Guards against a lookup process that does not connect to its agent, loses its view when the agent stops, accepts
 // wrong credentials, or does not stop.
-test('a lookup process serves look-ups, also after its agent stopped, and stops', async () => {
+test('a lookup process serves lookups, also after its agent stopped, and stops', async () => {
   const agent = await startAgent()
   const child = startLookup()
   try {
