Count a request as ended only after its response's load report

Hypotheses: (1) reports are sampled at departures and so too low; (2) a report counts the request whose response carries it. A host had counted the request as ended before it read the report, so each endpoint seemed to hold one request more than it did, of 3 to 6 slots, for 300 ms after each response; requests were refused or sent past the endpoint that knows their object.

Change: the report is recorded while the request still counts, as it already was for responses that are streamed.

--- a/dev/store/PlatformEndpoint.ts
+++ b/dev/store/PlatformEndpoint.ts
@@ -122,9 +122,11 @@
     this.runs.push(run)
     this.onRun(run)
     if (this.serviceMs > 0) await new Promise((resolve) => setTimeout(resolve, this.serviceMs))
+    // The load header counts the request whose response carries it, as on the platform.
+    const load = `${this.running},${this.slotQueue.length},${this.slots}`
     this.releaseSlot()
     this.idleSinceMs.set(req.socket, performance.now())
-    this.sendResponse(req, res, id)
+    this.sendResponse(req, res, { 'X-Request-Id': id, 'X-Server-Signature': `sig-${this.id}`, 'X-Server-Load': load })
   }
 
   private async acquireSlot (): Promise<void> {
@@ -139,9 +141,9 @@
     else next()
   }
 
-  private sendResponse (req: IncomingMessage, res: ServerResponse, id: string): void {
+  private sendResponse (req: IncomingMessage, res: ServerResponse, headers: Readonly<Record<string, string>>): void {
     const text = `done ${this.id}`
-    const headers = { 'X-Request-Id': id, 'X-Server-Signature': `sig-${this.id}`, 'X-Server-Load': `${this.running},${this.slotQueue.length},${this.slots}` }
+    const id = headers['X-Request-Id']
     if (this.behaviour === 'silent') return
     if (this.behaviour === 'lost') {
       req.socket.resetAndDestroy()
--- a/src/endpoints/recordLoadReport.ts
+++ b/src/endpoints/recordLoadReport.ts
@@ -7,8 +7,8 @@
 }
 
 /**
- * Updates the number of requests at an endpoint that this host didn't send from the endpoint's load report. The request whose
- * response carried the report has ended and is not counted; this host's other requests are in flight and are subtracted.
+ * Updates the number of requests at an endpoint that this host didn't send from the endpoint's load report. The report counts
+ * the request whose response carries it, so that request must still be in flight in the row.
  */
 export function recordLoadReport (row: EndpointRow, report: LoadReport, nowMs: number): void {
   row.reportedOtherInFlight = Math.max(0, report.running + report.waiting - row.inFlight)
--- a/src/host/EndpointAttempt.ts
+++ b/src/host/EndpointAttempt.ts
@@ -98,8 +98,8 @@
       return { kind: 'failure', name: 'upstreamShed', outcome: Outcome.notRun }
     }
     const result = answer.status >= firstErrorStatus ? AttemptResult.broken : AttemptResult.ok
-    if (answer.stream === undefined) this.release(result)
     if (metadata.load !== undefined) recordLoadReport(row, metadata.load, context.clock.nowMs())
+    if (answer.stream === undefined) this.release(result)
     return { kind: 'answer', open: this.open(answer) }
   }
 
--- a/test/support/HostGroup.ts
+++ b/test/support/HostGroup.ts
@@ -76,8 +76,8 @@
     })
   }
 
-  async addEndpoint (id: string, service = 'stock'): Promise<PlatformEndpoint> {
-    const endpoint = new PlatformEndpoint(id)
+  async addEndpoint (id: string, service = 'stock', slots?: number): Promise<PlatformEndpoint> {
+    const endpoint = new PlatformEndpoint(id, slots)
     await endpoint.listen()
     this.endpoints.push(endpoint)
     this.store.tables.put('servers', id, endpoint.describe(service, 'north-a'))
