--- a/test/control/Agent.test.ts
+++ b/test/control/Agent.test.ts
@@ -76,7 +76,7 @@
 
 // Guards against an agent that has no configuration for as long as a read of the platform takes.
 test('a restarted agent applies the configuration of its peers while the platform is slow', async (t) => {
-  const group = new AgentGroup(t, ['a-1', 'b-1'], '127.20.17')
+  const group = new AgentGroup(t, ['a-1', 'b-1'], '127.20.19')
   await group.startAll()
   await group.stopAgent('b-1')
   group.platform.readDelayMs = 4_000
