Review: keep in each case's folder all that it starts

The stand-ins of review/common move into the cases' folders, copied where several cases use them, so that review/ holds no folder but the cases. No behaviour of a script changes.

--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,6 +1,6 @@
 import { request, Agent } from 'node:http'
-import { Deployment, sleep } from '../common/Deployment.mjs'
-import { runCase } from '../common/runCase.mjs'
+import { Deployment, sleep } from './Deployment.mjs'
+import { runCase } from './runCase.mjs'
 
 const applyMs = 2_500
 const drainMs = 2_500
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,6 +1,7 @@
-import { Deployment, sleep } from '../common/Deployment.mjs'
-import { createClients, listLostRequests, listQuotesEndpoints, quotesConfig } from '../common/pipelinedTraffic.mjs'
-import { runCase } from '../common/runCase.mjs'
+import { Deployment, sleep } from './Deployment.mjs'
+import { createClients, listLostRequests } from './pipelinedTraffic.mjs'
+import { listQuotesEndpoints, quotesConfig } from './quotes.mjs'
+import { runCase } from './runCase.mjs'
 
 const graceMs = 6_000
 /** Requests that were sent no later than this after the SIGTERM may be cut in the last sixth of the grace time. */
