--- a/src/peers/readHeartbeat.ts
+++ b/src/peers/readHeartbeat.ts
@@ -1,6 +1,7 @@
 import * as z from 'zod/mini'
 import type { CatalogEntry } from '../catalog/CatalogEntry.js'
 import { CatalogTable } from '../catalog/CatalogTable.js'
+import { endpointRecordSchema } from '../endpoints/endpointRecordSchema.js'
 import type { Heartbeat } from './Heartbeat.js'
 
 const namedNumbers = z.array(z.tuple([z.string(), z.number()]))
@@ -29,7 +30,7 @@
   pages: z.array(z.tuple([tables, z.object({
     version: z.number(),
     after: z.optional(z.number()),
-    rows: z.array(z.object({ key: z.string(), version: z.number(), entry: z.optional(z.custom<CatalogEntry>(isEntry)) }))
+    rows: z.array(z.object({ key: z.string(), version: z.number(), entry: z.optional(z.pipe(z.unknown(), z.transform(readEntry))) }))
   })]))
 })
 
@@ -39,7 +40,12 @@
   return parsed.success ? parsed.data as Heartbeat : undefined
 }
 
-/** Checks only the outer shape, because the host that read the entry from the store has validated it. */
-function isEntry (value: unknown): boolean {
-  return typeof value === 'object' && value !== null && 'kind' in value
+/**
+ * Returns undefined for an entry that names no usable endpoint: a host of an earlier release forwards such entries from the
+ * store. Other entries are checked by the host that read them.
+ */
+function readEntry (value: unknown): CatalogEntry | undefined {
+  if (typeof value !== 'object' || value === null || !('kind' in value)) return undefined
+  const entry = value as CatalogEntry
+  return entry.kind === 'endpoint' && !endpointRecordSchema.safeParse(entry.endpoint).success ? undefined : entry
 }
--- a/test/peers/readHeartbeat.test.ts
+++ b/test/peers/readHeartbeat.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'earl'
 import fc from 'fast-check'
 import { readHeartbeat } from '../../src/peers/readHeartbeat.js'
+import { createEndpoint } from '../support/createEndpoint.js'
 import { createHeartbeat } from '../support/createHeartbeat.js'
 
 // Guards against validation that alters a heartbeat.
@@ -31,3 +32,10 @@
   }
   fc.assert(fc.property(fc.anything(), (value) => { readHeartbeat(value) }), { seed: 7 })
 })
+
+// Guards against an unusable entry that a host of an earlier release forwards, and against losing the rest of its heartbeat.
+test('a forwarded entry that names no usable endpoint is dropped', () => {
+  const rows = ['e-1', 'i-t\u016branga-1'].map((id) => ({ key: id, version: 3, entry: { kind: 'endpoint' as const, endpoint: createEndpoint(id, { address: '10.0.0.1:80' }) } }))
+  const read = readHeartbeat(createHeartbeat('a', 1, { pages: [['endpoints', { version: 3, after: 1, rows }]] }))
+  expect(read?.pages[0]![1].rows.map(({ key, entry }) => [key, entry?.kind])).toEqual([['e-1', 'endpoint'], ['i-t\u016branga-1', undefined]])
+})
--- a/test/platformAdapter/decoders.test.ts
+++ b/test/platformAdapter/decoders.test.ts
@@ -55,6 +55,32 @@
   expect(decodeRow('endpoints', { value: 'x' }, logger)).toEqual(undefined)
 })
 
+/** Returns a copy of the valid entry without one of its fields. */
+function without (section: 'info' | 'status', field: string): object {
+  const { [field]: _removed, ...rest } = entry[section] as Record<string, unknown>
+  return { ...entry, [section]: rest }
+}
+
+// Guards against an entry of another writer that is used although a field is missing, has another type or is out of range.
+test('an entry that no endpoint writes names no endpoint', () => {
+  const entries: unknown[] = [
+    without('info', 'version'), without('info', 'zone'), without('status', 'sequence'), without('status', 'cold_remaining_s'),
+    ...['10.128.0.9:0', '10.128.0.9:65536', '10.128.0.9', '10.128.0.999:80', ':80', ''].map((address) => ({ ...entry, address })),
+    ...[0, -1, 1.5, 1e300, '6'].map((slots) => ({ ...entry, info: { ...entry.info, slots } })),
+    ...['', 7, 's'.repeat(201)].map((service) => ({ ...entry, info: { ...entry.info, service } })),
+    ...[1e300, '1', null].map((seconds) => ({ ...entry, status: { ...entry.status, cold_remaining_s: seconds } })),
+    ...[-1, 1.5, 1e300, 'now'].map((born) => ({ ...entry, born })),
+    `${'['.repeat(30_000)}${']'.repeat(30_000)}`,
+    JSON.stringify(entry).replace('"slots":6', '"slots":1e999')
+  ]
+  for (const value of entries) expect(decodeRow('endpoints', { key: 'i-1', ver: 7, value: encode(value) }, new MemoryLogger())?.entry).toEqual(undefined)
+  for (const key of ['', 'i-t\u016branga-1', 'i 1', 'i-1\r\nX: y', 'i'.repeat(201)]) {
+    expect(decodeRow('endpoints', { key, ver: 7, value: encode(entry) }, new MemoryLogger())?.entry).toEqual(undefined)
+  }
+  const notUtf8 = Buffer.concat([Buffer.from('{"address":"'), Buffer.from([0xff]), Buffer.from('"}')]).toString('base64')
+  expect(decodeRow('endpoints', { key: 'i-1', ver: 7, value: notUtf8 }, new MemoryLogger())?.entry).toEqual(undefined)
+})
+
 // Guards against input that ends the process with an exception.
 test('no row makes the decoder throw', () => {
   const logger = new MemoryLogger()
