--- a/src/control/OperatorServer.ts
+++ b/src/control/OperatorServer.ts
@@ -4,6 +4,7 @@
 import type { Registry } from 'prom-client'
 import { createFailure } from '../common/createFailure.js'
 import type { Failure } from '../common/Failure.js'
+import { GrowingBuffer } from '../common/GrowingBuffer.js'
 import { HealthRoutes } from '../common/HealthRoutes.js'
 import { HttpListener } from '../common/HttpListener.js'
 import type { Logger } from '../common/Logger.js'
@@ -107,12 +108,10 @@
 }
 
 async function readBody (req: IncomingMessage): Promise<Result<Buffer, Failure>> {
-  const chunks: Buffer[] = []
-  let bytes = 0
+  const received = new GrowingBuffer()
   for await (const chunk of req as AsyncIterable<Buffer>) {
-    bytes += chunk.length
-    if (bytes > maxBodyBytes) return err(createFailure('bodyTooLarge', { message: `The request body exceeds ${maxBodyBytes} bytes.` }))
-    chunks.push(chunk)
+    received.append(chunk)
+    if (received.length > maxBodyBytes) return err(createFailure('bodyTooLarge', { message: `The request body exceeds ${maxBodyBytes} bytes.` }))
   }
-  return ok(Buffer.concat(chunks))
+  return ok(received.take())
 }
--- a/src/entry/HttpExchange.ts
+++ b/src/entry/HttpExchange.ts
@@ -9,11 +9,13 @@
 import { formatException } from '../common/formatException.js'
 import { guardCallback } from '../common/guardCallback.js'
 import type { Failure } from '../common/Failure.js'
+import { GrowingBuffer } from '../common/GrowingBuffer.js'
 import { Outcome } from '../common/Outcome.js'
 import type { ResultName } from '../common/ResultName.js'
 import { AttemptResult } from '../steer/AttemptResult.js'
 import type { AttemptFailure } from './AttemptFailure.js'
 import { createConnectTimeoutError } from './createConnectTimeoutError.js'
+import { entryLimits } from './entryLimits.js'
 import type { ExchangePolicy } from './ExchangePolicy.js'
 import { findHeader } from './findHeader.js'
 import { BodyUploader } from './BodyUploader.js'
@@ -42,8 +44,9 @@
   private outgoing: ClientRequest | undefined
   private uploader: BodyUploader | undefined
   private incoming: IncomingMessage | undefined
-  private chunks: Buffer[] = []
-  private bufferedBytes = 0
+  private readonly received = new GrowingBuffer()
+  /** Number of chunks in which the buffered part of the body arrived. */
+  private receivedChunks = 0
   private isSettled = false
   private mayHaveSent = false
   private hasRetriedStale = false
@@ -211,24 +214,25 @@
   }
 
   private readonly onData = this.guard((chunk: Buffer) => {
-    this.chunks.push(chunk)
-    this.bufferedBytes += chunk.length
-    if (this.bufferedBytes <= this.policy.maxBufferedBytes) return
+    this.received.append(chunk)
+    this.receivedChunks += 1
+    const hasRoom = this.received.length <= this.policy.maxBufferedBytes
+    if (hasRoom && this.receivedChunks <= entryLimits.maxBufferedChunks) return
     const incoming = this.incoming!
-    // After the first bytes were forwarded, a reset could no longer be reported instead of a complete response.
-    if (this.isUnframed) {
+    // After the first bytes of an unframed response were forwarded, a reset could no longer be reported instead of its end.
+    if (hasRoom || this.isUnframed) {
       this.fail('upstreamTruncated', AttemptResult.broken)
       return this.destroy()
     }
     incoming.off('data', this.onData)
     incoming.off('end', this.onEnd)
     incoming.pause()
-    this.succeed(Buffer.concat(this.chunks), incoming)
+    this.succeed(this.received.take(), incoming)
   })
 
   private readonly onEnd = this.guard(() => {
     if (!this.incoming!.complete || (this.isUnframed && this.wasReset)) return this.fail('upstreamTruncated', AttemptResult.broken)
-    this.succeed(this.chunks.length === 1 ? this.chunks[0]! : Buffer.concat(this.chunks), undefined)
+    this.succeed(this.received.take(), undefined)
   })
 
   /**
@@ -242,7 +246,7 @@
   private succeed (body: Buffer, bodyStream: IncomingMessage | undefined): void {
     if (this.isSettled) return
     this.isSettled = true
-    this.chunks = []
+    this.received.clear()
     if (bodyStream === undefined) this.stopUpload()
     const { statusCode, rawHeaders } = this.incoming!
     this.resolve(ok({ status: statusCode!, headers: rawHeaders, body, stream: bodyStream }))
@@ -266,7 +270,7 @@
   private settleFailure (attemptFailure: AttemptFailure): void {
     if (this.isSettled) return
     this.isSettled = true
-    this.chunks = []
+    this.received.clear()
     this.uploader?.stop()
     this.resolve(err(attemptFailure))
   }
--- a/src/entry/entryLimits.ts
+++ b/src/entry/entryLimits.ts
@@ -4,6 +4,8 @@
   maxRequestMs: 900_000,
   /** Bodies and responses up to this many bytes are buffered completely, so that an attempt can be repeated. */
   maxBufferedBytes: 65_536,
+  /** Number of chunks of a buffered response above which the attempt fails; each chunk costs processor time however small it is. */
+  maxBufferedChunks: 65_536,
   /** Maximum time in ms between body bytes; then the request fails as too slow. */
   bodyIdleMs: 10_000,
   /** Maximum time in ms to connect to an endpoint or owning host. */
--- a/src/entry/readRequestBody.ts
+++ b/src/entry/readRequestBody.ts
@@ -3,6 +3,7 @@
 import type { Result } from 'neverthrow'
 import { createFailure } from '../common/createFailure.js'
 import type { Failure } from '../common/Failure.js'
+import { GrowingBuffer } from '../common/GrowingBuffer.js'
 import { entryLimits } from './entryLimits.js'
 import { RequestBody } from './RequestBody.js'
 import type { RequestScope } from './RequestScope.js'
@@ -37,8 +38,7 @@
 
 /** Collects chunks until the body ends or exceeds the buffer limit. */
 class BodyBuffer {
-  private readonly chunks: Buffer[] = []
-  private receivedBytes = 0
+  private readonly received = new GrowingBuffer()
   private timer: NodeJS.Timeout | undefined
 
   constructor (
@@ -58,16 +58,15 @@
 
   private readonly onData = (chunk: Buffer): void => {
     this.timer?.refresh()
-    this.chunks.push(chunk)
-    this.receivedBytes += chunk.length
-    if (this.receivedBytes > this.options.maxBytes) return this.settle(err(createFailure('bodyTooLarge')))
-    if (this.receivedBytes <= (this.options.maxBufferedBytes ?? entryLimits.maxBufferedBytes)) return
+    this.received.append(chunk)
+    if (this.received.length > this.options.maxBytes) return this.settle(err(createFailure('bodyTooLarge')))
+    if (this.received.length <= (this.options.maxBufferedBytes ?? entryLimits.maxBufferedBytes)) return
     this.req.pause()
-    this.settle(ok(new RequestBody(Buffer.concat(this.chunks), this.options.length, this.req, this.options.maxBytes)))
+    this.settle(ok(new RequestBody(this.received.take(), this.options.length, this.req, this.options.maxBytes)))
   }
 
   private readonly onEnd = (): void => {
-    const body = this.chunks.length === 1 ? this.chunks[0]! : Buffer.concat(this.chunks)
+    const body = this.received.take()
     this.settle(ok(new RequestBody(body, body.length, undefined, this.options.maxBytes)))
   }
 
--- a/test/host/endlessResponses.test.ts
+++ b/test/host/endlessResponses.test.ts
@@ -49,3 +49,13 @@
     await group.waitUntil(() => endless.closedConnections === 1)
   })
 })
+
+// Guards against a body in chunks of one byte without end, which filled the heap of a host and ended its process (review/2).
+test('a body of one-byte chunks without end is given up before it fills the memory', async () => {
+  const head = 'HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n'
+  await withEndless(head, '1\r\nx\r\n'.repeat(10_000), 1, async (group, endless) => {
+    const answers = await Promise.all(Array.from({ length: 20 }, async (_value, index) => await group.send({ object: String(index) })))
+    expect(answers.map(({ status, body }) => [status, body])).toEqual(Array(20).fill([200, 'done e-0']))
+    await group.waitUntil(() => endless.closedConnections > 0)
+  })
+})
