--- a/src/entry/DrainableHttpServer.ts
+++ b/src/entry/DrainableHttpServer.ts
@@ -179,7 +179,7 @@
   private receive (req: IncomingMessage, res: PipelinedResponse, expectation: 'none' | 'continue' | 'other'): void {
     const connection = this.tracked.get(req.socket)
     if (connection === undefined || connection.isRefusingRequests) return
-    if (connection.openResponses.size >= entryLimits.maxPipelinedRequests) {
+    if (connection.openResponses.size >= entryLimits.maxPipelinedRequests || this.isLastRequestOpen(connection)) {
       connection.isRefusingRequests = true
       return
     }
@@ -199,6 +199,14 @@
     this.options.onRequest(req, res, expectation)
   }
 
+  /**
+   * Returns true when the newest open response must close its connection and still can. With a caller that always sends
+   * another request before that response, no response would ever close the connection.
+   */
+  private isLastRequestOpen (connection: TrackedConnection): boolean {
+    return this.options.closesConnections() && connection.canCloseWithNewest
+  }
+
   private refuseMalformed (req: IncomingMessage, res: PipelinedResponse, failure: Failure): void {
     this.options.onRefused(failure.name)
     writeRefusal(req, res, failure, { requestId: this.options.createRequestId(), close: false, headers: [] })
--- a/src/entry/TrackedConnection.ts
+++ b/src/entry/TrackedConnection.ts
@@ -21,6 +21,11 @@
     return this.newest !== undefined && hasUnreadBody(this.newest.req)
   }
 
+  /** True while the response to the newest request can announce that the connection closes, since its head is not written. */
+  get canCloseWithNewest (): boolean {
+    return this.newest?.headersSent === false
+  }
+
   /**
    * Decides whether the connection stays open after a response. Callers treat requests behind a response that closes the
    * connection as not read, so only the response to the newest request may close it.
--- a/test/host/pipelining.test.ts
+++ b/test/host/pipelining.test.ts
@@ -61,6 +61,24 @@
   })
 })
 
+// Guards against a planned stop that never closes the connection of a caller that always has a newer request under way; its
+// requests were run until the process ended and cut then (review/4).
+test('a leaving host runs no further requests behind those that are open', async () => {
+  await withCaller(async (group, caller) => {
+    caller.send('q-0', '/read/200')
+    await group.waitUntil(() => listRunIds(group).length === 1)
+    const startMs = performance.now()
+    const stopped = group.hosts[0]!.stop()
+    let sent = 1
+    const timer = setInterval(() => caller.send(`q-${sent++}`, '/read/200'), 50)
+    await caller.ended
+    clearInterval(timer)
+    expect([caller.responses.map(({ id, status, closes }) => [id, status, closes]), listRunIds(group)]).toEqual([[['q-0', 200, true]], ['q-0']])
+    expect(performance.now() - startMs < 1_000).toEqual(true)
+    await stopped
+  })
+})
+
 // Guards against a refusal that cuts the requests before it, and against running those behind a body that is not read.
 test('a body that is too long ends the connection after the responses before it', async () => {
   await withCaller(async (group, caller) => {
