--- a/src/catalog/CatalogFollower.ts
+++ b/src/catalog/CatalogFollower.ts
@@ -4,6 +4,7 @@
 import type { CatalogStore } from './CatalogStore.js'
 import type { CatalogTable } from './CatalogTable.js'
 import { catalogLimits } from './catalogLimits.js'
+import { PollSchedule } from './PollSchedule.js'
 import type { StoreFailure } from './StoreFailure.js'
 import type { StoreHealth } from './StoreHealth.js'
 
@@ -17,6 +18,8 @@
   readonly random: () => number
   /** Returns false while other hosts read the store and this one receives the tables from its peers. */
   readonly shouldRead: () => boolean
+  /** Returns the place of this host among those that read the store, and their number. */
+  readonly getReaderPlace: () => { readonly index: number, readonly count: number }
 }
 
 /** Keeps the local copy of one table up to date with the store. */
@@ -24,8 +27,13 @@
   private isStopped = false
   private backoffMs: number = catalogLimits.minBackoffMs
   private needsFullRead = true
+  /** True after a call without a response; the next call shows whether the store or only the connection is gone. */
+  private isConfirming = false
+  private readonly schedule: PollSchedule
 
-  constructor (private readonly table: CatalogTable, private readonly options: FollowerOptions) {}
+  constructor (private readonly table: CatalogTable, private readonly options: FollowerOptions) {
+    this.schedule = new PollSchedule({ maxWaitMs: catalogLimits.maxFollowWaitMs, spacingMs: catalogLimits.pollSpacingMs[table] })
+  }
 
   /** Follows the table until `stop` is called. */
   async run (): Promise<void> {
@@ -57,18 +65,24 @@
   }
 
   private async follow (): Promise<number> {
-    const { store, catalog, clock, health } = this.options
-    const after = catalog.resumeAfter(this.table)
-    // A long poll would reveal that the store is reachable again only when it ends.
-    const waitMs = health.isDown ? 0 : catalogLimits.followWaitMs
-    const page = await store.follow(this.table, after, waitMs)
+    const { store, catalog, clock } = this.options
+    const page = await store.follow(this.table, catalog.resumeAfter(this.table), this.chooseWaitMs())
     if (page.isErr()) return this.handleFailure(page.error)
     this.handleSuccess()
     catalog.apply(this.table, page.value, clock.nowMs(), 'store')
-    return page.value.rows.length > 0 ? catalogLimits.batchMs[this.table] : 0
+    if (page.value.rows.length === 0) return 0
+    this.schedule.restart()
+    return catalogLimits.batchMs[this.table]
+  }
+
+  /** While it is open whether the store can be reached, a long poll would reveal that only when it ends. */
+  private chooseWaitMs (): number {
+    const { clock, health, getReaderPlace } = this.options
+    return health.isDown || this.isConfirming ? 0 : this.schedule.nextWaitMs(getReaderPlace(), clock.nowMs())
   }
 
   private handleSuccess (): void {
+    this.isConfirming = false
     this.backoffMs = catalogLimits.minBackoffMs
     const { health, clock, logger } = this.options
     if (health.recordSuccess(this.table, clock.nowMs())) logger.info('store-regained', { table: this.table })
@@ -76,6 +90,12 @@
 
   private handleFailure (failure: StoreFailure): number {
     const { logger, health, random } = this.options
+    this.schedule.restart()
+    if (failure.kind === 'disconnected' && !this.isConfirming && !health.isDown) {
+      this.isConfirming = true
+      logger.info('store-connection-lost', { table: this.table, reason: failure.message })
+      return 0
+    }
     if (failure.kind === 'historyGone') {
       logger.info('history-gone', { table: this.table })
       this.needsFullRead = true
--- a/src/catalog/catalogLimits.ts
+++ b/src/catalog/catalogLimits.ts
@@ -1,7 +1,12 @@
 /** Limits and intervals for following the store. */
 export const catalogLimits = {
-  /** Time in ms for which a long poll asks the store to wait for changes. */
-  followWaitMs: 10_000,
+  /** Longest time in ms for which a long poll asks the store to wait for changes. */
+  maxFollowWaitMs: 10_000,
+  /**
+   * Time in ms between the ends of any two long polls of a table, whichever hosts make them. Missed changes of configuration
+   * and endpoints must arrive within seconds after connections fell silent; hosts also discover each other by heartbeats.
+   */
+  pollSpacingMs: { orders: 1_500, endpoints: 1_500, hosts: 10_000 },
   /** Changes kept per table to bring peers with an older version up to date. */
   maxHistory: 500,
   /** Hosts per region that read the store; the others receive the tables from them. */
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -155,7 +155,8 @@
       clock,
       logger: createLog('store'),
       random,
-      shouldRead: () => this.readers.shouldRead()
+      shouldRead: () => this.readers.shouldRead(),
+      getReaderPlace: () => this.readers.getPlace()
     }
     this.followers = Object.values(CatalogTable).map((table) => new CatalogFollower(table, followerOptions))
     const checker = new HealthChecker({ endpoints: this.endpoints, dial, routing: this.routing, httpBinding, clock, logger: createLog('endpoints') })
--- a/src/peers/StoreReaders.ts
+++ b/src/peers/StoreReaders.ts
@@ -34,6 +34,15 @@
     return this.isReader(this.options.self.name) || !this.hasConnectedReader()
   }
 
+  /** Returns the place of this host among the readers, in the same order on all hosts, and their number. */
+  getPlace (): { readonly index: number, readonly count: number } {
+    this.refresh()
+    const names = [...this.readers].sort()
+    const index = names.indexOf(this.options.self.name)
+    // A host that reads the store because no reader reaches it can't rely on the others.
+    return index < 0 ? { index: 0, count: 1 } : { index, count: names.length }
+  }
+
   /** Returns true when missing entries count as removed. A host that doesn't read the store relies on the readers' reports. */
   isSettled (isOwnSettled: boolean): boolean {
     if (this.shouldRead()) return isOwnSettled
--- a/test/catalog/CatalogFollower.test.ts
+++ b/test/catalog/CatalogFollower.test.ts
@@ -21,7 +21,7 @@
   const catalog = new Catalog(() => {})
   const health = new StoreHealth()
   const follower = new CatalogFollower(table, {
-    store: client, catalog, health, clock: new SystemClock(), logger, random: () => 0.5, shouldRead: () => true
+    store: client, catalog, health, clock: new SystemClock(), logger, random: () => 0.5, shouldRead: () => true, getReaderPlace: () => ({ index: 0, count: 1 })
   })
   const running = follower.run()
   try {
