--- a/src/endpoints/EndpointTable.ts
+++ b/src/endpoints/EndpointTable.ts
@@ -11,13 +11,22 @@
   readonly mayHaveLapsed: boolean
 }
 
+/** An endpoint that began to leave with an update. */
+interface LeavingEndpoint {
+  readonly id: string
+  /** False when its entry is gone. */
+  readonly isDraining: boolean
+  /** Time in ms for which it stays listed, as its entry may only have lapsed. */
+  readonly keptMs: number
+}
+
 /** Holds the endpoints of the registry by the id of their incarnation. */
 export class EndpointTable {
   private readonly rows = new Table<EndpointRow>()
   private byService = new Map<string, EndpointRow[]>()
   private changes = 0
 
-  constructor (private readonly findRegion: (zone: string) => string) {}
+  constructor (private readonly findRegion: (zone: string) => string, private readonly readDrainMs: () => number) {}
 
   /** Increases whenever the set of listed endpoints changes. */
   get generation (): number {
@@ -42,13 +51,19 @@
     return this.rows[Symbol.iterator]()
   }
 
-  /** Updates the table from `records`, the complete set of registry entries. */
-  update (records: readonly EndpointRecord[], context: UpdateContext): void {
+  /** Updates the table from `records`, the complete set of registry entries; returns the endpoints that began to leave. */
+  update (records: readonly EndpointRecord[], context: UpdateContext): LeavingEndpoint[] {
     const registeredIds = new Set(records.map((record) => record.id))
+    const draining = records.filter((record) => record.isDraining && this.rows.get(record.id)?.record.isDraining === false)
     const changed = records.filter((record) => this.updateRow(record, context.nowMs))
-    this.markMissing([...this.rows].filter((row) => !registeredIds.has(row.record.id) && row.expiresAtMs === undefined), context.nowMs)
+    const missing = [...this.rows].filter((row) => !registeredIds.has(row.record.id) && row.expiresAtMs === undefined)
+    this.markMissing(missing, context.nowMs)
     const removed = this.deleteMissing(context)
     if (changed.length > 0 || removed > 0) this.rebuild()
+    return [
+      ...draining.map(({ id }) => ({ id, isDraining: true, keptMs: 0 })),
+      ...missing.map(({ record, expiresAtMs }) => ({ id: record.id, isDraining: false, keptMs: expiresAtMs! - context.nowMs }))
+    ]
   }
 
   /** Removes endpoints without an entry after their grace period, unless their entries may have lapsed in a store outage. */
@@ -68,7 +83,8 @@
   private markMissing (missing: readonly EndpointRow[], nowMs: number): void {
     const unannounced = missing.filter((row) => !row.record.isDraining)
     const isMassExpiry = unannounced.length >= endpointLimits.minLapsedEntries && unannounced.length > this.rows.size * endpointLimits.minLapsedShare
-    for (const row of missing) row.expiresAtMs = isMassExpiry && !row.record.isDraining ? nowMs + endpointLimits.lapseGraceMs : nowMs
+    const keptMs = Math.max(0, Math.min(endpointLimits.lapseGraceMs, this.readDrainMs() - endpointLimits.drainPropagationMs))
+    for (const row of missing) row.expiresAtMs = isMassExpiry && !row.record.isDraining ? nowMs + keptMs : nowMs
   }
 
   /** Adds or updates an endpoint; returns true when the lists by service must be rebuilt. */
--- a/src/endpoints/endpointLimits.ts
+++ b/src/endpoints/endpointLimits.ts
@@ -32,6 +32,11 @@
   /** Minimum number of entries, and share of all, that must disappear together to be treated as lapsed. */
   minLapsedEntries: 3,
   minLapsedShare: 0.2,
-  /** Time in ms for which endpoints with lapsed entries are kept, from the recovery of the store or the update that lacks them. */
-  lapseGraceMs: 2_000
+  /** Time in ms from the recovery of the store for which endpoints with lapsed entries are kept. */
+  lapseGraceMs: 2_000,
+  /**
+   * Part of the drain time in ms that is left for an update to reach all hosts and for requests to reach their endpoints.
+   * Endpoints whose entries disappear together are kept for the rest of it, since all of them may really have left.
+   */
+  drainPropagationMs: 1_000
 } as const
--- a/src/host/ClusterState.ts
+++ b/src/host/ClusterState.ts
@@ -93,9 +93,13 @@
     const { endpoints, clock, logger } = this.options
     const nowMs = clock.nowMs()
     const records = this.catalog.entries(CatalogTable.endpoints).flatMap((entry) => entry.kind === 'endpoint' ? [entry.endpoint] : [])
-    endpoints.update(records, { nowMs, mayHaveLapsed: this.mayHaveLapsed(nowMs) })
+    const version = this.catalog.versionOf(CatalogTable.endpoints)
+    const mayHaveLapsed = this.mayHaveLapsed(nowMs)
+    for (const { id, isDraining, keptMs } of endpoints.update(records, { nowMs, mayHaveLapsed })) {
+      logger.info('endpoint-leaving', { endpoint: id, draining: isDraining, keptMs, mayHaveLapsed, version, source })
+    }
     const draining = records.filter((record) => record.isDraining).length
-    logger.info('endpoints-changed', { version: this.catalog.versionOf(CatalogTable.endpoints), known: records.length, draining, source })
+    logger.info('endpoints-changed', { version, known: records.length, draining, source })
   }
 
   private applyHosts (): void {
--- a/src/host/HostBounds.ts
+++ b/src/host/HostBounds.ts
@@ -2,6 +2,8 @@
 export interface HostBounds {
   /** Time in ms from SIGTERM until the process must have ended. */
   readonly graceMs: number
+  /** Time in ms after an endpoint's leaving was acknowledged until which requests may still reach it. */
+  readonly drainMs: number
   readonly retryRatio: number
   readonly retryWindowMs: number
   readonly retrySlack: number
--- a/src/host/HostContext.ts
+++ b/src/host/HostContext.ts
@@ -27,5 +27,7 @@
   readonly isSynced: () => boolean
   /** Returns the version of the local copy of the endpoints table. */
   readonly endpointsVersion: () => number
+  /** Returns log fields that tell how old the configuration and the last news from the store are. */
+  readonly describeConfigAge: () => { readonly configAgeMs: number, readonly storeAgeMs: number }
   readonly random: () => number
 }
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -90,7 +90,7 @@
       linkMbps: settings.linkMbps,
       incarnation: clock.wallMs()
     }
-    this.endpoints = new EndpointTable((zone) => this.settings.regionOfZone[zone] ?? '')
+    this.endpoints = new EndpointTable((zone) => this.settings.regionOfZone[zone] ?? '', () => this.settings.bounds.drainMs)
     this.peers = new PeerTable(settings.name)
     this.requestRate = new ServiceRequestRate(clock.nowMs())
     this.state = new ClusterState({
@@ -249,6 +249,7 @@
       metrics,
       isSynced: () => this.state.isSynced,
       endpointsVersion: () => this.state.catalog.versionOf(CatalogTable.endpoints),
+      describeConfigAge: () => this.describeConfigAge(),
       log: new RequestLog(clock, createLog('request'), () => metrics.recordSuppressedLine()),
       random
     })
@@ -303,6 +304,16 @@
     }
   }
 
+  /** The age of the last news from the store is -1 while this host can't reach it, or when it receives the tables from others. */
+  private describeConfigAge (): { configAgeMs: number, storeAgeMs: number } {
+    const nowMs = this.options.clock.nowMs()
+    const storeAgeMs = this.health.sinceLastSuccessMs(nowMs)
+    return {
+      configAgeMs: Math.round(this.state.catalog.ageOf(CatalogTable.orders, nowMs)),
+      storeAgeMs: storeAgeMs === Infinity ? -1 : Math.round(storeAgeMs)
+    }
+  }
+
   /** Lists the hosts that can serve callers now, including this one when it is ready. */
   private listServing (): HostRecord[] {
     const serving = this.peers.listAlive(this.options.clock.nowMs())
--- a/src/host/RequestHandler.ts
+++ b/src/host/RequestHandler.ts
@@ -42,7 +42,7 @@
 
   private async serve (exchange: Exchange): Promise<void> {
     const route = this.findRoute(exchange.req)
-    if (route.isErr()) return this.refuse(exchange, route.error, '')
+    if (route.isErr()) return this.refuse(exchange, route.error, '', this.context.describeConfigAge())
     const scope = this.openScope(exchange, route.value)
     try {
       await this.serveRoute(exchange, route.value, scope)
--- a/test/peers/StoreReaders.test.ts
+++ b/test/peers/StoreReaders.test.ts
@@ -73,3 +73,25 @@
   fixture.receiveHeartbeats(names, 0, true)
   expect(fixture.readers.isSettled(true)).toEqual(true)
 })
+
+// Guards against a reader that keeps endpoints that have left because only its own calls to the store fail (DRAIN).
+test('a reader with trouble of its own relies on the other readers', () => {
+  const fixture = new StoreReadersFixture(chosen[0]!)
+  fixture.receiveHeartbeats(names, 0, true)
+  expect([fixture.readers.shouldRead(), fixture.readers.isSettled(false)]).toEqual([true, true])
+  fixture.receiveHeartbeats([chosen[1]!], 0, false)
+  expect(fixture.readers.isSettled(false)).toEqual(false)
+  fixture.receiveHeartbeats(names, -1, true)
+  expect(fixture.readers.isSettled(false)).toEqual(false)
+})
+
+// Guards against readers whose polls of the store end together.
+test('the readers agree on their places', () => {
+  const places = chosen.map((name) => {
+    const fixture = new StoreReadersFixture(name)
+    fixture.receiveHeartbeats(names)
+    return fixture.readers.getPlace()
+  })
+  expect(places.map(({ index }) => index).sort()).toEqual([0, 1])
+  expect(places.map(({ count }) => count)).toEqual([2, 2])
+})
