--- a/src/entry/HttpExchange.ts
+++ b/src/entry/HttpExchange.ts
@@ -19,6 +19,7 @@
 import type { ExchangePolicy } from './ExchangePolicy.js'
 import { findHeader } from './findHeader.js'
 import { BodyUploader } from './BodyUploader.js'
+import { isResponseHeadValid } from './isResponseHeadValid.js'
 import type { UpstreamResponse } from './UpstreamResponse.js'
 import type { UpstreamCall } from './UpstreamCall.js'
 import type { UpstreamRequest } from './UpstreamRequest.js'
@@ -183,8 +184,7 @@
   private readonly onResponse = this.guard((incoming: IncomingMessage) => {
     if (this.isSettled) return this.destroy()
     this.incoming = incoming
-    // A duplicate response to an earlier request may arrive in place of the response to this one.
-    if (this.request.isMatchingResponse?.(incoming.rawHeaders, this.outgoing?.reusedSocket === true) === false) {
+    if (!isResponseHeadValid(incoming) || !this.isMatching(incoming)) {
       this.fail('upstreamReset', AttemptResult.broken)
       return this.destroy()
     }
@@ -209,6 +209,11 @@
     incoming.on('end', this.onEnd)
   })
 
+  /** A duplicate response to an earlier request may arrive in place of the response to this one. */
+  private isMatching ({ rawHeaders }: IncomingMessage): boolean {
+    return this.request.isMatchingResponse?.(rawHeaders, this.outgoing?.reusedSocket === true) !== false
+  }
+
   private hasNoBody (incoming: IncomingMessage): boolean {
     return this.request.method === 'HEAD' || bodylessStatuses.has(incoming.statusCode!) || findHeader(incoming.rawHeaders, 'content-length') === '0'
   }
--- a/src/host/RequestHandler.ts
+++ b/src/host/RequestHandler.ts
@@ -4,6 +4,7 @@
 import { createFailure } from '../common/createFailure.js'
 import type { Failure } from '../common/Failure.js'
 import { formatException } from '../common/formatException.js'
+import { Outcome } from '../common/Outcome.js'
 import { ResponseWriter } from '../entry/ResponseWriter.js'
 import type { OpenResponse } from '../entry/OpenResponse.js'
 import { findHeader } from '../entry/findHeader.js'
@@ -34,10 +35,13 @@
 
   handle (req: IncomingMessage, res: ServerResponse): void {
     const exchange = { req, res, id: this.context.httpBinding.readRequestId(req.rawHeaders), startMs: this.context.clock.nowMs() }
-    this.serve(exchange).catch((error: unknown) => {
-      this.context.log.write('request-failed', { id: exchange.id, error: formatException(error) })
-      res.destroy()
-    })
+    this.serve(exchange).catch((error: unknown) => this.failInternally(exchange, error))
+  }
+
+  /** Answers a request that an exception ended, so that the other requests of its connection go on. */
+  private failInternally (exchange: Exchange, error: unknown): void {
+    this.context.log.write('request-failed', { id: exchange.id, error: formatException(error) })
+    this.refuse(exchange, createFailure('internal', { outcome: Outcome.unknown }), '')
   }
 
   private async serve (exchange: Exchange): Promise<void> {
