Keep sending heartbeats to a host after one failed with an exception

What callers saw: nothing so far; from the review's list of paths that nobody had run. A host that no longer gets heartbeats gets no pushed changes either, and is late with configuration and drains when it doesn't read the store itself.

Cause: sendHeartbeat cleared isHeartbeatInFlight only when exchange returned, so one exception ended the heartbeats to that host for good.

Evidence: test/peers/PeerMesh fails at the parent commit: no second heartbeat follows the planted exception. It passes with the change.

Why it works: the flag is cleared in a finally block, on every way out of the exchange.

--- a/src/peers/PeerMesh.ts
+++ b/src/peers/PeerMesh.ts
@@ -105,8 +105,11 @@
 
   private async sendHeartbeat (row: PeerRow): Promise<void> {
     row.isHeartbeatInFlight = true
-    await this.exchange(row.record.peerAddress, row)
-    row.isHeartbeatInFlight = false
+    try {
+      await this.exchange(row.record.peerAddress, row)
+    } finally {
+      row.isHeartbeatInFlight = false
+    }
   }
 
   /** Sends heartbeats to the seed addresses while this host has no configuration; the seeds may not be in its peer table yet. */
