Bound the interim responses to a request

Cause: nothing counted interim responses; neither attempts nor health checks ended before their timeouts.

Evidence: the new case of test/entry/HttpExchange fails with the source before (the attempt ends at its timeout) and passes now; the health check has the same case, which was inside its byte bound before as well.

An exception in a health check ends that check only; before, it left the endpoint unprobed and the later ones of the tick too.

--- a/src/entry/HttpExchange.ts
+++ b/src/entry/HttpExchange.ts
@@ -20,6 +20,7 @@
 import { findHeader } from './findHeader.js'
 import { BodyUploader } from './BodyUploader.js'
 import { isResponseHeadValid } from './isResponseHeadValid.js'
+import { limitInterimResponses } from './limitInterimResponses.js'
 import type { UpstreamResponse } from './UpstreamResponse.js'
 import type { UpstreamCall } from './UpstreamCall.js'
 import type { UpstreamRequest } from './UpstreamRequest.js'
@@ -108,6 +109,7 @@
     this.outgoing = outgoing
     outgoing.on('response', this.onResponse)
     outgoing.on('error', this.onError)
+    limitInterimResponses(outgoing, this.onEndlessInterim)
     if (socket === undefined) outgoing.once('socket', this.checkAfterConnect)
     this.writeBody(outgoing)
   }
@@ -181,6 +183,11 @@
     this.send(undefined)
   }
 
+  private readonly onEndlessInterim = this.guard(() => {
+    this.fail('upstreamReset', AttemptResult.broken)
+    this.destroy()
+  })
+
   private readonly onResponse = this.guard((incoming: IncomingMessage) => {
     if (this.isSettled) return this.destroy()
     this.incoming = incoming
--- a/src/host/HealthChecker.ts
+++ b/src/host/HealthChecker.ts
@@ -1,11 +1,14 @@
 import { request } from 'node:http'
 import type { ClientRequest, IncomingMessage } from 'node:http'
 import { createConnectTimeoutError } from '../entry/createConnectTimeoutError.js'
+import { limitInterimResponses } from '../entry/limitInterimResponses.js'
 import type { DialMap } from '../common/DialMap.js'
 import { endpointLimits } from '../endpoints/endpointLimits.js'
 import type { EndpointRow } from '../endpoints/EndpointRow.js'
 import type { EndpointTable } from '../endpoints/EndpointTable.js'
 import type { Clock } from '../common/Clock.js'
+import { formatException } from '../common/formatException.js'
+import { guardCallback } from '../common/guardCallback.js'
 import type { Logger } from '../common/Logger.js'
 import { System } from '../common/System.js'
 import type { RoutingTable } from '../routing/RoutingTable.js'
@@ -37,8 +40,7 @@
     for (const row of this.options.endpoints) {
       this.logAvoided(row, nowMs)
       if (!row.isSuspect || row.isProbing || nowMs < row.nextProbeAtMs || row.record.isDraining) continue
-      row.isProbing = true
-      this.probe(row)
+      this.startProbe(row)
     }
   }
 
@@ -59,18 +61,32 @@
     })
   }
 
+  /** An exception ends only this probe; the endpoint stays suspect. */
+  private startProbe (row: EndpointRow): void {
+    row.isProbing = true
+    guardCallback(() => this.probe(row), (error) => {
+      this.endProbe(row)
+      this.options.logger.error('probe-failed', { endpoint: row.record.id, error: formatException(error) })
+    })()
+  }
+
+  private endProbe (row: EndpointRow): void {
+    row.isProbing = false
+    row.nextProbeAtMs = this.options.clock.nowMs() + endpointLimits.probeIntervalMs
+  }
+
   private probe (row: EndpointRow): void {
     const { routing, dial } = this.options
     const { host, port } = dial.resolve(row.record.address)
     const path = routing.findService(row.record.service)?.healthPath ?? '/'
     const req = request({ host, port, path, agent: false })
     const timer = setTimeout(() => req.destroy(createConnectTimeoutError()), endpointLimits.probeTimeoutMs)
+    limitInterimResponses(req, () => req.destroy())
     // The endpoint stays suspect, which has been logged already, and is probed again after the interval.
     req.on('error', () => {})
     req.on('close', () => {
       clearTimeout(timer)
-      row.isProbing = false
-      row.nextProbeAtMs = this.options.clock.nowMs() + endpointLimits.probeIntervalMs
+      this.endProbe(row)
     })
     req.on('response', (res) => this.receive(row, req, res))
     req.end()
--- a/test/entry/HttpExchange.test.ts
+++ b/test/entry/HttpExchange.test.ts
@@ -157,6 +157,7 @@
   'a status line': { first: 'HTTP/1.1 200 O', more: 'K'.repeat(1_000) },
   'a header': { first: 'HTTP/1.1 200 OK\r\nX-A: ', more: 'x'.repeat(1_000) },
   headers: { first: 'HTTP/1.1 200 OK\r\n', more: 'X-A: x\r\n'.repeat(100) },
+  'interim responses': { first: '', more: 'HTTP/1.1 100 Continue\r\n\r\n'.repeat(100) },
   'a chunk size': { first: 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;', more: 'x'.repeat(1_000) },
   trailers: { first: 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n', more: 'X-A: x\r\n'.repeat(100) },
   'a body without a length': { first: 'HTTP/1.1 200 OK\r\n\r\n', more: 'x'.repeat(1_000) }
--- a/test/host/HealthChecker.test.ts
+++ b/test/host/HealthChecker.test.ts
@@ -43,4 +43,6 @@
   expect([noBodyEnd.row.isSuspect, noBodyEnd.sentBytes < maxSentBytes]).toEqual([true, true])
   const chunks = await checkOnce(`${head}Transfer-Encoding: chunked\r\n\r\n`, '1\r\nx\r\n'.repeat(1_000))
   expect([chunks.row.isSuspect, chunks.sentBytes < maxSentBytes]).toEqual([true, true])
+  const interim = await checkOnce('', 'HTTP/1.1 100 Continue\r\n\r\n'.repeat(300))
+  expect([interim.row.isSuspect, interim.sentBytes < maxSentBytes]).toEqual([true, true])
 })
