--- /dev/null
+++ b/test/platformAdapter/HttpCatalogStore.test.ts
@@ -0,0 +1,54 @@
+import { test } from 'node:test'
+import { expect } from 'earl'
+import { StoreServer } from '../../dev/store/StoreServer.js'
+import { HttpCatalogStore } from '../../platform/HttpCatalogStore.js'
+import { Catalog } from '../../src/catalog/Catalog.js'
+import { MemoryLogger } from '../support/MemoryLogger.js'
+
+const rowCount = 1_200
+
+/** Runs a test with a store that holds more endpoints than fit into one page. */
+async function withLargeTable (run: (store: StoreServer, client: HttpCatalogStore) => Promise<void>): Promise<void> {
+  const store = new StoreServer()
+  const client = new HttpCatalogStore(await store.listen(), new MemoryLogger())
+  for (let index = 0; index < rowCount; index++) putEndpoint(store, index, 'ready')
+  try {
+    await run(store, client)
+  } finally {
+    client.close()
+    store.close()
+  }
+}
+
+function putEndpoint (store: StoreServer, index: number, state: string): void {
+  const address = `10.0.${index >> 8}.${index & 255}:80`
+  const info = { service: 'stock', version: 'v1', zone: 'north-a', slots: 4 }
+  store.tables.put('servers', `e-${String(index).padStart(4, '0')}`, { address, info, status: { state, sequence: 1, cold_remaining_s: 0 } })
+}
+
+// Guards against a change of an earlier page's row that is lost because a later page has a newer version.
+test('a change between two pages of a full read is not lost', async () => {
+  await withLargeTable(async (store, client) => {
+    let reads = 0
+    store.intercept = (req) => {
+      if (req.url?.startsWith('/v1/rows-get') === true && ++reads === 2) putEndpoint(store, 0, 'draining')
+      return false
+    }
+    const catalog = new Catalog(() => {})
+    catalog.apply('endpoints', (await client.read('endpoints'))._unsafeUnwrap(), 0, 'store')
+    catalog.apply('endpoints', (await client.follow('endpoints', catalog.resumeAfter('endpoints'), 0))._unsafeUnwrap(), 1, 'store')
+    const endpoints = catalog.entries('endpoints').flatMap((entry) => entry.kind === 'endpoint' ? [entry.endpoint] : [])
+    expect([reads, endpoints.length, endpoints.filter(({ isDraining }) => isDraining).map(({ id }) => id)]).toEqual([3, rowCount, ['e-0000']])
+  })
+})
+
+// Guards against a table that is taken as complete although a page of it could not be read.
+test('a page without a readable row fails the read', async () => {
+  await withLargeTable(async (store, client) => {
+    store.intercept = (_req, res) => {
+      res.end(JSON.stringify({ rows: [{ value: 'x' }], has_more: true, ver: 1 }))
+      return true
+    }
+    expect((await client.read('endpoints'))._unsafeUnwrapErr().kind).toEqual('unavailable')
+  })
+})
