--- a/dev/slopes.ts
+++ b/dev/slopes.ts
@@ -5,6 +5,7 @@
 import { measureHeartbeats } from './slopes/measureHeartbeats.js'
 import { measureLookups } from './slopes/measureLookups.js'
 import { measureMemberMemory } from './slopes/measureMemberMemory.js'
+import { measureRankingMemory } from './slopes/measureRankingMemory.js'
 import { measureShares } from './slopes/measureShares.js'
 import type { TargetedSeries } from './slopes/TargetedSeries.js'
 import { withTarget } from './slopes/withTarget.js'
@@ -17,6 +18,7 @@
   heartbeats: measureHeartbeats,
   config: measureConfigDocument,
   members: measureMemberMemory,
+  rankings: measureRankingMemory,
   shares: measureShares,
   lookups: async () => withTarget(measureLookups(), targetNodes),
   blocks: async () => withTarget(await measureBlockTable(), targetBlocks)
--- a/test/placing/AffinityRanking.test.ts
+++ b/test/placing/AffinityRanking.test.ts
@@ -52,3 +52,18 @@
   expect([drained > first, table.listService('stock').length]).toEqual([true, 1])
   expect([update({}) > drained, table.listService('stock').length]).toEqual([true, 2])
 })
+
+// Guards against cached rankings that fill the heap of a host, because their number is bounded and their length is not.
+test('the rankings of many endpoints stay inside the memory of a host', () => {
+  const table = new EndpointTable(() => 'north', () => 2_500)
+  table.update(Array.from({ length: 5_000 }, (_value, index) => createEndpoint(`i-${index}`)), { nowMs: 0, mayHaveLapsed: false })
+  const ranking = new AffinityRanking()
+  const rows = table.listService('stock')
+  let largest = 0
+  for (let index = 0; index < 450; index++) {
+    ranking.rank('stock', `object-${index}`, rows, table.generation)
+    largest = Math.max(largest, ranking.cachedRows)
+  }
+  // 60 MB at 8 bytes an endpoint, with as much again for what surrounds the lists.
+  expect(largest * 16 <= 60_000_000).toEqual(true)
+})
