Count rejected input by edge and reason, and describe the edges of a host

Rejected entries, requests, responses and heartbeats were logged without a bound or not at all, and counted nowhere.

--- a/src/entry/ExchangePolicy.ts
+++ b/src/entry/ExchangePolicy.ts
@@ -8,4 +8,6 @@
   readonly acceptsUnframedResponse: boolean
   /** Sends a request once more if a reused connection broke before any response. */
   readonly retriesStaleConnection: boolean
+  /** Called when an attempt ends because the endpoint's response is rejected; `reason` is one of a few fixed texts. */
+  readonly onRejectedResponse?: (reason: string, address: string) => void
 }
--- a/src/entry/HttpExchange.ts
+++ b/src/entry/HttpExchange.ts
@@ -183,18 +183,13 @@
     this.send(undefined)
   }
 
-  private readonly onEndlessInterim = this.guard(() => {
-    this.fail('upstreamReset', AttemptResult.broken)
-    this.destroy()
-  })
+  private readonly onEndlessInterim = this.guard(() => this.reject('response-interim-endless', 'upstreamReset'))
 
   private readonly onResponse = this.guard((incoming: IncomingMessage) => {
     if (this.isSettled) return this.destroy()
     this.incoming = incoming
-    if (!isResponseHeadValid(incoming) || !this.isMatching(incoming)) {
-      this.fail('upstreamReset', AttemptResult.broken)
-      return this.destroy()
-    }
+    if (!isResponseHeadValid(incoming)) return this.reject('response-head-invalid', 'upstreamReset')
+    if (!this.isMatching(incoming)) return this.reject('response-of-other-request', 'upstreamReset')
     incoming.on('error', () => this.fail('upstreamTruncated', AttemptResult.broken))
     if (this.hasNoBody(incoming)) {
       incoming.resume()
@@ -203,10 +198,7 @@
     const length = findHeader(incoming.rawHeaders, 'content-length')
     // Without length or chunks, the end of the body cannot be distinguished from a broken connection.
     this.isUnframed = length === undefined && findHeader(incoming.rawHeaders, 'transfer-encoding') === undefined
-    if (this.isUnframed && !this.policy.acceptsUnframedResponse) {
-      this.fail('upstreamTruncated', AttemptResult.broken)
-      return this.destroy()
-    }
+    if (this.isUnframed && !this.policy.acceptsUnframedResponse) return this.reject('response-unframed', 'upstreamTruncated')
     if (this.isUnframed) this.detectReset(incoming.socket)
     if (Number(length) > this.policy.maxBufferedBytes) {
       incoming.pause()
@@ -232,10 +224,8 @@
     if (hasRoom && this.receivedChunks <= entryLimits.maxBufferedChunks) return
     const incoming = this.incoming!
     // After the first bytes of an unframed response were forwarded, a reset could no longer be reported instead of its end.
-    if (hasRoom || this.isUnframed) {
-      this.fail('upstreamTruncated', AttemptResult.broken)
-      return this.destroy()
-    }
+    if (hasRoom) return this.reject('response-chunks-too-many', 'upstreamTruncated')
+    if (this.isUnframed) return this.reject('response-unframed-too-long', 'upstreamTruncated')
     incoming.off('data', this.onData)
     incoming.off('end', this.onEnd)
     incoming.pause()
@@ -271,6 +261,12 @@
     if (this.outgoing?.writableEnded !== true) this.destroy()
   }
 
+  private reject (reason: string, name: ResultName): void {
+    this.policy.onRejectedResponse?.(reason, this.request.address)
+    this.fail(name, AttemptResult.broken)
+    this.destroy()
+  }
+
   private fail (name: ResultName, result: AttemptResult): void {
     this.failWith(createFailure(name, { outcome: this.mayHaveSent ? Outcome.unknown : Outcome.notRun }), result)
   }
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -14,6 +14,7 @@
 import { formatException } from '../common/formatException.js'
 import { parseDestination } from '../common/parseDestination.js'
 import { DialMap } from '../common/DialMap.js'
+import { InputEdge } from '../common/InputEdge.js'
 import type { Logger } from '../common/Logger.js'
 import { Scheduler } from '../common/Scheduler.js'
 import { System } from '../common/System.js'
@@ -32,6 +33,7 @@
 import { HealthChecker } from './HealthChecker.js'
 import { hostLimits } from './hostLimits.js'
 import { HostMetrics } from './HostMetrics.js'
+import type { RejectedInput } from '../metrics/RejectedInput.js'
 import type { HostSettings } from './HostSettings.js'
 import { HostStatus } from './HostStatus.js'
 import { RequestHandler } from './RequestHandler.js'
@@ -46,6 +48,7 @@
   readonly httpBinding: HttpBinding
   readonly clock: Clock
   readonly registry: Registry
+  readonly rejected: RejectedInput
   readonly createModuleLogger: (module: string) => Logger
   readonly random: () => number
 }
@@ -125,6 +128,7 @@
       peers: this.peers,
       clock,
       logger: createLog('peers'),
+      rejected: options.rejected,
       isReader: (host) => this.readers.isReader(host),
       describeSelf: (region) => status.describe(region)
     })
@@ -132,7 +136,7 @@
       dial,
       clock,
       maxIdle: hostLimits.maxIdlePerEndpoint,
-      policy: { connectTimeoutMs: hostLimits.connectTimeoutMs, maxBufferedBytes: hostLimits.maxHeldBytes, acceptsUnframedResponse: true, retriesStaleConnection: false }
+      policy: { connectTimeoutMs: hostLimits.connectTimeoutMs, maxBufferedBytes: hostLimits.maxHeldBytes, acceptsUnframedResponse: true, retriesStaleConnection: false, onRejectedResponse: (reason, address) => options.rejected.record(InputEdge.endpoint, reason, { address }) }
     })
     this.endpointSelector = this.createEndpointSelector()
     this.retries = new ServiceRetryBudget(() => this.settings.bounds, () => this.countKnownHosts())
@@ -289,7 +293,10 @@
       closesIdleSilently: true,
       onRequest: (req, res) => this.handler.handle(req, res),
       createRequestId: () => '',
-      onRefused: (name) => metrics.recordRefusal(name, '')
+      onRefused: (name) => {
+        metrics.recordRefusal(name, '')
+        this.options.rejected.record(InputEdge.caller, 'request-malformed', { code: name })
+      }
     })
   }
 
--- a/src/peers/PeerMesh.ts
+++ b/src/peers/PeerMesh.ts
@@ -1,6 +1,8 @@
 import type { Clock } from '../common/Clock.js'
 import type { DialMap } from '../common/DialMap.js'
+import { InputEdge } from '../common/InputEdge.js'
 import type { Logger } from '../common/Logger.js'
+import type { RejectedInput } from '../metrics/RejectedInput.js'
 import { parseDestination } from '../common/parseDestination.js'
 import { FrameClient } from '../wire/FrameClient.js'
 import { FrameServer } from '../wire/FrameServer.js'
@@ -25,6 +27,7 @@
   readonly peers: PeerTable
   readonly clock: Clock
   readonly logger: Logger
+  readonly rejected: RejectedInput
   /** Returns true when a host reads the store itself. */
   readonly isReader: (host: string) => boolean
   /** Returns the state of this host for a heartbeat to a region; `undefined` when the receiver's region is unknown. */
@@ -143,10 +146,10 @@
   }
 
   private receive (message: Message): Heartbeat | undefined {
-    const { catalog, clock, peers, logger } = this.options
+    const { catalog, clock, peers, logger, rejected } = this.options
     const heartbeat = message.t === 'beat' ? readHeartbeat(message.beat) : undefined
     if (heartbeat === undefined) {
-      logger.warn('heartbeat-refused', { type: String(message.t) })
+      rejected.record(InputEdge.peer, 'heartbeat-refused', { type: String(message.t) })
       return undefined
     }
     const nowMs = clock.nowMs()
--- a/test/catalog/CatalogFollower.test.ts
+++ b/test/catalog/CatalogFollower.test.ts
@@ -8,6 +8,7 @@
 import { CatalogFollower } from '../../src/catalog/CatalogFollower.js'
 import { StoreHealth } from '../../src/catalog/StoreHealth.js'
 import { SystemClock } from '../../src/common/SystemClock.js'
+import { createRejectedInput } from '../support/createRejectedInput.js'
 import { MemoryLogger } from '../support/MemoryLogger.js'
 import { waitUntil } from '../support/waitUntil.js'
 
@@ -17,7 +18,7 @@
 ): Promise<void> {
   const store = new StoreServer()
   const logger = new MemoryLogger()
-  const client = new HttpCatalogStore(await store.listen(), logger)
+  const client = new HttpCatalogStore(await store.listen(), createRejectedInput(logger))
   const catalog = new Catalog(() => {})
   const health = new StoreHealth()
   const follower = new CatalogFollower(table, {
--- a/test/peers/PeerMesh.test.ts
+++ b/test/peers/PeerMesh.test.ts
@@ -6,6 +6,7 @@
 import { PeerMesh } from '../../src/peers/PeerMesh.js'
 import { PeerTable } from '../../src/peers/PeerTable.js'
 import { createHeartbeat } from '../support/createHeartbeat.js'
+import { createRejectedInput } from '../support/createRejectedInput.js'
 import { MemoryLogger } from '../support/MemoryLogger.js'
 import { waitUntil } from '../support/waitUntil.js'
 
@@ -25,6 +26,7 @@
     peers,
     clock: new SystemClock(),
     logger,
+    rejected: createRejectedInput(logger),
     isReader: () => true,
     describeSelf: () => {
       heartbeats += 1
--- a/test/platformAdapter/HttpCatalogStore.test.ts
+++ b/test/platformAdapter/HttpCatalogStore.test.ts
@@ -3,14 +3,14 @@
 import { StoreServer } from '../../dev/store/StoreServer.js'
 import { HttpCatalogStore } from '../../platform/HttpCatalogStore.js'
 import { Catalog } from '../../src/catalog/Catalog.js'
-import { MemoryLogger } from '../support/MemoryLogger.js'
+import { createRejectedInput } from '../support/createRejectedInput.js'
 
 const rowCount = 1_200
 
 /** Runs a test with a store that holds more endpoints than fit into one page. */
 async function withLargeTable (run: (store: StoreServer, client: HttpCatalogStore) => Promise<void>): Promise<void> {
   const store = new StoreServer()
-  const client = new HttpCatalogStore(await store.listen(), new MemoryLogger())
+  const client = new HttpCatalogStore(await store.listen(), createRejectedInput())
   for (let index = 0; index < rowCount; index++) putEndpoint(store, index, 'ready')
   try {
     await run(store, client)
--- a/test/platformAdapter/decoders.test.ts
+++ b/test/platformAdapter/decoders.test.ts
@@ -5,6 +5,7 @@
 import { decodeRouting } from '../../platform/decodeRouting.js'
 import { decodeRow } from '../../platform/decodeRow.js'
 import { parseRuleParams } from '../../platform/parseRuleParams.js'
+import { createRejectedInput } from '../support/createRejectedInput.js'
 import { MemoryLogger } from '../support/MemoryLogger.js'
 
 const config = {
@@ -49,10 +50,11 @@
 test('an invalid entry is logged and decoded without a value', () => {
   const logger = new MemoryLogger()
   const values = ['not json', { ...entry, status: { state: 'sleeping' } }, { ...entry, address: 7 }, [], null]
-  for (const value of values) expect(decodeRow('endpoints', { key: 'i-1', ver: 7, value: encode(value) }, logger)).toEqual({ key: 'i-1', version: 7, entry: undefined })
+  const rejected = createRejectedInput(logger)
+  for (const value of values) expect(decodeRow('endpoints', { key: 'i-1', ver: 7, value: encode(value) }, rejected)).toEqual({ key: 'i-1', version: 7, entry: undefined })
   expect(logger.lines.length).toEqual(values.length)
-  expect(decodeRow('endpoints', { key: 'i-2', ver: 8, tombstone: true }, logger)).toEqual({ key: 'i-2', version: 8, entry: undefined })
-  expect(decodeRow('endpoints', { value: 'x' }, logger)).toEqual(undefined)
+  expect(decodeRow('endpoints', { key: 'i-2', ver: 8, tombstone: true }, createRejectedInput(logger))).toEqual({ key: 'i-2', version: 8, entry: undefined })
+  expect(decodeRow('endpoints', { value: 'x' }, createRejectedInput(logger))).toEqual(undefined)
 })
 
 /** Returns a copy of the valid entry without one of its fields. */
@@ -73,20 +75,20 @@
     `${'['.repeat(30_000)}${']'.repeat(30_000)}`,
     JSON.stringify(entry).replace('"slots":6', '"slots":1e999')
   ]
-  for (const value of entries) expect(decodeRow('endpoints', { key: 'i-1', ver: 7, value: encode(value) }, new MemoryLogger())?.entry).toEqual(undefined)
+  for (const value of entries) expect(decodeRow('endpoints', { key: 'i-1', ver: 7, value: encode(value) }, createRejectedInput())?.entry).toEqual(undefined)
   for (const key of ['', 'i-t\u016branga-1', 'i 1', 'i-1\r\nX: y', 'i'.repeat(201)]) {
-    expect(decodeRow('endpoints', { key, ver: 7, value: encode(entry) }, new MemoryLogger())?.entry).toEqual(undefined)
+    expect(decodeRow('endpoints', { key, ver: 7, value: encode(entry) }, createRejectedInput())?.entry).toEqual(undefined)
   }
   const notUtf8 = Buffer.concat([Buffer.from('{"address":"'), Buffer.from([0xff]), Buffer.from('"}')]).toString('base64')
-  expect(decodeRow('endpoints', { key: 'i-1', ver: 7, value: notUtf8 }, new MemoryLogger())?.entry).toEqual(undefined)
+  expect(decodeRow('endpoints', { key: 'i-1', ver: 7, value: notUtf8 }, createRejectedInput())?.entry).toEqual(undefined)
 })
 
 // Guards against input that ends the process with an exception.
 test('no row makes the decoder throw', () => {
   const logger = new MemoryLogger()
   fc.assert(fc.property(fc.constantFrom('orders', 'endpoints', 'hosts'), fc.string(), fc.oneof(fc.string(), fc.json()), (table, key, text) => {
-    decodeRow(table, { key, ver: 1, value: encode(text) }, logger)
-    decodeRow(table, { key: 'config', ver: 1, value: text }, logger)
+    decodeRow(table, { key, ver: 1, value: encode(text) }, createRejectedInput(logger))
+    decodeRow(table, { key: 'config', ver: 1, value: text }, createRejectedInput(logger))
   }))
 })
 
--- a/test/support/HostGroup.ts
+++ b/test/support/HostGroup.ts
@@ -7,6 +7,7 @@
 import { HttpCatalogStore } from '../../platform/HttpCatalogStore.js'
 import { SystemClock } from '../../src/common/SystemClock.js'
 import { HostProcess } from '../../src/host/HostProcess.js'
+import { RejectedInput } from '../../src/metrics/RejectedInput.js'
 import type { HostSettings } from '../../src/host/HostSettings.js'
 import { PlatformEndpoint } from '../../dev/store/PlatformEndpoint.js'
 import { StoreServer } from '../../dev/store/StoreServer.js'
@@ -96,15 +97,19 @@
   /** Starts a host; `name` is that of an earlier one when it is a restart, and `storeDelaysMs` delays its calls to the store. */
   async addHost (name = `host-${this.hosts.length}`, storeDelaysMs: CuttableStore['delaysMs'] = {}): Promise<HostProcess> {
     const settings = await this.createSettings(name)
-    const store = new CuttableStore(new HttpCatalogStore(this.storeAddress, this.logger))
+    const registry = new Registry()
+    const clock = new SystemClock()
+    const rejected = new RejectedInput({ registry, clock, logger: this.logger })
+    const store = new CuttableStore(new HttpCatalogStore(this.storeAddress, rejected))
     store.delaysMs = storeDelaysMs
     this.hostStores.push(store)
     const host = new HostProcess({
       settings,
       store,
       httpBinding: new PlatformHttpBinding(),
-      clock: new SystemClock(),
-      registry: new Registry(),
+      clock,
+      registry,
+      rejected,
       createModuleLogger: () => this.logger,
       random: Math.random
     })
