--- a/dev/proxy/Link.ts
+++ b/dev/proxy/Link.ts
@@ -12,6 +12,8 @@
   readonly targetSocket: Socket
   readonly forward: Pipe
   readonly backward: Pipe
+  /** True once the connection passes on nothing more, whatever the faults of the link. */
+  isSilenced: boolean
 }
 
 /** A listener that proxies its connections to the target with delays, bandwidth limits and faults. */
@@ -19,7 +21,7 @@
   /** Number of connections accepted since startup. */
   connections = 0
   private readonly faults: LinkFaults = {
-    cut: false, refuse: false, silentForward: false, silentBackward: false, loseAnswers: 0, extraDelayMs: 0
+    cut: false, refuse: false, silentForward: false, silentBackward: false, silencesOpen: false, loseAnswers: 0, extraDelayMs: 0
   }
 
   private readonly openConnections = new Set<ProxiedConnection>()
@@ -50,6 +52,7 @@
   async setFaults (changes: Partial<LinkFaults>): Promise<void> {
     Object.assign(this.faults, changes)
     if (this.faults.cut) this.resetAll()
+    if (changes.silencesOpen === true) for (const connection of this.openConnections) connection.isSilenced = true
     for (const { forward, backward } of this.openConnections) {
       forward.deliverDue()
       backward.deliverDue()
@@ -61,7 +64,7 @@
 
   /** Clears all faults except `refuse`, which indicates that the target's process has exited. */
   async heal (): Promise<void> {
-    await this.setFaults({ cut: false, silentForward: false, silentBackward: false, loseAnswers: 0, extraDelayMs: 0 })
+    await this.setFaults({ cut: false, silentForward: false, silentBackward: false, silencesOpen: false, loseAnswers: 0, extraDelayMs: 0 })
   }
 
   private resetAll (): void {
@@ -109,12 +112,13 @@
     const connection: ProxiedConnection = {
       clientSocket,
       targetSocket,
+      isSilenced: false,
       forward: new Pipe({
         source: clientSocket,
         sink: targetSocket,
         group: this.groups.get(this.plan.forwardGroup ?? ''),
         delayMs: () => this.delayMs(),
-        isSilent: () => this.faults.silentForward,
+        isSilent: () => this.faults.silentForward || connection.isSilenced,
         admit: () => true,
         findsLateResets: false,
         notBeforeMs
@@ -124,7 +128,7 @@
         sink: clientSocket,
         group: this.groups.get(this.plan.backwardGroup ?? ''),
         delayMs: () => this.delayMs(),
-        isSilent: () => this.faults.silentBackward,
+        isSilent: () => this.faults.silentBackward || connection.isSilenced,
         admit: () => this.admitResponse(connection),
         findsLateResets: this.plan.findsLateResets === true,
         notBeforeMs: 0
--- a/dev/soak.ts
+++ b/dev/soak.ts
@@ -18,6 +18,7 @@
   readonly profile?: string
   readonly quiet?: boolean
   readonly kept?: boolean
+  readonly silentConnections?: boolean
 }
 
 const secondsPerMinute = 60
@@ -42,6 +43,7 @@
   .option('--profile <folder>', 'folder for CPU profiles of the hosts')
   .option('--quiet', 'print findings only')
   .option('--kept', 'play the seeds that once found something')
+  .option('--silent-connections', 'add connections that fall silent for good to the faults')
   .parse()
   .opts<SoakArguments>()
 
@@ -58,6 +60,7 @@
     endpoints: args.endpoints,
     callers: args.callers,
     overlap: args.overlap,
+    silencesConnections: args.silentConnections === true,
     folder,
     script: 'dist/platform/shuntHost.js',
     nodeArgs: args.profile === undefined ? [] : ['--cpu-prof', `--cpu-prof-dir=${args.profile}`],
--- a/dev/soak/LinkFault.ts
+++ b/dev/soak/LinkFault.ts
@@ -6,7 +6,7 @@
 type LinkTarget = 'endpoint' | 'host' | 'store' | 'callers'
 
 const targets: readonly LinkTarget[] = ['endpoint', 'host', 'store', 'callers']
-const healthy: Partial<LinkFaults> = { cut: false, silentForward: false, silentBackward: false, extraDelayMs: 0 }
+const healthy: Partial<LinkFaults> = { cut: false, silentForward: false, silentBackward: false, silencesOpen: false, extraDelayMs: 0 }
 
 /** Sets faults on the links of one host to all targets of one kind, or of all kinds. */
 export class LinkFault extends SoakFault {
--- a/dev/soak/SoakOptions.ts
+++ b/dev/soak/SoakOptions.ts
@@ -9,4 +9,6 @@
   readonly callers: number
   /** Mean number of concurrent faults. */
   readonly overlap: number
+  /** Adds connections that fall silent for good to the faults. */
+  readonly silencesConnections?: boolean
 }
--- a/dev/soak/createSoakFaults.ts
+++ b/dev/soak/createSoakFaults.ts
@@ -9,9 +9,13 @@
 import type { SoakFault } from './SoakFault.js'
 import { StoreFault } from './StoreFault.js'
 
-/** Creates all kinds of faults from which a run draws. */
-export function createSoakFaults (): SoakFault[] {
+/**
+ * Creates all kinds of faults from which a run draws. Connections that fall silent for good come only with
+ * `silencesConnections`, so that the seeds of earlier runs still draw the same faults.
+ */
+export function createSoakFaults (silencesConnections = false): SoakFault[] {
   return [
+    ...(silencesConnections ? [new LinkFault('connections-silent', 8, { silencesOpen: true })] : []),
     new HostShutdownFault('SIGKILL', 1, 4),
     new HostShutdownFault('SIGKILL', 3, 1),
     new HostShutdownFault('SIGTERM', 1, 4),
--- a/test/dev/Link.test.ts
+++ b/test/dev/Link.test.ts
@@ -3,6 +3,7 @@
 import { test } from 'node:test'
 import { expect } from 'earl'
 import { Link } from '../../dev/proxy/Link.js'
+import { waitUntil } from '../support/waitUntil.js'
 
 const address = '127.23.0.9'
 const port = 7_101
@@ -39,3 +40,32 @@
     server.close()
   }
 })
+
+// Guards against a fault that also affects new connections, or that ends when the link heals.
+test('silenced connections stay silent and new ones work', async () => {
+  const server = createServer((socket) => socket.on('error', () => {}).pipe(socket))
+  await new Promise<void>((resolve) => server.listen(0, address, resolve))
+  const place = { source: 's', sourceZone: '', sourceRegion: '', targetName: 't', targetKind: 'host', targetZone: '', targetRegion: '' } as const
+  const link = new Link({ ...place, listen: `${address}:${port}`, target: `${address}:${(server.address() as AddressInfo).port}`, delayMs: 0 }, new Map())
+  await link.open()
+  const old = connect(port, address)
+  let echo = ''
+  old.on('error', () => {}).on('data', (chunk: Buffer) => { echo += chunk.toString() })
+  try {
+    old.write('a')
+    await waitUntil(() => echo === 'a')
+    await link.setFaults({ silencesOpen: true })
+    await link.heal()
+    old.write('b')
+    const fresh = connect(port, address)
+    let answer = ''
+    fresh.on('data', (chunk: Buffer) => { answer += chunk.toString() }).write('c')
+    await waitUntil(() => answer === 'c')
+    fresh.destroy()
+    expect(echo).toEqual('a')
+  } finally {
+    old.destroy()
+    await link.close()
+    server.close()
+  }
+})
