Keep following the store, and other requests going, after an exception

An exception while a change was applied ended the follower of that table for good: the host would have missed all later changes of configuration or endpoints. An exception in the handler of a caller's request, before its asynchronous part, would have ended the process.

Cause: CatalogFollower.run let exceptions of a step end its loop, and DrainableHttpServer called the handler unguarded in a listener.

Why it works: a step that throws is logged as follow-failed and the next one comes after the longest backoff; the handler's exception is answered with 500 on its own response, which leaves the connection and its other requests open.

--- a/src/catalog/CatalogFollower.ts
+++ b/src/catalog/CatalogFollower.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../common/Clock.js'
+import { formatException } from '../common/formatException.js'
 import type { Logger } from '../common/Logger.js'
 import type { Catalog } from './Catalog.js'
 import type { CatalogStore } from './CatalogStore.js'
@@ -38,7 +39,7 @@
   /** Follows the table until `stop` is called. */
   async run (): Promise<void> {
     while (!this.isStopped) {
-      const pauseMs = await this.step()
+      const pauseMs = await this.stepSafely()
       if (pauseMs > 0) await new Promise((resolve) => setTimeout(resolve, pauseMs))
     }
   }
@@ -47,6 +48,16 @@
     this.isStopped = true
   }
 
+  /** An exception, such as one while a change is applied, must not leave the host without further changes. */
+  private async stepSafely (): Promise<number> {
+    try {
+      return await this.step()
+    } catch (error) {
+      this.options.logger.error('follow-failed', { table: this.table, error: formatException(error) })
+      return catalogLimits.maxBackoffMs
+    }
+  }
+
   /** Makes at most one call and returns the time in ms to wait before the next step. */
   private async step (): Promise<number> {
     const { catalog, shouldRead } = this.options
--- a/src/entry/DrainableHttpServer.ts
+++ b/src/entry/DrainableHttpServer.ts
@@ -6,6 +6,7 @@
 import { createFailure } from '../common/createFailure.js'
 import type { Clock } from '../common/Clock.js'
 import type { Failure } from '../common/Failure.js'
+import { guardCallback } from '../common/guardCallback.js'
 import { Outcome } from '../common/Outcome.js'
 import type { ResultName } from '../common/ResultName.js'
 import { checkRequestSyntax } from './checkRequestSyntax.js'
@@ -35,6 +36,8 @@
   readonly closesIdleSilently?: boolean
   /** Called for each request that was refused because it could not be parsed or is malformed. */
   readonly onRefused: (name: ResultName) => void
+  /** Called with an exception of `onRequest`; its request gets status 500, and the connection goes on. */
+  readonly onException: (error: unknown) => void
 }
 
 type FrontServer = Server<typeof IncomingMessage, typeof PipelinedResponse>
@@ -195,8 +198,11 @@
       else if (this.isClosingIdle) this.endIdle(connection)
     })
     const syntax = checkRequestSyntax(req)
-    if (syntax.isErr()) return this.refuseMalformed(req, res, syntax.error)
-    this.options.onRequest(req, res, expectation)
+    if (syntax.isErr()) return this.refuse(req, res, syntax.error)
+    guardCallback(this.options.onRequest, (error) => {
+      this.options.onException(error)
+      this.refuse(req, res, createFailure('internal', { outcome: Outcome.unknown }))
+    })(req, res, expectation)
   }
 
   /**
@@ -207,7 +213,7 @@
     return this.options.closesConnections() && connection.canCloseWithNewest
   }
 
-  private refuseMalformed (req: IncomingMessage, res: PipelinedResponse, failure: Failure): void {
+  private refuse (req: IncomingMessage, res: PipelinedResponse, failure: Failure): void {
     this.options.onRefused(failure.name)
     writeRefusal(req, res, failure, { requestId: this.options.createRequestId(), close: false, headers: [] })
   }
--- a/src/entry/EntryGateway.ts
+++ b/src/entry/EntryGateway.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from 'node:http'
 import type { Claims } from '../claim/Claims.js'
 import type { Clock } from '../common/Clock.js'
+import { formatException } from '../common/formatException.js'
 import { CredentialThrottle } from '../common/CredentialThrottle.js'
 import type { DialMap } from '../common/DialMap.js'
 import type { Logger } from '../common/Logger.js'
@@ -122,7 +123,8 @@
       closesConnections: () => state.isLeaving,
       onRequest: (req, res, expectation) => handler.handle(req, res, expectation),
       createRequestId: () => ids.create(),
-      onRefused: (name) => metrics.refused(name, '', '')
+      onRefused: (name) => metrics.refused(name, '', ''),
+      onException: (error) => logger.error('request-failed', { error: formatException(error) })
     })
   }
 
@@ -134,7 +136,8 @@
       closesConnections: () => this.state.isLeaving,
       onRequest: (req, res: ServerResponse) => handler.handle(req, res),
       createRequestId: () => '',
-      onRefused: () => {}
+      onRefused: () => {},
+      onException: (error) => this.options.logger.error('request-failed', { error: formatException(error) })
     })
   }
 }
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -296,7 +296,8 @@
       onRefused: (name) => {
         metrics.recordRefusal(name, '')
         this.options.rejected.record(InputEdge.caller, 'request-malformed', { code: name })
-      }
+      },
+      onException: (error) => this.log.error('request-failed', { error: formatException(error) })
     })
   }
 
--- a/test/catalog/CatalogFollower.test.ts
+++ b/test/catalog/CatalogFollower.test.ts
@@ -14,12 +14,13 @@
 
 async function withFollower (
   run: (store: StoreServer, catalog: Catalog, health: StoreHealth) => Promise<void>,
-  table: CatalogTable = 'orders'
+  table: CatalogTable = 'orders',
+  onChange: () => void = () => {}
 ): Promise<void> {
   const store = new StoreServer()
   const logger = new MemoryLogger()
   const client = new HttpCatalogStore(await store.listen(), createRejectedInput(logger))
-  const catalog = new Catalog(() => {})
+  const catalog = new Catalog(onChange)
   const health = new StoreHealth()
   const follower = new CatalogFollower(table, {
     store: client, catalog, health, clock: new SystemClock(), logger, random: () => 0.5, shouldRead: () => true, getReaderPlace: () => ({ index: 0, count: 1 })
@@ -85,3 +86,16 @@
     expect((store.calls.get('/v1/rows-feed') ?? 0) - before <= 2 + spanMs / catalogLimits.batchMs.endpoints).toEqual(true)
   }, 'endpoints')
 })
+
+// Guards against a host that gets no further changes because one of them could not be applied.
+test('a table is followed further after an exception', async () => {
+  let changes = 0
+  await withFollower(async (store, catalog) => {
+    await waitUntil(() => changes === 1)
+    store.tables.put('op', 'evacuate/north-a', {})
+    await waitUntil(() => catalog.entries('orders').length === 1)
+  }, 'orders', () => {
+    changes += 1
+    throw new Error('planted')
+  })
+})
--- a/test/entry/DrainableHttpServerTimeouts.test.ts
+++ b/test/entry/DrainableHttpServerTimeouts.test.ts
@@ -20,7 +20,8 @@
     limits: { maxConnections: 10, maxHeaderBytes: 16_384, headersTimeoutMs: 60_000, idleTimeoutMs: 60_000 },
     onRequest: (_req, res) => { res.end('whole') },
     createRequestId: () => 'r-1',
-    onRefused: () => {}
+    onRefused: () => {},
+    onException: () => {}
   })
   await front.listen(address, port)
   front.setTimeouts({ idleTimeoutMs, headerTimeoutMs })
