Lower the bound on the chunks of a buffered response

Cause: 65,536 chunks of one response take the event loop long enough that other requests miss the route's timeout of 1 s on a busy machine.

The test is unchanged.

--- a/src/entry/entryLimits.ts
+++ b/src/entry/entryLimits.ts
@@ -5,7 +5,7 @@
   /** Bodies and responses up to this many bytes are buffered completely, so that an attempt can be repeated. */
   maxBufferedBytes: 65_536,
   /** Number of chunks of a buffered response above which the attempt fails; each chunk costs processor time however small it is. */
-  maxBufferedChunks: 65_536,
+  maxBufferedChunks: 8_192,
   /** Maximum number of interim responses (1xx) to one request. */
   maxInterimResponses: 16,
   /** Maximum time in ms between body bytes; then the request fails as too slow. */
