--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -17,9 +17,7 @@
 import { InputEdge } from '../common/InputEdge.js'
 import type { Logger } from '../common/Logger.js'
 import { Scheduler } from '../common/Scheduler.js'
-import { System } from '../common/System.js'
 import { EndpointTable } from '../endpoints/EndpointTable.js'
-import { applyBreakReports } from '../endpoints/applyBreakReports.js'
 import { DrainableHttpServer } from '../entry/DrainableHttpServer.js'
 import { HttpUpstreamClient } from '../entry/HttpUpstreamClient.js'
 import { ServiceRequestRate } from '../placing/ServiceRequestRate.js'
@@ -36,6 +34,7 @@
 import type { RejectedInput } from '../metrics/RejectedInput.js'
 import type { HostSettings } from './HostSettings.js'
 import { HostStatus } from './HostStatus.js'
+import { MaintenanceSystem } from './MaintenanceSystem.js'
 import { RequestHandler } from './RequestHandler.js'
 import { RequestLog } from './RequestLog.js'
 import { AuxiliaryPorts } from './AuxiliaryPorts.js'
@@ -141,7 +140,7 @@
     this.endpointSelector = this.createEndpointSelector()
     this.retries = new ServiceRetryBudget(() => this.settings.bounds, () => this.countKnownHosts())
     const metrics = new HostMetrics(options.registry, clock)
-    this.handler = this.createHandler(metrics)
+    this.handler = this.createHandler(metrics, status)
     this.front = this.createFront(metrics)
     this.auxiliaryPorts = new AuxiliaryPorts({
       listen: settings.listen,
@@ -166,7 +165,7 @@
     const checker = new HealthChecker({ endpoints: this.endpoints, dial, routing: this.routing, httpBinding, clock, logger: createLog('endpoints') })
     this.scheduler = new Scheduler(
       clock,
-      [checker, new MaintenanceSystem((nowMs) => this.runMaintenance(nowMs)), this.createShareSystem()],
+      [checker, this.createMaintenanceSystem(), this.createShareSystem()],
       (system, error) => {
         this.log.error('tick-failed', { system: system.name, error: formatException(error) })
       }
@@ -237,7 +236,7 @@
     }
   }
 
-  private createHandler (metrics: HostMetrics): RequestHandler {
+  private createHandler (metrics: HostMetrics, status: HostStatus): RequestHandler {
     const { clock, httpBinding, random, settings, createModuleLogger: createLog } = this.options
     const { routing, endpointSelector, requestRate, retries } = this
     return new RequestHandler({
@@ -253,7 +252,7 @@
       metrics,
       isSynced: () => this.state.isSynced,
       endpointsVersion: () => this.state.catalog.versionOf(CatalogTable.endpoints),
-      describeConfigAge: () => this.describeConfigAge(),
+      describeConfigAge: () => status.describeConfigAge(),
       log: new RequestLog(clock, createLog('request'), () => metrics.recordSuppressedLine()),
       random
     })
@@ -274,6 +273,11 @@
     })
   }
 
+  private createMaintenanceSystem (): MaintenanceSystem {
+    const { state, endpoints, endpointSelector, peers, log } = this
+    return new MaintenanceSystem({ state, endpoints, endpointSelector, peers, logger: log })
+  }
+
   private createShareSystem (): LocalShareSystem {
     const { endpoints, peers, requestRate, shares, state } = this
     const { isFirstStart } = this.options.settings
@@ -301,27 +305,6 @@
     })
   }
 
-  private runMaintenance (nowMs: number): void {
-    this.state.expireMissingEndpoints(nowMs)
-    this.endpointSelector.retain((endpoint) => this.endpoints.get(endpoint) !== undefined)
-    const sums = this.peers.sumLoads(nowMs)
-    for (const row of this.endpoints) row.peerInFlight = sums.get(row.record.id) ?? 0
-    for (const [endpoint, reports] of this.peers.sumBreaks(nowMs)) {
-      const row = this.endpoints.get(endpoint)
-      if (row !== undefined && applyBreakReports(row, reports, nowMs)) this.log.info('endpoint-reported', { endpoint, ...reports, ownBreaks: row.breaks })
-    }
-  }
-
-  /** The age of the last news from the store is -1 while this host can't reach it, or when it receives the tables from others. */
-  private describeConfigAge (): { configAgeMs: number, storeAgeMs: number } {
-    const nowMs = this.options.clock.nowMs()
-    const storeAgeMs = this.health.sinceLastSuccessMs(nowMs)
-    return {
-      configAgeMs: Math.round(this.state.catalog.ageOf(CatalogTable.orders, nowMs)),
-      storeAgeMs: storeAgeMs === Infinity ? -1 : Math.round(storeAgeMs)
-    }
-  }
-
   /** Lists the hosts that can serve callers now, including this one when it is ready. */
   private listServing (): HostRecord[] {
     const serving = this.peers.listAlive(this.options.clock.nowMs())
@@ -344,19 +327,6 @@
   }
 }
 
-/** Runs the periodic maintenance of the host's tables. */
-class MaintenanceSystem extends System {
-  override readonly name = 'upkeep'
-
-  constructor (private readonly keepUp: (nowMs: number) => void) {
-    super()
-  }
-
-  override run (nowMs: number): void {
-    this.keepUp(nowMs)
-  }
-}
-
 async function sleep (ms: number): Promise<void> {
   await new Promise((resolve) => setTimeout(resolve, ms))
 }
--- a/src/host/HostStatus.ts
+++ b/src/host/HostStatus.ts
@@ -1,3 +1,4 @@
+import { CatalogTable } from '../catalog/CatalogTable.js'
 import type { StoreHealth } from '../catalog/StoreHealth.js'
 import type { Clock } from '../common/Clock.js'
 import { endpointLimits } from '../endpoints/endpointLimits.js'
@@ -41,7 +42,14 @@
     }
   }
 
-  /** Returns the time in ms since the last successful call to the store, or -1 while it is unreachable. */
+  /** Returns how old the configuration and the last successful call to the store are, for log lines. */
+  describeConfigAge (): { configAgeMs: number, storeAgeMs: number } {
+    const { clock, state } = this.options
+    const nowMs = clock.nowMs()
+    return { configAgeMs: Math.round(state.catalog.ageOf(CatalogTable.orders, nowMs)), storeAgeMs: this.readStoreAge(nowMs) }
+  }
+
+  /** Returns the time in ms since the last successful call to the store; -1 while it is unreachable and before the first call. */
   private readStoreAge (nowMs: number): number {
     const ageMs = this.options.health.sinceLastSuccessMs(nowMs)
     return ageMs === Infinity ? -1 : Math.round(ageMs)
--- /dev/null
+++ b/src/host/MaintenanceSystem.ts
@@ -0,0 +1,47 @@
+import type { Logger } from '../common/Logger.js'
+import { System } from '../common/System.js'
+import { applyBreakReports } from '../endpoints/applyBreakReports.js'
+import type { EndpointTable } from '../endpoints/EndpointTable.js'
+import type { PeerTable } from '../peers/PeerTable.js'
+import type { EndpointSelector } from '../placing/EndpointSelector.js'
+import type { ClusterState } from './ClusterState.js'
+
+/** Tables that are maintained. */
+interface MaintenanceOptions {
+  readonly state: ClusterState
+  readonly endpoints: EndpointTable
+  readonly endpointSelector: EndpointSelector
+  readonly peers: PeerTable
+  readonly logger: Logger
+}
+
+/** Removes lapsed endpoints and applies the loads and failures that other hosts report. */
+export class MaintenanceSystem extends System {
+  override readonly name = 'upkeep'
+
+  constructor (private readonly options: MaintenanceOptions) {
+    super()
+  }
+
+  override run (nowMs: number): void {
+    const { state, endpoints, endpointSelector } = this.options
+    state.expireMissingEndpoints(nowMs)
+    endpointSelector.retain((endpoint) => endpoints.get(endpoint) !== undefined)
+    this.applyLoads(nowMs)
+    this.applyBreaks(nowMs)
+  }
+
+  private applyLoads (nowMs: number): void {
+    const { endpoints, peers } = this.options
+    const sums = peers.sumLoads(nowMs)
+    for (const row of endpoints) row.peerInFlight = sums.get(row.record.id) ?? 0
+  }
+
+  private applyBreaks (nowMs: number): void {
+    const { endpoints, peers, logger } = this.options
+    for (const [endpoint, reports] of peers.sumBreaks(nowMs)) {
+      const row = endpoints.get(endpoint)
+      if (row !== undefined && applyBreakReports(row, reports, nowMs)) logger.info('endpoint-reported', { endpoint, ...reports, ownBreaks: row.breaks })
+    }
+  }
+}
