Add a fuzzer for entries, responses and requests

Not done: pages of the store, heartbeats, frames, settings, whole processes, bounds on memory and event-loop delay.

--- /dev/null
+++ b/dev/fuzz/ResponseFuzzEdge.ts
@@ -0,0 +1,120 @@
+import { validateHeaderName, validateHeaderValue } from 'node:http'
+import { createServer } from 'node:net'
+import type { AddressInfo, Server, Socket } from 'node:net'
+import * as fc from 'fast-check'
+import { PlatformHttpBinding } from '../../platform/PlatformHttpBinding.js'
+import { DialMap } from '../../src/common/DialMap.js'
+import { SystemClock } from '../../src/common/SystemClock.js'
+import { findHeader } from '../../src/entry/findHeader.js'
+import { HttpUpstreamClient } from '../../src/entry/HttpUpstreamClient.js'
+import { RequestBody } from '../../src/entry/RequestBody.js'
+import type { UpstreamResponse } from '../../src/entry/UpstreamResponse.js'
+import { FuzzEdge } from './FuzzEdge.js'
+import { mutateText } from './mutateText.js'
+import { splitText } from './splitText.js'
+
+/** What an endpoint writes in answer to one request, and how. `ID` in the text stands for the id of the request. */
+interface ResponseInput {
+  readonly text: string
+  /** Places at which the text is split into writes. */
+  readonly places: readonly number[]
+  readonly closes: boolean
+  readonly usesNewConnection: boolean
+}
+
+/** Time in ms after which an exchange is cancelled, as at a deadline. */
+const deadlineMs = 50
+/** Time in ms within which a cancelled exchange must end. */
+const endMs = 2_000
+const maxBufferedBytes = 10_000
+
+const statusLines = fc.constantFrom(
+  'HTTP/1.1 200 OK', 'HTTP/1.1 503 Full', 'HTTP/1.1 204 Empty', 'HTTP/1.1 100 Continue', 'HTTP/1.1 101 Switch', 'HTTP/1.1 020 0OK', 'HTTP/1.1 999 Odd', 'HTTP/1.0 200 OK')
+const headers = fc.constantFrom('X-Request-Id: ID', 'X-Request-Id: other', 'X-Server-Signature: s', 'X-Not-Executed: full', 'Connection: close', 'X Odd: 1', ': 1', 'X-A: \u00e9')
+const bodies = fc.constantFrom('\r\n', 'Content-Length: 0\r\n\r\n', 'Content-Length: 4\r\n\r\nbody', 'Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n', `Transfer-Encoding: chunked\r\n\r\n${'1\r\nx\r\n'.repeat(9_000)}`)
+const response = fc.tuple(statusLines, fc.array(headers, { maxLength: 4 }), bodies).map(([line, list, body]) => `${line}\r\n${list.map((header) => `${header}\r\n`).join('')}${body}`)
+
+/** Responses of endpoints: each request ends, and a response that is passed on is its own and can be written. */
+export class ResponseFuzzEdge extends FuzzEdge<ResponseInput> {
+  override readonly name = 'responses'
+  override readonly inputs = fc.record({
+    text: mutateText(fc.array(response, { minLength: 1, maxLength: 3 }).map((list) => list.join(''))),
+    places: fc.array(fc.double({ min: 0, max: 1, noNaN: true }), { maxLength: 3 }),
+    closes: fc.boolean(),
+    usesNewConnection: fc.boolean()
+  })
+
+  private readonly binding = new PlatformHttpBinding()
+  private readonly sockets = new Set<Socket>()
+  private server!: Server
+  private client!: HttpUpstreamClient
+  private current: ResponseInput | undefined
+  private requests = 0
+
+  override async open (): Promise<void> {
+    this.server = createServer((socket) => this.accept(socket))
+    await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve))
+    const policy = { connectTimeoutMs: 500, maxBufferedBytes, acceptsUnframedResponse: true, retriesStaleConnection: false }
+    this.client = new HttpUpstreamClient({ dial: new DialMap(), clock: new SystemClock(), maxIdle: 4, policy })
+  }
+
+  override async check (input: ResponseInput): Promise<void> {
+    this.current = input
+    const id = `q-${this.requests++}`
+    const call = this.client.start({
+      address: `127.0.0.1:${(this.server.address() as AddressInfo).port}`,
+      method: 'GET',
+      path: '/',
+      headers: ['X-Request-Id', id],
+      body: new RequestBody(Buffer.alloc(0), 0, undefined, 0),
+      needsNewConnection: input.usesNewConnection,
+      isMatchingResponse: (list, isReused) => this.binding.isAnswerTo(id, list, isReused),
+      mayWrite: () => true,
+      reserveBytes: () => 0
+    })
+    const deadline = setTimeout(() => call.cancel('timeout'), deadlineMs)
+    const result = await Promise.race([call.response, sleep(endMs)])
+    clearTimeout(deadline)
+    if (result === undefined) throw new Error('the exchange did not end')
+    if (result.isErr() && result.error.exception !== undefined) throw new Error(`an exception ended the exchange: ${result.error.exception}`)
+    if (result.isOk()) checkWritable(result.value, id)
+    if (result.isOk() && result.value.stream !== undefined) call.cancel('cancelled')
+  }
+
+  override async close (): Promise<void> {
+    this.client.close()
+    for (const socket of this.sockets) socket.destroy()
+    this.server.close()
+  }
+
+  private accept (socket: Socket): void {
+    this.sockets.add(socket)
+    socket.on('error', () => {})
+    socket.on('close', () => this.sockets.delete(socket))
+    socket.on('data', (chunk) => {
+      const id = /^x-request-id: (.*)$/im.exec(chunk.toString('latin1'))?.[1] ?? ''
+      const { text, places, closes } = this.current!
+      const parts = splitText(text.replaceAll('ID', id), places)
+      const write = (): void => {
+        const part = parts.shift()
+        if (part !== undefined && !socket.destroyed) socket.write(part, 'latin1', () => setImmediate(write))
+        else if (closes) socket.end()
+      }
+      write()
+    })
+  }
+}
+
+function checkWritable ({ status, headers: list }: UpstreamResponse, id: string): void {
+  if (status < 200 || status > 599) throw new Error(`status ${status} can't be passed on`)
+  for (let index = 0; index < list.length; index += 2) {
+    validateHeaderName(list[index]!)
+    validateHeaderValue(list[index]!, list[index + 1]!)
+  }
+  const echoedId = findHeader(list, 'x-request-id') ?? id
+  if (echoedId !== id) throw new Error(`the response to ${echoedId} was passed on for ${id}`)
+}
+
+async function sleep (ms: number): Promise<undefined> {
+  return await new Promise((resolve) => setTimeout(() => resolve(undefined), ms).unref())
+}
