Let one piece of code serve where the change had written a twin

HttpExchange lost a second function that settled a failure and a stored resolver that only the constructor needs; a comment stood one line too high. The doc of the requests edge promised more than its check: it says now that responses come in order and no request is left over.

--- a/dev/fuzz/RequestFuzzEdge.ts
+++ b/dev/fuzz/RequestFuzzEdge.ts
@@ -12,6 +12,7 @@
 import { FuzzEdge } from './FuzzEdge.js'
 import { mutateText } from './mutateText.js'
 import { splitText } from './splitText.js'
+import { writeParts } from './writeParts.js'
 
 /** What a caller writes on one connection, and the places at which it is split into writes. */
 interface RequestInput {
@@ -23,6 +24,8 @@
 const port = 8_090
 /** Time in ms for which the caller waits for further responses before it leaves. */
 const quietMs = 15
+/** Time in ms without progress after which the caller leaves although it has more to write. */
+const writeLimitMs = 150
 /** Time in ms within which nothing may be left of a connection that has ended. */
 const releaseMs = 2_000
 const maxBodyBytes = 1_000
@@ -33,7 +36,7 @@
 const request = fc.tuple(fc.constantFrom('GET', 'POST', 'HEAD'), targets, fc.array(heads, { maxLength: 3 }), framings)
   .map(([method, target, list, framing]) => `${method} ${target} HTTP/1.1\r\nHost: x\r\n${list.map((header) => `${header}\r\n`).join('')}${framing}`)
 
-/** Requests of callers: what the server hands on can be sent to an endpoint, and every request read gets one response in its order. */
+/** Requests of callers: what the server hands on can be sent to an endpoint, responses come in order, and no request is left over. */
 export class RequestFuzzEdge extends FuzzEdge<RequestInput> {
   override readonly name = 'requests'
   override readonly inputs = fc.record({
@@ -42,7 +45,7 @@
   })
 
   private server!: DrainableHttpServer
-  /** Numbers of the requests of the current connection that were handed on. */
+  /** Number of requests of the current connection that were handed on. */
   private handled = 0
   private failure: Error | undefined
 
@@ -95,11 +98,11 @@
     res.end()
   }
 
-  private async exchange (parts: string[]): Promise<string> {
+  private async exchange (parts: readonly string[]): Promise<string> {
     return await new Promise((resolve) => {
       const socket = connect(port, address)
       let received = ''
-      let timer = setTimeout(() => socket.destroy(), 10 * quietMs)
+      let timer = setTimeout(() => socket.destroy(), writeLimitMs)
       socket.on('error', () => {})
       socket.on('data', (chunk: Buffer) => {
         received += chunk.toString('latin1')
@@ -109,15 +112,10 @@
         clearTimeout(timer)
         resolve(received)
       })
-      const write = (): void => {
-        const part = parts.shift()
-        if (part !== undefined && socket.writable) socket.write(part, 'latin1', () => setImmediate(write))
-        else {
-          clearTimeout(timer)
-          timer = setTimeout(() => socket.destroy(), quietMs)
-        }
-      }
-      write()
+      writeParts(socket, parts, () => {
+        clearTimeout(timer)
+        timer = setTimeout(() => socket.destroy(), quietMs)
+      })
     })
   }
 }
--- a/dev/fuzz/ResponseFuzzEdge.ts
+++ b/dev/fuzz/ResponseFuzzEdge.ts
@@ -12,6 +12,7 @@
 import { FuzzEdge } from './FuzzEdge.js'
 import { mutateText } from './mutateText.js'
 import { splitText } from './splitText.js'
+import { writeParts } from './writeParts.js'
 
 /** What an endpoint writes in answer to one request, and how. `ID` in the text stands for the id of the request. */
 interface ResponseInput {
@@ -94,13 +95,7 @@
     socket.on('data', (chunk) => {
       const id = /^x-request-id: (.*)$/im.exec(chunk.toString('latin1'))?.[1] ?? ''
       const { text, places, closes } = this.current!
-      const parts = splitText(text.replaceAll('ID', id), places)
-      const write = (): void => {
-        const part = parts.shift()
-        if (part !== undefined && !socket.destroyed) socket.write(part, 'latin1', () => setImmediate(write))
-        else if (closes) socket.end()
-      }
-      write()
+      writeParts(socket, splitText(text.replaceAll('ID', id), places), () => { if (closes) socket.end() })
     })
   }
 }
--- a/dev/slopes/measureMemberMemory.ts
+++ b/dev/slopes/measureMemberMemory.ts
@@ -1,6 +1,7 @@
 import { MemberTable } from '../../src/membership/MemberTable.js'
 import { createSlopeDigest } from './createSlopeDigest.js'
 import { createSlopeHosts } from './createSlopeHosts.js'
+import { readHeap } from './readHeap.js'
 import type { TargetedSeries } from './TargetedSeries.js'
 
 const sizes = [500, 1_000, 2_000, 4_000]
@@ -28,9 +29,3 @@
   if (table.size < size) throw new Error(`the table kept ${table.size} of ${size} rows`)
   return used
 }
-
-function readHeap (): number {
-  if (globalThis.gc === undefined) throw new Error('run with --expose-gc')
-  globalThis.gc()
-  return process.memoryUsage().heapUsed
-}
--- a/dev/slopes/measureRankingMemory.ts
+++ b/dev/slopes/measureRankingMemory.ts
@@ -1,5 +1,6 @@
 import { EndpointTable } from '../../src/endpoints/EndpointTable.js'
 import { AffinityRanking } from '../../src/placing/AffinityRanking.js'
+import { readHeap } from './readHeap.js'
 import type { TargetedSeries } from './TargetedSeries.js'
 
 const sizes = [1_000, 5_000, 20_000]
@@ -31,9 +32,3 @@
   }
   return Math.max(largest, readHeap() - before)
 }
-
-function readHeap (): number {
-  if (globalThis.gc === undefined) throw new Error('run with --expose-gc')
-  globalThis.gc()
-  return process.memoryUsage().heapUsed
-}
--- a/dev/slopes/measureShares.ts
+++ b/dev/slopes/measureShares.ts
@@ -5,6 +5,7 @@
 import type { ConfigDoc } from '../../src/model/ConfigDoc.js'
 import type { Contract } from '../../src/model/Contract.js'
 import { ShareService } from '../../src/share/ShareService.js'
+import { readHeap } from './readHeap.js'
 import type { TargetedSeries } from './TargetedSeries.js'
 
 /** Numbers of customers that send requests to one host within the same second. */
@@ -96,9 +97,3 @@
   const zones = hosts.map(({ zone }) => ({ name: zone, region: 'region' }))
   return { lineage: 'slopes', version: 1, zones, hosts, services: [], endpoints: [], links: [], objective: { latency: 1, headroom: 0 }, contracts, drains: [], priorCaps: [] }
 }
-
-function readHeap (): number {
-  if (globalThis.gc === undefined) throw new Error('run with --expose-gc')
-  globalThis.gc()
-  return process.memoryUsage().heapUsed
-}
--- a/dev/soak.ts
+++ b/dev/soak.ts
@@ -1,8 +1,9 @@
 import { mkdtempSync, rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { Command, InvalidArgumentError } from 'commander'
+import { Command } from 'commander'
 import { groupBy } from './common/groupBy.js'
+import { readPositive } from './common/readPositive.js'
 import { runSoak } from './soak/runSoak.js'
 import { soakSeeds } from './soak/soakSeeds.js'
 
@@ -25,12 +26,6 @@
 /** Findings of one promise that are printed; their number is printed with them. */
 const shownPerPromise = 3
 
-function readPositive (text: string): number {
-  const value = Number(text)
-  if (!Number.isFinite(value) || value <= 0) throw new InvalidArgumentError('must be a number above 0')
-  return value
-}
-
 const args = new Command('soak')
   .description('Runs host processes with stand-ins and injects faults at random; exits with 1 when a promise was broken.')
   .option('--seed <n>', 'first seed of the faults and of the callers', readPositive, 1)
--- a/src/config/fieldSchemas.ts
+++ b/src/config/fieldSchemas.ts
@@ -1,5 +1,6 @@
 import { isIPv4 } from 'node:net'
 import { z } from 'zod'
+import { isAddress } from '../common/isAddress.js'
 
 const maxNameLength = 63
 const sha256Hex = /^[0-9a-f]{64}$/i
@@ -18,9 +19,3 @@
   share: z.number().min(0, 'must be from 0 to 1').max(1, 'must be from 0 to 1'),
   timeMs: z.int().min(1).max(86_400_000)
 }
-
-function isAddress (text: string): boolean {
-  const [ip, port, ...rest] = text.split(':')
-  const validPort = /^[1-9]\d{0,4}$/.test(port ?? '') && Number(port) <= 65_535
-  return rest.length === 0 && isIPv4(ip ?? '') && validPort
-}
--- a/src/entry/HttpExchange.ts
+++ b/src/entry/HttpExchange.ts
@@ -8,7 +8,6 @@
 import type { Destination } from '../common/Destination.js'
 import { formatException } from '../common/formatException.js'
 import { guardCallback } from '../common/guardCallback.js'
-import type { Failure } from '../common/Failure.js'
 import { GrowingBuffer } from '../common/GrowingBuffer.js'
 import { Outcome } from '../common/Outcome.js'
 import type { ResultName } from '../common/ResultName.js'
@@ -58,13 +57,13 @@
 
   constructor (
     private readonly request: UpstreamRequest,
-    private readonly resolveDestination: DestinationResolver,
+    resolveDestination: DestinationResolver,
     private readonly agent: Agent,
     private readonly policy: ExchangePolicy
   ) {
     this.response = new Promise((resolve) => { this.resolve = resolve })
     this.guard(() => {
-      this.destination = this.resolveDestination(request.address)
+      this.destination = resolveDestination(request.address)
       if (request.needsNewConnection) this.connectFresh()
       else this.send(undefined)
     })()
@@ -73,7 +72,7 @@
   private guard<Args extends unknown[]> (callback: (...args: Args) => void): (...args: Args) => void {
     return guardCallback(callback, (error) => {
       const outcome = this.mayHaveSent ? Outcome.unknown : Outcome.notRun
-      this.settleFailure({ failure: createFailure('internal', { outcome }), result: AttemptResult.cancelled, exception: formatException(error) })
+      this.failWith({ failure: createFailure('internal', { outcome }), result: AttemptResult.cancelled, exception: formatException(error) })
       this.destroy()
     })
   }
@@ -156,7 +155,7 @@
       target: outgoing,
       reserveBytes: this.request.reserveBytes,
       onFailure: (failure) => {
-        this.failWith(failure, AttemptResult.cancelled)
+        this.failWith({ failure, result: AttemptResult.cancelled })
         this.destroy()
       }
     })
@@ -223,8 +222,8 @@
     const hasRoom = this.received.length <= this.policy.maxBufferedBytes
     if (hasRoom && this.receivedChunks <= entryLimits.maxBufferedChunks) return
     const incoming = this.incoming!
-    // After the first bytes of an unframed response were forwarded, a reset could no longer be reported instead of its end.
     if (hasRoom) return this.reject('response-chunks-too-many', 'upstreamTruncated')
+    // After the first bytes of an unframed response were forwarded, a reset could no longer be reported instead of its end.
     if (this.isUnframed) return this.reject('response-unframed-too-long', 'upstreamTruncated')
     incoming.off('data', this.onData)
     incoming.off('end', this.onEnd)
@@ -268,14 +267,10 @@
   }
 
   private fail (name: ResultName, result: AttemptResult): void {
-    this.failWith(createFailure(name, { outcome: this.mayHaveSent ? Outcome.unknown : Outcome.notRun }), result)
-  }
-
-  private failWith (failure: Failure, result: AttemptResult): void {
-    this.settleFailure({ failure, result })
+    this.failWith({ failure: createFailure(name, { outcome: this.mayHaveSent ? Outcome.unknown : Outcome.notRun }), result })
   }
 
-  private settleFailure (attemptFailure: AttemptFailure): void {
+  private failWith (attemptFailure: AttemptFailure): void {
     if (this.isSettled) return
     this.isSettled = true
     this.received.clear()
