Show for how long a host's copy of a table may miss changes

A host could not tell 'nothing has changed' from 'I hear nothing', and neither could an engineer from its logs: config-applied and endpoint-leaving come only with a change, and the age of the last call to the store was one figure for all tables. Heartbeats now carry the age of the sender's last successful call by table (absent from earlier releases: no proof). A host counts a peer's call only from a reply, since a request may have been under way for any time, and only when it has all changes that the peer has. New: gauge shunt_table_unconfirmed_ms by table, lines table-stale and table-confirmed, unconfirmedMs in refusals without a route.

--- a/src/catalog/CatalogFollower.ts
+++ b/src/catalog/CatalogFollower.ts
@@ -112,7 +112,7 @@
       this.needsFullRead = true
       return 0
     }
-    if (health.recordFailure()) logger.warn('store-lost', { table: this.table, kind: failure.kind, reason: failure.message })
+    if (health.recordFailure(this.table)) logger.warn('store-lost', { table: this.table, kind: failure.kind, reason: failure.message })
     const pauseMs = this.backoffMs * (0.5 + random())
     this.backoffMs = Math.min(catalogLimits.maxBackoffMs, this.backoffMs * 2)
     return pauseMs
--- /dev/null
+++ b/src/catalog/TableFreshnessSystem.ts
@@ -0,0 +1,47 @@
+import type { Logger } from '../common/Logger.js'
+import { System } from '../common/System.js'
+import { catalogLimits } from './catalogLimits.js'
+import { CatalogTable } from './CatalogTable.js'
+
+/** Inputs of the log lines. */
+interface TableFreshnessOptions {
+  /** Returns for how long in ms the local copy of a table may miss changes. */
+  readonly getAgeMs: (table: CatalogTable, nowMs: number) => number
+  readonly logger: Logger
+}
+
+/** Logs when the local copy of a table becomes stale, and when it is known to be complete again. */
+export class TableFreshnessSystem extends System {
+  override readonly name = 'freshness'
+  /** Time at which each stale table became stale. */
+  private readonly staleSince = new Map<CatalogTable, number>()
+  /** Tables that have been complete before, so that a start isn't logged as staleness. */
+  private readonly confirmed = new Set<CatalogTable>()
+
+  constructor (private readonly options: TableFreshnessOptions) {
+    super()
+  }
+
+  override run (nowMs: number): void {
+    for (const table of Object.values(CatalogTable)) this.check(table, nowMs)
+  }
+
+  private check (table: CatalogTable, nowMs: number): void {
+    const ageMs = this.options.getAgeMs(table, nowMs)
+    if (ageMs < catalogLimits.staleAfterMs[table]) this.recordFresh(table, nowMs)
+    else if (this.confirmed.delete(table)) this.recordStale(table, ageMs, nowMs)
+  }
+
+  private recordFresh (table: CatalogTable, nowMs: number): void {
+    this.confirmed.add(table)
+    const sinceMs = this.staleSince.get(table)
+    if (sinceMs === undefined) return
+    this.staleSince.delete(table)
+    this.options.logger.info('table-confirmed', { table, staleMs: Math.round(nowMs - sinceMs) })
+  }
+
+  private recordStale (table: CatalogTable, ageMs: number, nowMs: number): void {
+    this.staleSince.set(table, nowMs)
+    this.options.logger.warn('table-stale', { table, unconfirmedMs: Number.isFinite(ageMs) ? Math.round(ageMs) : -1 })
+  }
+}
--- a/src/catalog/catalogLimits.ts
+++ b/src/catalog/catalogLimits.ts
@@ -13,6 +13,11 @@
   readersPerRegion: 2,
   /** Time in ms since the readers' last successful store call after which every host reads the store itself. */
   readerTimeoutMs: 13_000,
+  /**
+   * Time in ms without a call to the store by any host, as far as this host knows, after which the local copy of a table counts
+   * as stale. Hosts must have all changes 4 s after connections fell silent, and repeating a call takes part of that.
+   */
+  staleAfterMs: { orders: 3_000, endpoints: 3_000, hosts: 13_000 },
   /** Time in ms between checks whether a host has become a reader. */
   readerCheckMs: 100,
   /**
--- a/src/host/HostMetrics.ts
+++ b/src/host/HostMetrics.ts
@@ -1,5 +1,6 @@
 import { Counter, Gauge } from 'prom-client'
 import type { Registry } from 'prom-client'
+import { CatalogTable } from '../catalog/CatalogTable.js'
 import type { Clock } from '../common/Clock.js'
 import { resultCodes } from '../common/resultCodes.js'
 import type { ResultName } from '../common/ResultName.js'
@@ -12,6 +13,8 @@
   readonly countPeers: () => number
   readonly configVersion: () => number
   readonly isStoreDown: () => boolean
+  /** Returns for how long in ms the local copy of a table may miss changes. */
+  readonly getTableAge: (table: CatalogTable) => number
 }
 
 /** Metrics of a host process. */
@@ -58,6 +61,7 @@
     this.addGauge('shunt_peers_alive', 'Other hosts whose last heartbeat is recent', gauges.countPeers)
     this.addGauge('shunt_config_version', 'Version of the configuration in force', gauges.configVersion)
     this.addGauge('shunt_store_down', '1 while the store cannot be reached', () => gauges.isStoreDown() ? 1 : 0)
+    this.addTableAges(gauges.getTableAge)
   }
 
   recordRefusal (name: ResultName, route: string): void {
@@ -77,6 +81,16 @@
     this.suppressed.inc()
   }
 
+  private addTableAges (getTableAge: HostGauges['getTableAge']): void {
+    const gauge: Gauge = new Gauge({
+      name: 'shunt_table_unconfirmed_ms',
+      help: 'Time since the latest call to the store by any host that shows that the local copy of a table is complete',
+      labelNames: ['table'],
+      registers: [this.registry],
+      collect: () => { for (const table of Object.values(CatalogTable)) gauge.set({ table }, getTableAge(table)) }
+    })
+  }
+
   private addGauge (name: string, help: string, read: () => number): void {
     const gauge: Gauge = new Gauge({ name, help, registers: [this.registry], collect: () => gauge.set(read()) })
   }
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -5,6 +5,7 @@
 import type { CatalogStore } from '../catalog/CatalogStore.js'
 import { CatalogTable } from '../catalog/CatalogTable.js'
 import { catalogLimits } from '../catalog/catalogLimits.js'
+import { TableFreshnessSystem } from '../catalog/TableFreshnessSystem.js'
 import type { HostRecord } from '../peers/HostRecord.js'
 import { PeerMesh } from '../peers/PeerMesh.js'
 import { PeerTable } from '../peers/PeerTable.js'
@@ -114,10 +115,11 @@
       state: this.state,
       requestRate: this.requestRate,
       shares: this.shares,
+      getTableAge: (table, nowMs) => this.readers.getTableAge(table, nowMs),
       isReady: () => this.isReady,
       isLeaving: () => this.isLeaving
     })
-    this.readers = new StoreReaders({ self: this.self, peers: this.peers, clock })
+    this.readers = new StoreReaders({ self: this.self, peers: this.peers, health: this.health, clock })
     this.mesh = new PeerMesh({
       self: this.self,
       clusterKey: settings.clusterKey,
@@ -165,7 +167,7 @@
     const checker = new HealthChecker({ endpoints: this.endpoints, dial, routing: this.routing, httpBinding, clock, logger: createLog('endpoints') })
     this.scheduler = new Scheduler(
       clock,
-      [checker, this.createMaintenanceSystem(), this.createShareSystem()],
+      [checker, this.createMaintenanceSystem(), this.createShareSystem(), this.createFreshnessSystem()],
       (system, error) => {
         this.log.error('tick-failed', { system: system.name, error: formatException(error) })
       }
@@ -175,7 +177,8 @@
       countConnections: () => this.front.connections,
       countPeers: () => this.peers.listAlive(clock.nowMs()).length,
       configVersion: () => this.routing.config?.version ?? 0,
-      isStoreDown: () => this.health.isDown
+      isStoreDown: () => this.health.isDown,
+      getTableAge: (table) => this.readers.getTableAge(table, clock.nowMs())
     })
   }
 
@@ -284,6 +287,11 @@
     return new LocalShareSystem({ region: this.self.region, isFirstStart, endpoints, peers, requestRate, shares, evacuated: state.evacuatedZones })
   }
 
+  private createFreshnessSystem (): TableFreshnessSystem {
+    const getAgeMs = (table: CatalogTable, nowMs: number): number => this.readers.getTableAge(table, nowMs)
+    return new TableFreshnessSystem({ getAgeMs, logger: this.options.createModuleLogger('store') })
+  }
+
   private createFront (metrics: HostMetrics): DrainableHttpServer {
     return new DrainableHttpServer({
       clock: this.options.clock,
--- a/src/host/HostStatus.ts
+++ b/src/host/HostStatus.ts
@@ -18,6 +18,8 @@
   readonly state: ClusterState
   readonly requestRate: ServiceRequestRate
   readonly shares: LocalShares
+  /** Returns for how long in ms the local copy of a table may miss changes. */
+  readonly getTableAge: (table: CatalogTable, nowMs: number) => number
   readonly isReady: () => boolean
   readonly isLeaving: () => boolean
 }
@@ -34,6 +36,7 @@
       isReady: isReady(),
       isLeaving: isLeaving(),
       storeAgeMs: this.readStoreAge(nowMs),
+      tableAges: this.readTableAges(nowMs),
       isStoreSettled: state.isStoreSettled(nowMs),
       loads: this.listLoads(region),
       breaks: this.listBreaks(nowMs),
@@ -42,17 +45,26 @@
     }
   }
 
-  /** Returns how old the configuration and the last successful call to the store are, for log lines. */
-  describeConfigAge (): { configAgeMs: number, storeAgeMs: number } {
-    const { clock, state } = this.options
+  /** Returns for log lines how old the configuration is, for how long it may miss changes, and the age of the last successful call to the store. */
+  describeConfigAge (): { configAgeMs: number, unconfirmedMs: number, storeAgeMs: number } {
+    const { clock, state, getTableAge } = this.options
     const nowMs = clock.nowMs()
-    return { configAgeMs: Math.round(state.catalog.ageOf(CatalogTable.orders, nowMs)), storeAgeMs: this.readStoreAge(nowMs) }
+    return {
+      configAgeMs: Math.round(state.catalog.ageOf(CatalogTable.orders, nowMs)),
+      unconfirmedMs: toReportedAge(getTableAge(CatalogTable.orders, nowMs)),
+      storeAgeMs: this.readStoreAge(nowMs)
+    }
   }
 
   /** Returns the time in ms since the last successful call to the store; -1 while it is unreachable and before the first call. */
   private readStoreAge (nowMs: number): number {
-    const ageMs = this.options.health.sinceLastSuccessMs(nowMs)
-    return ageMs === Infinity ? -1 : Math.round(ageMs)
+    return toReportedAge(this.options.health.sinceLastSuccessMs(nowMs))
+  }
+
+  private readTableAges (nowMs: number): Heartbeat['tableAges'] {
+    const ages = { orders: -1, endpoints: -1, hosts: -1 }
+    for (const table of Object.values(CatalogTable)) ages[table] = toReportedAge(this.options.health.tableAgeMs(table, nowMs))
+    return ages
   }
 
   /** Lists requests in flight by endpoint. Hosts of other regions receive only those at endpoints of their region. */
@@ -72,3 +84,8 @@
       .map((row) => [row.record.id, row.breaks] as const)
   }
 }
+
+/** Rounds an age in ms; -1 stands for an infinite one. */
+function toReportedAge (ageMs: number): number {
+  return ageMs === Infinity ? -1 : Math.round(ageMs)
+}
--- a/src/peers/Heartbeat.ts
+++ b/src/peers/Heartbeat.ts
@@ -9,6 +9,8 @@
   readonly isLeaving: boolean
   /** Time in ms since the sender's last successful call to the store; -1 while the store is unreachable from the sender. */
   readonly storeAgeMs: number
+  /** Time in ms since the sender's last successful call to the store by table; -1 before the first one and while its calls for the table fail. */
+  readonly tableAges: Readonly<Record<CatalogTable, number>>
   /** True when entries that are missing from the store were removed, and did not merely lapse during an outage that has just ended. */
   readonly isStoreSettled: boolean
   /** Versions of the sender's tables. */
--- a/src/peers/PeerMesh.ts
+++ b/src/peers/PeerMesh.ts
@@ -137,7 +137,7 @@
       return
     }
     if (row !== undefined) row.roundTripMs = smoothRoundTrip(row.roundTripMs, this.options.clock.nowMs() - sentAtMs)
-    this.receive(reply.value)
+    this.receive(reply.value, sentAtMs)
   }
 
   private handleRequest (message: Message): Message | undefined {
@@ -145,7 +145,8 @@
     return heartbeat === undefined ? undefined : encodeHeartbeat(this.createHeartbeat(heartbeat.versions, heartbeat.host))
   }
 
-  private receive (message: Message): Heartbeat | undefined {
+  /** `sentAtMs` is the time of this host's request when the message is its reply. */
+  private receive (message: Message, sentAtMs?: number): Heartbeat | undefined {
     const { catalog, clock, peers, logger, rejected } = this.options
     const heartbeat = message.t === 'beat' ? readHeartbeat(message.beat) : undefined
     if (heartbeat === undefined) {
@@ -159,9 +160,18 @@
     row.isReportedDown = false
     this.peerVersions.set(heartbeat.host.name, heartbeat.versions)
     for (const [table, page] of heartbeat.pages) catalog.apply(table, page, nowMs, heartbeat.host.name)
+    if (sentAtMs !== undefined) this.recordContacts(row, heartbeat, sentAtMs)
     return heartbeat
   }
 
+  /** Only a reply bounds how old the peer's state is, since a request may have been under way for any time. */
+  private recordContacts (row: PeerRow, { tableAges, versions }: Heartbeat, sentAtMs: number): void {
+    for (const table of tables) {
+      if (tableAges[table] < 0) row.tableContacts.delete(table)
+      else if (versions[table] <= this.options.catalog.resumeAfter(table)) row.tableContacts.set(table, sentAtMs - tableAges[table])
+    }
+  }
+
   private createHeartbeat (receiverVersions: Heartbeat['versions'] | undefined, receiver: HostRecord | undefined): Heartbeat {
     const { self, catalog, describeSelf } = this.options
     const versions = { orders: 0, endpoints: 0, hosts: 0 }
--- a/src/peers/PeerRow.ts
+++ b/src/peers/PeerRow.ts
@@ -1,3 +1,4 @@
+import type { CatalogTable } from '../catalog/CatalogTable.js'
 import type { HostRecord } from './HostRecord.js'
 
 /** State of another host as this host sees it. Times are monotonic ms. */
@@ -19,6 +20,11 @@
   isStoreSettled: boolean
   /** Time of the peer's last successful call to the store; undefined while the store is unreachable from the peer. */
   lastStoreContactAtMs: number | undefined
+  /**
+   * Time of the peer's latest call to the store by table, as far as this host has all changes that the call returned; tables
+   * whose calls fail are left out.
+   */
+  readonly tableContacts: Map<CatalogTable, number>
   /** Request rate that the peer receives, by service. */
   demands: ReadonlyArray<readonly [service: string, perSecond: number]>
   /** Share of the peer's requests that stay in its region, by service. */
--- a/src/peers/PeerTable.ts
+++ b/src/peers/PeerTable.ts
@@ -96,6 +96,7 @@
     loads: new Map(),
     isStoreSettled: true,
     lastStoreContactAtMs: undefined,
+    tableContacts: new Map(),
     demands: [],
     localShares: [],
     breaks: []
--- a/src/peers/StoreReaders.ts
+++ b/src/peers/StoreReaders.ts
@@ -1,4 +1,6 @@
 import { catalogLimits } from '../catalog/catalogLimits.js'
+import type { CatalogTable } from '../catalog/CatalogTable.js'
+import type { StoreHealth } from '../catalog/StoreHealth.js'
 import type { Clock } from '../common/Clock.js'
 import { chooseReaders } from './chooseReaders.js'
 import type { HostRecord } from './HostRecord.js'
@@ -9,6 +11,8 @@
 interface StoreReadersOptions {
   readonly self: HostRecord
   readonly peers: PeerTable
+  /** This host's own calls to the store. */
+  readonly health: StoreHealth
   readonly clock: Clock
 }
 
@@ -54,6 +58,15 @@
     return isOwnSettled || (connected.length > 0 && connected.every((row) => row.isStoreSettled))
   }
 
+  /**
+   * Returns for how long in ms the local copy of a table may miss changes: the time since the latest call to the store, by any
+   * host, whose changes this host has. Infinite while no host is known to have read the table.
+   */
+  getTableAge (table: CatalogTable, nowMs: number): number {
+    const contacts = [...this.options.peers].map((row) => row.tableContacts.get(table) ?? -Infinity)
+    return Math.min(this.options.health.tableAgeMs(table, nowMs), nowMs - Math.max(...contacts))
+  }
+
   private hasConnectedReader (): boolean {
     return this.listConnectedReaders().length > 0
   }
--- a/src/peers/readHeartbeat.ts
+++ b/src/peers/readHeartbeat.ts
@@ -7,6 +7,8 @@
 const namedNumbers = z.array(z.tuple([z.string(), z.number()]))
 const tables = z.enum(Object.values(CatalogTable) as [CatalogTable, ...CatalogTable[]])
 
+const unknownAges = { orders: -1, endpoints: -1, hosts: -1 }
+
 const schema = z.object({
   host: z.object({
     name: z.string(),
@@ -20,10 +22,12 @@
   isReady: z.boolean(),
   isLeaving: z.boolean(),
   storeAgeMs: z.number(),
+  // Absent from heartbeats of an earlier release during a rolling upgrade.
+  tableAges: z._default(z.object({ orders: z.number(), endpoints: z.number(), hosts: z.number() }), unknownAges),
   isStoreSettled: z.boolean(),
   versions: z.object({ orders: z.number(), endpoints: z.number(), hosts: z.number() }),
   loads: namedNumbers,
-  // Absent from heartbeats of an earlier release during a rolling upgrade.
+  // Absent like the ages.
   breaks: z._default(namedNumbers, []),
   demands: namedNumbers,
   localShares: namedNumbers,
--- a/test/catalog/StoreHealth.test.ts
+++ b/test/catalog/StoreHealth.test.ts
@@ -16,6 +16,6 @@
 test('a start has a result once a call has failed', () => {
   const health = new StoreHealth()
   const before = health.hasStartResult
-  health.recordFailure()
+  health.recordFailure('orders')
   expect([before, health.hasStartResult]).toEqual([false, true])
 })
--- a/test/peers/StoreReaders.test.ts
+++ b/test/peers/StoreReaders.test.ts
@@ -1,6 +1,7 @@
 import { test } from 'node:test'
 import { expect } from 'earl'
 import { ManualClock } from '../../src/common/ManualClock.js'
+import { StoreHealth } from '../../src/catalog/StoreHealth.js'
 import { chooseReaders } from '../../src/peers/chooseReaders.js'
 import type { HostRecord } from '../../src/peers/HostRecord.js'
 import { peerLimits } from '../../src/peers/peerLimits.js'
@@ -22,7 +23,7 @@
 
   constructor (self: string) {
     this.peers = new PeerTable(self)
-    this.readers = new StoreReaders({ self: createRecord(self), peers: this.peers, clock: this.clock })
+    this.readers = new StoreReaders({ self: createRecord(self), peers: this.peers, health: new StoreHealth(), clock: this.clock })
   }
 
   /** Receives a heartbeat from each sender, with the given report about the store. */
@@ -85,6 +86,15 @@
   expect(fixture.readers.isSettled(false)).toEqual(false)
 })
 
+// Guards against a copy that counts as complete though nobody has read its table, or although its own calls alone fail.
+test('the age of a table is that of the latest call by any host', () => {
+  const { readers, peers, clock } = new StoreReadersFixture(other)
+  const row = peers.upsert(createRecord(chosen[0]!))!
+  const before = readers.getTableAge('orders', clock.nowMs())
+  row.tableContacts.set('orders', clock.nowMs() - 700)
+  expect([before, readers.getTableAge('orders', clock.nowMs()), readers.getTableAge('endpoints', clock.nowMs())]).toEqual([Infinity, 700, Infinity])
+})
+
 // Guards against readers whose polls of the store end together.
 test('the readers agree on their places', () => {
   const places = chosen.map((name) => {
--- a/test/support/createHeartbeat.ts
+++ b/test/support/createHeartbeat.ts
@@ -7,6 +7,7 @@
     isReady: true,
     isLeaving: false,
     storeAgeMs: 0,
+    tableAges: { orders: 0, endpoints: 0, hosts: 0 },
     isStoreSettled: true,
     versions: { orders: 1, endpoints: 1, hosts: 1 },
     loads: [],
