Spread the polls of the readers by the store's clock, so that a common start doesn't leave them in step (CONFIG, DENIED, DRAIN, HOME)

Callers saw routes that were confirmed refused with 404, requests run by the old service, outside of the allowed regions and at endpoints that had left, at several hosts at once. Cause: connections to the store that fall silent are found out when a poll ends. spread the ends of the readers' polls, but counted from the last change of the table or the start of the process. Hosts start within 0.3 s of each other and know no other reader at that moment, so until the table's first change all polls ended together, and after a rolling restart at times of chance. While they hung no host had anything newer to forward. The older test of silent connections wrote a change first ('all polls begin anew'), which hid it. Mend: a reader's turn is a time of the store's clock (now_s of each response about rows), which all readers share: it depends on the reader's place alone, whatever it started with and whatever changed. Test that failed before: 'hosts that started together learn of a change within seconds ...' and, on the schedule alone, 'the polls of readers that started one by one end one after the other'. The older tests of the schedule keep their bounds; the simulated readers have clocks of their own now.

--- a/dev/store/StoreServer.ts
+++ b/dev/store/StoreServer.ts
@@ -75,7 +75,7 @@
     const to = params.get('to')
     const limit = Number(params.get('limit') ?? 500)
     const all = this.tables.list(params.get('table') ?? '', params.get('part') ?? '').filter((row) => row.key >= from && (to === null || row.key < to))
-    this.send(res, 200, { rows: all.slice(0, limit), has_more: all.length > limit, ver: this.tables.latestVersion, now_s: 1 })
+    this.send(res, 200, { rows: all.slice(0, limit), has_more: all.length > limit, ver: this.tables.latestVersion, now_s: readClock() })
   }
 
   private async readFeed (params: URLSearchParams, res: ServerResponse): Promise<void> {
@@ -83,7 +83,7 @@
     for (;;) {
       const rows = this.tables.listChanges(params.get('table') ?? '', Number(params.get('after') ?? 0))
       if (rows === undefined) return this.send(res, 410, {})
-      if (rows.length > 0 || performance.now() >= untilMs) return this.send(res, 200, { rows, ver: this.tables.latestVersion, now_s: 1 })
+      if (rows.length > 0 || performance.now() >= untilMs) return this.send(res, 200, { rows, ver: this.tables.latestVersion, now_s: readClock() })
       if (res.destroyed) return
       if (this.faults.down === 'reset') {
         res.destroy()
@@ -96,9 +96,9 @@
   private transact (body: string, res: ServerResponse): void {
     const transaction = JSON.parse(body) as Parameters<StoreTables['apply']>[0]
     const conflicts = this.tables.findConflicts(transaction)
-    if (conflicts !== undefined) return this.send(res, 412, { rows: conflicts, ver: this.tables.latestVersion, now_s: 1 })
+    if (conflicts !== undefined) return this.send(res, 412, { rows: conflicts, ver: this.tables.latestVersion, now_s: readClock() })
     const ver = this.tables.apply(transaction)
-    this.acknowledge(res, { ver, now_s: 1 })
+    this.acknowledge(res, { ver, now_s: readClock() })
   }
 
   private readBlob (name: string, res: ServerResponse): void {
@@ -133,6 +133,11 @@
   return Buffer.concat(chunks)
 }
 
+/** Returns the time of the store's steady clock in seconds, as hosts get it. */
+function readClock (): number {
+  return Math.round(performance.now()) / 1_000
+}
+
 async function sleep (ms: number): Promise<void> {
   await new Promise((resolve) => setTimeout(resolve, ms))
 }
--- a/src/catalog/CatalogFollower.ts
+++ b/src/catalog/CatalogFollower.ts
@@ -2,6 +2,7 @@
 import { formatException } from '../common/formatException.js'
 import type { Logger } from '../common/Logger.js'
 import type { Catalog } from './Catalog.js'
+import type { CatalogPage } from './CatalogPage.js'
 import type { CatalogStore } from './CatalogStore.js'
 import type { CatalogTable } from './CatalogTable.js'
 import { catalogLimits } from './catalogLimits.js'
@@ -69,7 +70,7 @@
     const { store, catalog, clock } = this.options
     const page = await store.read(this.table)
     if (page.isErr()) return this.handleFailure(page.error)
-    this.handleSuccess()
+    this.handleSuccess(page.value)
     catalog.apply(this.table, page.value, clock.nowMs(), 'store')
     this.needsFullRead = false
     return 0
@@ -79,11 +80,9 @@
     const { store, catalog, clock } = this.options
     const page = await store.follow(this.table, catalog.resumeAfter(this.table), this.chooseWaitMs())
     if (page.isErr()) return this.handleFailure(page.error)
-    this.handleSuccess()
+    this.handleSuccess(page.value)
     catalog.apply(this.table, page.value, clock.nowMs(), 'store')
-    if (page.value.rows.length === 0) return 0
-    this.schedule.restart()
-    return catalogLimits.batchMs[this.table]
+    return page.value.rows.length === 0 ? 0 : catalogLimits.batchMs[this.table]
   }
 
   /** While it is open whether the store can be reached, a long poll would reveal that only when it ends. */
@@ -92,16 +91,17 @@
     return health.isDown || this.isConfirming ? 0 : this.schedule.nextWaitMs(getReaderPlace(), clock.nowMs())
   }
 
-  private handleSuccess (): void {
+  private handleSuccess ({ storeTimeMs }: CatalogPage): void {
     this.isConfirming = false
     this.backoffMs = catalogLimits.minBackoffMs
     const { health, clock, logger } = this.options
-    if (health.recordSuccess(this.table, clock.nowMs())) logger.info('store-regained', { table: this.table })
+    const nowMs = clock.nowMs()
+    if (storeTimeMs !== undefined) this.schedule.synchronize(storeTimeMs, nowMs)
+    if (health.recordSuccess(this.table, nowMs)) logger.info('store-regained', { table: this.table })
   }
 
   private handleFailure (failure: StoreFailure): number {
     const { logger, health, random } = this.options
-    this.schedule.restart()
     if (failure.kind === 'disconnected' && !this.isConfirming && !health.isDown) {
       this.isConfirming = true
       logger.info('store-connection-lost', { table: this.table, reason: failure.message })
--- a/src/catalog/CatalogPage.ts
+++ b/src/catalog/CatalogPage.ts
@@ -6,4 +6,6 @@
   /** When present, the page holds only the rows that changed after this version. Otherwise it holds the whole table. */
   readonly after?: number
   readonly rows: readonly CatalogRow[]
+  /** Time of the store's clock in ms when it responded; absent from pages of peers and of a store that doesn't tell it. */
+  readonly storeTimeMs?: number | undefined
 }
--- a/src/catalog/PollSchedule.ts
+++ b/src/catalog/PollSchedule.ts
@@ -11,28 +11,33 @@
 }
 
 /**
- * Spreads the ends of the readers' long polls of one table over time. A change answers all polls at once, so without this they
- * would begin and end together, and connections that fell silent would leave all readers without news for a whole poll. A
- * reader whose poll ends learns of the silence and forwards what it missed, so the spacing bounds how long all can miss a change.
+ * Spreads the ends of the readers' long polls of one table over time. A change answers all polls at once, and hosts start
+ * together, so without this polls would begin and end together, and connections that fell silent would leave all readers
+ * without news for a whole poll. A reader whose poll ends learns of the silence and forwards what it missed, so the spacing
+ * bounds how long all can miss a change. The times are those of the store's clock, which all readers share.
  */
 export class PollSchedule {
-  /** Monotonic time in ms at which the current poll is to end; undefined after a change or a failure. */
-  private dueAtMs: number | undefined
+  /** Time of the store's clock less this host's monotonic time, in ms. */
+  private clockOffsetMs = 0
 
   constructor (private readonly times: PollTimes) {}
 
-  /** Begins a new period, since a change or a failure has ended the poll early. */
-  restart (): void {
-    this.dueAtMs = undefined
+  /** Aligns the schedule with the store's clock, as of a response that has just arrived. */
+  synchronize (storeTimeMs: number, nowMs: number): void {
+    this.clockOffsetMs = storeTimeMs - nowMs
   }
 
   /** Returns the time in ms that the next poll may wait. */
   nextWaitMs ({ index, count }: ReaderPlace, nowMs: number): number {
     const { maxWaitMs, spacingMs } = this.times
     const periodMs = Math.min(maxWaitMs, count * spacingMs)
-    this.dueAtMs ??= nowMs + periodMs * (index + 1) / count
-    // The end of the poll is fixed rather than its length, so that round trips don't shift the readers against each other.
-    while (this.dueAtMs < nowMs + Math.min(spacingMs, periodMs) / 2) this.dueAtMs += periodMs
-    return Math.round(Math.min(periodMs, this.dueAtMs - nowMs))
+    const minWaitMs = Math.min(spacingMs, periodMs) / 2
+    const earliestMs = nowMs + this.clockOffsetMs + minWaitMs
+    const untilTurnMs = modulo(periodMs * index / count - earliestMs, periodMs)
+    return Math.round(Math.min(maxWaitMs, minWaitMs + untilTurnMs))
   }
 }
+
+function modulo (value: number, divisor: number): number {
+  return (value % divisor + divisor) % divisor
+}
--- a/test/support/HostGroup.ts
+++ b/test/support/HostGroup.ts
@@ -54,9 +54,12 @@
   private storeAddress = ''
   private version = 0
 
+  /** Hosts are placed in the regions in turn; all endpoints are in `north`. */
+  constructor (private readonly regions: readonly string[]) {}
+
   /** Starts a store with a configuration, endpoints of service `stock`, and hosts, and waits until all hosts are ready. */
-  static async start (hostCount = 1, endpointCount = 2): Promise<HostGroup> {
-    const group = new HostGroup()
+  static async start (hostCount = 1, endpointCount = 2, regions: readonly string[] = ['north']): Promise<HostGroup> {
+    const group = new HostGroup(regions)
     group.storeAddress = await group.store.listen()
     group.putConfig({})
     for (let index = 0; index < endpointCount; index++) await group.addEndpoint(`e-${index}`)
@@ -152,8 +155,12 @@
   private async createSettings (name: string): Promise<HostSettings> {
     const ports = await findFreePorts(5)
     const [callers, readiness, directory, peers, metrics] = ports.map((port) => `127.0.0.1:${port}`)
+    const region = this.regions[this.settings.length % this.regions.length]!
     return createHostSettings({
       name,
+      zone: `${region}-a`,
+      region,
+      regionOfZone: Object.fromEntries(this.regions.map((each) => [`${each}-a`, each])),
       listen: { callers: callers!, readiness: readiness!, directory: directory!, peers: peers!, metrics: metrics! },
       seeds: this.settings.slice(0, 3).map((settings) => settings.listen.peers)
     })
