--- a/src/catalog/CatalogFollower.ts
+++ b/src/catalog/CatalogFollower.ts
@@ -1,3 +1,4 @@
+import type { Result } from 'neverthrow'
 import type { Clock } from '../common/Clock.js'
 import { formatException } from '../common/formatException.js'
 import type { Logger } from '../common/Logger.js'
@@ -19,7 +20,9 @@
   readonly logger: Logger
   readonly random: () => number
   /** Returns false while other hosts read the store and this one receives the tables from its peers. */
-  readonly shouldRead: () => boolean
+  readonly shouldRead: (table: CatalogTable) => boolean
+  /** Returns for how long in ms the local copy of a table may miss changes, as far as this host knows of calls by any host. */
+  readonly getTableAge: (table: CatalogTable, nowMs: number) => number
   /** Returns the place of this host among those that read the store, and their number. */
   readonly getReaderPlace: () => { readonly index: number, readonly count: number }
 }
@@ -62,7 +65,7 @@
   /** Makes at most one call and returns the time in ms to wait before the next step. */
   private async step (): Promise<number> {
     const { catalog, shouldRead } = this.options
-    if (!shouldRead() && catalog.versionOf(this.table) >= 0) return catalogLimits.readerCheckMs
+    if (!shouldRead(this.table) && catalog.versionOf(this.table) >= 0) return catalogLimits.readerCheckMs
     return this.needsFullRead ? await this.read() : await this.follow()
   }
 
@@ -78,7 +81,7 @@
 
   private async follow (): Promise<number> {
     const { store, catalog, clock } = this.options
-    const page = await store.follow(this.table, catalog.resumeAfter(this.table), this.chooseWaitMs())
+    const page = await this.poll(store, catalog.resumeAfter(this.table))
     if (page.isErr()) return this.handleFailure(page.error)
     this.handleSuccess(page.value)
     catalog.apply(this.table, page.value, clock.nowMs(), 'store')
@@ -86,9 +89,27 @@
   }
 
   /** While it is open whether the store can be reached, a long poll would reveal that only when it ends. */
-  private chooseWaitMs (): number {
+  private async poll (store: CatalogStore, after: number): Promise<Result<CatalogPage, StoreFailure>> {
     const { clock, health, getReaderPlace } = this.options
-    return health.isDown || this.isConfirming ? 0 : this.schedule.nextWaitMs(getReaderPlace(), clock.nowMs())
+    if (health.isDown || this.isConfirming || this.isStale) return await store.check(this.table, after)
+    return await this.endWhenStale(async (signal) =>
+      await store.follow(this.table, after, this.schedule.nextWaitMs(getReaderPlace(), clock.nowMs()), signal))
+  }
+
+  /** Ends a long poll when no host has read the table for too long, since its connection may have fallen silent. */
+  private async endWhenStale<T> (poll: (signal: AbortSignal) => Promise<T>): Promise<T> {
+    const controller = new AbortController()
+    const timer = setInterval(() => { if (this.isStale) controller.abort() }, catalogLimits.readerCheckMs)
+    try {
+      return await poll(controller.signal)
+    } finally {
+      clearInterval(timer)
+    }
+  }
+
+  private get isStale (): boolean {
+    const { clock, getTableAge } = this.options
+    return getTableAge(this.table, clock.nowMs()) >= catalogLimits.staleAfterMs[this.table]
   }
 
   private handleSuccess ({ storeTimeMs }: CatalogPage): void {
--- a/src/catalog/CatalogStore.ts
+++ b/src/catalog/CatalogStore.ts
@@ -9,8 +9,14 @@
   /** Reads a whole table as of one store version. */
   abstract read (table: CatalogTable): Promise<Result<CatalogPage, StoreFailure>>
 
-  /** Waits up to `waitMs` for changes after version `after`. Returns an empty page when there are none. */
-  abstract follow (table: CatalogTable, after: number, waitMs: number): Promise<Result<CatalogPage, StoreFailure>>
+  /**
+   * Waits up to `waitMs` for changes after version `after`. Returns an empty page when there are none. Fails as `disconnected`
+   * when `signal` is aborted.
+   */
+  abstract follow (table: CatalogTable, after: number, waitMs: number, signal: AbortSignal): Promise<Result<CatalogPage, StoreFailure>>
+
+  /** Asks for changes after version `after` without waiting, on a new connection, since open ones may have fallen silent. */
+  abstract check (table: CatalogTable, after: number): Promise<Result<CatalogPage, StoreFailure>>
 
   /** Aborts pending calls. No call may be made afterwards. */
   abstract close (): void
--- a/src/catalog/catalogLimits.ts
+++ b/src/catalog/catalogLimits.ts
@@ -11,11 +11,12 @@
   maxHistory: 500,
   /** Hosts per region that read the store; the others receive the tables from them. */
   readersPerRegion: 2,
-  /** Time in ms since the readers' last successful store call after which every host reads the store itself. */
-  readerTimeoutMs: 13_000,
+  /** Time in ms since a reader's last successful store call up to which its report of an outage counts. */
+  reportValidMs: 13_000,
   /**
    * Time in ms without a call to the store by any host, as far as this host knows, after which the local copy of a table counts
-   * as stale. Hosts must have all changes 4 s after connections fell silent, and repeating a call takes part of that.
+   * as stale and the host calls the store itself, on a new connection. Hosts must have all changes 4 s after connections fell
+   * silent, and that call takes part of it.
    */
   staleAfterMs: { orders: 3_000, endpoints: 3_000, hosts: 13_000 },
   /** Time in ms between checks whether a host has become a reader. */
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -160,7 +160,8 @@
       clock,
       logger: createLog('store'),
       random,
-      shouldRead: () => this.readers.shouldRead(),
+      shouldRead: (table: CatalogTable) => this.readers.shouldRead(table),
+      getTableAge: (table: CatalogTable, nowMs: number) => this.readers.getTableAge(table, nowMs),
       getReaderPlace: () => this.readers.getPlace()
     }
     this.followers = Object.values(CatalogTable).map((table) => new CatalogFollower(table, followerOptions))
--- a/src/peers/Heartbeat.ts
+++ b/src/peers/Heartbeat.ts
@@ -7,7 +7,10 @@
   readonly host: HostRecord
   readonly isReady: boolean
   readonly isLeaving: boolean
-  /** Time in ms since the sender's last successful call to the store; -1 while the store is unreachable from the sender. */
+  /**
+   * Time in ms since the sender's last successful call to the store; -1 while the store is unreachable from the sender. Only
+   * hosts of earlier releases use it.
+   */
   readonly storeAgeMs: number
   /** Time in ms since the sender's last successful call to the store by table; -1 before the first one and while its calls for the table fail. */
   readonly tableAges: Readonly<Record<CatalogTable, number>>
--- a/src/peers/PeerRow.ts
+++ b/src/peers/PeerRow.ts
@@ -18,8 +18,6 @@
   incarnation: number
   /** True when the peer treats entries that are missing from the store as removed. */
   isStoreSettled: boolean
-  /** Time of the peer's last successful call to the store; undefined while the store is unreachable from the peer. */
-  lastStoreContactAtMs: number | undefined
   /**
    * Time of the peer's latest call to the store by table, as far as this host has all changes that the call returned; tables
    * whose calls fail are left out.
--- a/src/peers/PeerTable.ts
+++ b/src/peers/PeerTable.ts
@@ -40,7 +40,6 @@
     row.isReady = heartbeat.isReady
     row.isLeaving = heartbeat.isLeaving
     row.loads = new Map(heartbeat.loads)
-    row.lastStoreContactAtMs = heartbeat.storeAgeMs < 0 ? undefined : nowMs - heartbeat.storeAgeMs
     row.isStoreSettled = heartbeat.isStoreSettled
     row.demands = heartbeat.demands
     row.localShares = heartbeat.localShares
@@ -95,7 +94,6 @@
     incarnation: record.incarnation,
     loads: new Map(),
     isStoreSettled: true,
-    lastStoreContactAtMs: undefined,
     tableContacts: new Map(),
     demands: [],
     localShares: [],
--- a/src/peers/StoreReaders.ts
+++ b/src/peers/StoreReaders.ts
@@ -1,5 +1,5 @@
 import { catalogLimits } from '../catalog/catalogLimits.js'
-import type { CatalogTable } from '../catalog/CatalogTable.js'
+import { CatalogTable } from '../catalog/CatalogTable.js'
 import type { StoreHealth } from '../catalog/StoreHealth.js'
 import type { Clock } from '../common/Clock.js'
 import { chooseReaders } from './chooseReaders.js'
@@ -21,7 +21,8 @@
 
 /**
  * Decides which hosts read the store. Store calls are billed and each change wakes every waiting host, so only a few hosts
- * of each region read the store and forward changes to the others. When no reader reaches the store, every host reads it.
+ * of each region read the store and forward changes to the others. A host that has no proof that some reader has read a
+ * table lately reads that table itself.
  */
 export class StoreReaders {
   private readers = new Set<string>()
@@ -34,9 +35,9 @@
     return this.readers.has(host)
   }
 
-  /** Returns true when this host must read the store now. */
-  shouldRead (): boolean {
-    return this.isReader(this.options.self.name) || !this.hasConnectedReader()
+  /** Returns true when this host must read a table from the store now. */
+  shouldRead (table: CatalogTable): boolean {
+    return this.isReader(this.options.self.name) || !this.isReadByOthers(table)
   }
 
   /** Returns the place of this host among the readers, in the same order on all hosts, and their number. */
@@ -54,7 +55,7 @@
    */
   isSettled (isOwnSettled: boolean): boolean {
     const connected = this.listConnectedReaders()
-    if (!this.shouldRead()) return connected.some((row) => row.isStoreSettled)
+    if (!this.shouldRead(CatalogTable.endpoints)) return connected.some((row) => row.isStoreSettled)
     return isOwnSettled || (connected.length > 0 && connected.every((row) => row.isStoreSettled))
   }
 
@@ -63,21 +64,26 @@
    * host, whose changes this host has. Infinite while no host is known to have read the table.
    */
   getTableAge (table: CatalogTable, nowMs: number): number {
-    const contacts = [...this.options.peers].map((row) => row.tableContacts.get(table) ?? -Infinity)
-    return Math.min(this.options.health.tableAgeMs(table, nowMs), nowMs - Math.max(...contacts))
+    return Math.min(this.options.health.tableAgeMs(table, nowMs), nowMs - findLatestContact([...this.options.peers], table))
   }
 
-  private hasConnectedReader (): boolean {
-    return this.listConnectedReaders().length > 0
+  /** Returns true when another host, which is to read the store, is known to have read a table lately. */
+  private isReadByOthers (table: CatalogTable): boolean {
+    const readers = this.selectReaders([...this.options.peers])
+    return this.options.clock.nowMs() - findLatestContact(readers, table) < catalogLimits.staleAfterMs[table]
   }
 
-  /** Lists the other readers of any region that have reached the store recently. */
+  /** Lists the other live readers of any region whose calls for endpoints have succeeded recently. */
   private listConnectedReaders (): PeerRow[] {
-    this.refresh()
     const { peers, clock } = this.options
     const nowMs = clock.nowMs()
-    return peers.listAlive(nowMs).filter((row) => this.readers.has(row.record.name) &&
-      row.lastStoreContactAtMs !== undefined && nowMs - row.lastStoreContactAtMs < catalogLimits.readerTimeoutMs)
+    const alive = this.selectReaders(peers.listAlive(nowMs))
+    return alive.filter((row) => nowMs - findLatestContact([row], CatalogTable.endpoints) < catalogLimits.reportValidMs)
+  }
+
+  private selectReaders (rows: readonly PeerRow[]): PeerRow[] {
+    this.refresh()
+    return rows.filter((row) => this.readers.has(row.record.name))
   }
 
   private refresh (): void {
@@ -89,3 +95,8 @@
     this.readers = chooseReaders([self, ...alive], catalogLimits.readersPerRegion)
   }
 }
+
+/** Returns the time of the latest call to the store for a table by any of the peers; -Infinity when none is known. */
+function findLatestContact (peers: readonly PeerRow[], table: CatalogTable): number {
+  return Math.max(-Infinity, ...peers.map((row) => row.tableContacts.get(table) ?? -Infinity))
+}
--- a/test/peers/StoreReaders.test.ts
+++ b/test/peers/StoreReaders.test.ts
@@ -1,6 +1,8 @@
 import { test } from 'node:test'
 import { expect } from 'earl'
 import { ManualClock } from '../../src/common/ManualClock.js'
+import { catalogLimits } from '../../src/catalog/catalogLimits.js'
+import { CatalogTable } from '../../src/catalog/CatalogTable.js'
 import { StoreHealth } from '../../src/catalog/StoreHealth.js'
 import { chooseReaders } from '../../src/peers/chooseReaders.js'
 import type { HostRecord } from '../../src/peers/HostRecord.js'
@@ -29,7 +31,11 @@
   /** Receives a heartbeat from each sender, with the given report about the store. */
   receiveHeartbeats (senders: readonly string[], storeAgeMs = 0, isStoreSettled = true): void {
     for (const name of senders) {
-      this.peers.receive(createHeartbeat(name, 1, { host: createRecord(name), storeAgeMs, isStoreSettled }), this.clock.nowMs())
+      const row = this.peers.receive(createHeartbeat(name, 1, { host: createRecord(name), storeAgeMs, isStoreSettled }), this.clock.nowMs())
+      for (const table of Object.values(CatalogTable)) {
+        if (storeAgeMs < 0) row?.tableContacts.delete(table)
+        else row?.tableContacts.set(table, this.clock.nowMs() - storeAgeMs)
+      }
     }
     this.clock.advance(150)
   }
@@ -44,7 +50,7 @@
   for (const name of names) {
     const fixture = new StoreReadersFixture(name)
     fixture.receiveHeartbeats(names)
-    expect(fixture.readers.shouldRead()).toEqual(chosen.includes(name))
+    expect(fixture.readers.shouldRead('endpoints')).toEqual(chosen.includes(name))
   }
 })
 
@@ -55,7 +61,7 @@
   fixture.clock.advance(peerLimits.deadAfterMs)
   fixture.receiveHeartbeats(names.filter((name) => !chosen.includes(name)))
   const next = [...chooseReaders(names.filter((name) => !chosen.includes(name)).map(createRecord), 2)]
-  expect(fixture.readers.shouldRead()).toEqual(next.includes(other))
+  expect(fixture.readers.shouldRead('endpoints')).toEqual(next.includes(other))
   expect(next.every((name) => fixture.readers.isReader(name))).toEqual(true)
 })
 
@@ -63,7 +69,17 @@
 test('every host reads the store when no reader reaches it', () => {
   const fixture = new StoreReadersFixture(other)
   fixture.receiveHeartbeats(names, -1)
-  expect(fixture.readers.shouldRead()).toEqual(true)
+  expect(fixture.readers.shouldRead('endpoints')).toEqual(true)
+})
+
+// Guards against hosts that rely on readers for a table because these reach the store for other tables, or did so long ago.
+test('a host reads a table itself when no reader has read it lately', () => {
+  const fixture = new StoreReadersFixture(other)
+  fixture.receiveHeartbeats(names)
+  for (const name of chosen) fixture.peers.get(name)!.tableContacts.delete('orders')
+  expect([fixture.readers.shouldRead('orders'), fixture.readers.shouldRead('endpoints')]).toEqual([true, false])
+  fixture.receiveHeartbeats(names, catalogLimits.staleAfterMs.orders)
+  expect([fixture.readers.shouldRead('orders'), fixture.readers.shouldRead('hosts')]).toEqual([true, false])
 })
 
 // Guards against hosts that don't read the store and treat lapsed entries as removed.
@@ -79,7 +95,7 @@
 test('a reader with trouble of its own relies on the other readers', () => {
   const fixture = new StoreReadersFixture(chosen[0]!)
   fixture.receiveHeartbeats(names, 0, true)
-  expect([fixture.readers.shouldRead(), fixture.readers.isSettled(false)]).toEqual([true, true])
+  expect([fixture.readers.shouldRead('endpoints'), fixture.readers.isSettled(false)]).toEqual([true, true])
   fixture.receiveHeartbeats([chosen[1]!], 0, false)
   expect(fixture.readers.isSettled(false)).toEqual(false)
   fixture.receiveHeartbeats(names, -1, true)
--- a/test/platformAdapter/HttpCatalogStore.test.ts
+++ b/test/platformAdapter/HttpCatalogStore.test.ts
@@ -36,7 +36,7 @@
     }
     const catalog = new Catalog(() => {})
     catalog.apply('endpoints', (await client.read('endpoints'))._unsafeUnwrap(), 0, 'store')
-    catalog.apply('endpoints', (await client.follow('endpoints', catalog.resumeAfter('endpoints'), 0))._unsafeUnwrap(), 1, 'store')
+    catalog.apply('endpoints', (await client.check('endpoints', catalog.resumeAfter('endpoints')))._unsafeUnwrap(), 1, 'store')
     const endpoints = catalog.entries('endpoints').flatMap((entry) => entry.kind === 'endpoint' ? [entry.endpoint] : [])
     expect([reads, endpoints.length, endpoints.filter(({ isDraining }) => isDraining).map(({ id }) => id)]).toEqual([3, rowCount, ['e-0000']])
   })
--- a/test/support/CuttableStore.ts
+++ b/test/support/CuttableStore.ts
@@ -20,8 +20,12 @@
     return await this.pass(table, async () => await this.inner.read(table))
   }
 
-  override async follow (table: CatalogTable, after: number, waitMs: number): Promise<Result<CatalogPage, StoreFailure>> {
-    return await this.pass(table, async () => await this.inner.follow(table, after, waitMs))
+  override async follow (table: CatalogTable, after: number, waitMs: number, signal: AbortSignal): Promise<Result<CatalogPage, StoreFailure>> {
+    return await this.pass(table, async () => await this.inner.follow(table, after, waitMs, signal))
+  }
+
+  override async check (table: CatalogTable, after: number): Promise<Result<CatalogPage, StoreFailure>> {
+    return await this.pass(table, async () => await this.inner.check(table, after))
   }
 
   override async registerHost (host: HostRecord): Promise<Result<void, StoreFailure>> {
