Refuse requests that can't end within the grace time of a planned stop (LOST)

Reported by other operators: in a planned stop in calm, requests that came late in the grace were passed on and cut at its end without an answer, among them requests that may not be repeated. It can happen here. Cause: a leaving host passed on whatever it had read, however little of the grace time was left: an upload whose body arrives late, and a request behind a response that was already being sent when the signal came. Mend: GraceTime decides at one place, before each attempt, so that uploads and repeats are covered too: in the second half of the grace time a request is passed on only if its deadline lies within it. Others get 503 (not run, retry at once elsewhere, connection closed), before their body is awaited. Requests of the first half have at least the second half to end. What remains: a request that an endpoint has not finished at the end of the grace time is still cut, since nobody knows its outcome.

--- a/src/host/AttemptSeries.ts
+++ b/src/host/AttemptSeries.ts
@@ -75,6 +75,10 @@
       this.lastFailure ??= { name: 'deadlineExceeded', outcome: Outcome.notRun }
       return undefined
     }
+    if (!context.mayPassOn(request.scope.leftMs)) {
+      this.lastFailure ??= { name: 'hostLeaving', outcome: Outcome.notRun }
+      return undefined
+    }
     const nowMs = context.clock.nowMs()
     const row = context.endpointSelector.choose(this.createSelectionRequest(), nowMs)
     if (row === undefined) {
@@ -143,7 +147,7 @@
     }
     if (failure.name === 'upstreamTimeout' || failure.name === 'deadlineExceeded') return createFailure('deadlineExceeded')
     const name = failure.name === 'upstreamRefused' ? 'noEndpoint' : failure.name
-    return createFailure(name, { retryAfterMs: this.chooseRetryAfterMs() })
+    return createFailure(name, { retryAfterMs: name === 'hostLeaving' ? hostLimits.leavingRetryMs : this.chooseRetryAfterMs() })
   }
 
   /** Adds jitter, so that callers that were refused together don't retry together. */
--- a/src/host/HostContext.ts
+++ b/src/host/HostContext.ts
@@ -25,6 +25,8 @@
   readonly log: RequestLog
   /** Returns true once the host has tables on which it may rely. */
   readonly isSynced: () => boolean
+  /** Returns false when a request whose deadline passes in `leftMs` can't be passed on any more, since this host is leaving. */
+  readonly mayPassOn: (leftMs: number) => boolean
   /** Returns the version of the local copy of the endpoints table. */
   readonly endpointsVersion: () => number
   /** Returns log fields that tell how old the configuration and the last news from the store are. */
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -28,6 +28,7 @@
 import { RoutingTable } from '../routing/RoutingTable.js'
 import { WeightedPicker } from '../routing/WeightedPicker.js'
 import { ClusterState } from './ClusterState.js'
+import { GraceTime } from './GraceTime.js'
 import type { HttpBinding } from './HttpBinding.js'
 import { HealthChecker } from './HealthChecker.js'
 import { hostLimits } from './hostLimits.js'
@@ -77,6 +78,7 @@
   private readonly auxiliaryPorts: AuxiliaryPorts
   private readonly followers: readonly CatalogFollower[]
   private readonly scheduler: Scheduler
+  private readonly graceTime: GraceTime
   private isLeaving = false
 
   constructor (private readonly options: HostProcessOptions) {
@@ -84,6 +86,7 @@
     this.settings = settings
     const dial = new DialMap(settings.dial)
     this.log = createLog('host')
+    this.graceTime = new GraceTime(clock)
     this.self = {
       name: settings.name,
       zone: settings.zone,
@@ -210,13 +213,13 @@
   /** Shuts down gracefully: announces the departure, then waits for requests in flight until the grace time is nearly over. */
   async stop (): Promise<void> {
     const startMs = this.options.clock.nowMs()
-    const endMs = startMs + this.settings.bounds.graceMs - hostLimits.stopMarginMs
+    this.graceTime.begin(this.settings.bounds.graceMs - hostLimits.stopMarginMs)
     this.isLeaving = true
     this.mesh.announce()
     await sleep(hostLimits.listenerCloseDelayMs)
     await this.front.drainListener()
     this.front.closeIdle()
-    while (this.front.inFlight + this.front.openConnections > 0 && this.options.clock.nowMs() < endMs) await sleep(drainPollMs)
+    while (this.front.inFlight + this.front.openConnections > 0 && !this.graceTime.hasEnded) await sleep(drainPollMs)
     this.log.info('left', { inFlight: this.front.inFlight, ms: Math.round(this.options.clock.nowMs() - startMs) })
     this.scheduler.stop()
     for (const follower of this.followers) follower.stop()
@@ -255,6 +258,7 @@
       client: this.client,
       metrics,
       isSynced: () => this.state.isSynced,
+      mayPassOn: (leftMs) => this.graceTime.mayPassOn(leftMs),
       endpointsVersion: () => this.state.catalog.versionOf(CatalogTable.endpoints),
       describeConfigAge: () => status.describeConfigAge(),
       log: new RequestLog(clock, createLog('request'), () => metrics.recordSuppressedLine()),
--- a/src/host/RequestHandler.ts
+++ b/src/host/RequestHandler.ts
@@ -74,6 +74,8 @@
   }
 
   private async serveRoute (exchange: Exchange, route: Route, scope: RequestScope): Promise<void> {
+    // A body that is still to arrive needn't be awaited.
+    if (!this.context.mayPassOn(scope.leftMs)) return this.refuse(exchange, createFailure('hostLeaving', { retryAfterMs: hostLimits.leavingRetryMs }), route.name)
     const request = await this.readRequest(exchange, route, scope)
     if (request.isErr()) return this.refuse(exchange, request.error, route.name)
     const series = new AttemptSeries(this.context, request.value)
--- a/src/host/hostLimits.ts
+++ b/src/host/hostLimits.ts
@@ -32,5 +32,7 @@
   minRetryAfterShare: 0.25,
   maxRetryAfterShare: 0.75,
   /** Retry-After in ms until a configuration has been received. */
-  notReadyRetryMs: 300
+  notReadyRetryMs: 300,
+  /** Retry-After in ms of a refusal by a host that is leaving; the other hosts can serve the request at once. */
+  leavingRetryMs: 0
 } as const
