Judge the soak's bounds by the request's time, and let all connections fall silent together

It had no moved routes, no regions that a route is bound to, no entries that vanish while their endpoint serves, no moment at which all connections of all hosts fall silent, and no delay between regions. The test of the checks plants a fault for the two new promises, and a change during a disturbance; its late run is at an endpoint of its own now, since with the stricter check the other requests of that history would break the promise too.

--- a/dev/soak.ts
+++ b/dev/soak.ts
@@ -20,6 +20,8 @@
   readonly quiet?: boolean
   readonly kept?: boolean
   readonly silentConnections?: boolean
+  readonly regionDelay?: number
+  readonly script: string
 }
 
 const secondsPerMinute = 60
@@ -38,7 +40,9 @@
   .option('--profile <folder>', 'folder for CPU profiles of the hosts')
   .option('--quiet', 'print findings only')
   .option('--kept', 'play the seeds that once found something')
-  .option('--silent-connections', 'add connections that fall silent for good to the faults')
+  .option('--silent-connections', 'add connections that fall silent for good, moved routes and withdrawn entries to the faults')
+  .option('--region-delay <ms>', 'one-way delay between regions', readPositive)
+  .option('--script <file>', 'program of the hosts, such as that of an earlier release', 'dist/platform/shuntHost.js')
   .parse()
   .opts<SoakArguments>()
 
@@ -57,7 +61,8 @@
     overlap: args.overlap,
     silencesConnections: args.silentConnections === true,
     folder,
-    script: 'dist/platform/shuntHost.js',
+    ...(args.regionDelay === undefined ? {} : { regionDelayMs: args.regionDelay }),
+    script: args.script,
     nodeArgs: args.profile === undefined ? [] : ['--cpu-prof', `--cpu-prof-dir=${args.profile}`],
     onLine: (line) => { if (args.quiet !== true) console.log(line) }
   })
--- a/dev/soak/EndpointShutdownFault.ts
+++ b/dev/soak/EndpointShutdownFault.ts
@@ -6,14 +6,14 @@
 /** Time in ms until the registry entry of a crashed endpoint is removed, or until the address of a drained one is reused. */
 const entryExpiryMs = 2_000
 
-/** Drains and stops an endpoint, or crashes it, and then starts a new endpoint of either service at its address. */
+/** Drains and stops an endpoint, withdraws its entry and stops it, or crashes it; then starts a new endpoint of either service at its address. */
 export class EndpointShutdownFault extends SoakFault {
   readonly name: string
   readonly weight = 3
 
-  constructor (private readonly isPlanned: boolean) {
+  constructor (private readonly kind: 'leave' | 'withdraw' | 'crash') {
     super()
-    this.name = isPlanned ? 'endpoint-leave' : 'endpoint-crash'
+    this.name = `endpoint-${kind}`
   }
 
   override async inject (cluster: SoakCluster, holdMs: number): Promise<string> {
@@ -23,8 +23,9 @@
     const { id } = endpoint.current!
     endpoint.isStopping = true
     const next = cluster.random.next() < 0.3 && this.countAvailable(cluster, endpoint.serviceName) > 2 ? 'stock' : endpoint.serviceName
-    if (this.isPlanned) {
-      endpoint.drain()
+    if (this.kind !== 'crash') {
+      if (this.kind === 'leave') endpoint.drain()
+      else endpoint.withdraw()
       await this.wait(soakLimits.drainMs + holdMs)
       endpoint.stop(true)
       await this.wait(entryExpiryMs)
--- a/dev/soak/RouteFault.ts
+++ b/dev/soak/RouteFault.ts
@@ -11,9 +11,9 @@
   override async inject (cluster: SoakCluster, holdMs: number): Promise<string> {
     this.count += 1
     const prefix = `/new-${this.count}/`
-    const remove = cluster.addRoute(prefix)
+    cluster.addRoute(prefix)
     await this.wait(2 * soakLimits.configApplyMs + holdMs)
-    remove()
+    cluster.removeRoute(prefix)
     return prefix
   }
 }
--- a/dev/soak/SoakCluster.ts
+++ b/dev/soak/SoakCluster.ts
@@ -11,7 +11,6 @@
 import { soakLimits } from './soakLimits.js'
 import type { SoakOptions } from './SoakOptions.js'
 import { soakPorts } from './soakPorts.js'
-import type { SoakChange } from './SoakChange.js'
 
 /** Options of a cluster in addition to its size. */
 interface SoakClusterOptions extends SoakOptions {
@@ -26,7 +25,18 @@
 /** Kinds of targets that a host's links lead to. */
 type LinkTarget = 'endpoint' | 'host' | 'store' | 'callers'
 
-const zones: Readonly<Record<string, string>> = { 'north-a': 'north', 'north-b': 'north', 'south-a': 'south' }
+/** A link from `source`, which connects to `listen`, to a target at `address`. */
+interface SoakLink {
+  readonly source: string
+  readonly target: LinkTarget
+  readonly listen: string
+  readonly address: string
+  readonly delayMs: number
+}
+
+const zones: Readonly<Record<string, string>> = { 'north-a': 'north', 'north-b': 'north', 'south-a': 'south', 'west-a': 'west' }
+/** Region of the store. */
+const storeRegion = 'north'
 const services = ['stock', 'ledger']
 const endpointPort = 9_000
 const storePort = 8_541
@@ -106,18 +116,34 @@
     })
   }
 
-  /** Adds a route for reads; the returned function removes it. */
-  addRoute (prefix: string): () => void {
-    const name = `r${prefix.replaceAll('/', '-')}`
-    this.addedRoutes.set(name, { ...baseRoutes['r-read'], prefix })
+  /** Adds a route for reads. */
+  addRoute (prefix: string): void {
+    this.addedRoutes.set(toRouteName(prefix), { ...baseRoutes['r-read'], prefix })
+    this.putConfig()
+    this.history.changes.push({ kind: 'route', prefix, atMs: performance.now(), untilMs: Infinity })
+  }
+
+  /** Moves an added route to the other service, in one region only. */
+  moveRoute (prefix: string): void {
+    const service = services[1]!
+    const region = this.endpoints.find((endpoint) => endpoint.serviceName === service && !endpoint.isStopping)?.region ?? storeRegion
+    this.addedRoutes.set(toRouteName(prefix), { ...baseRoutes['r-read'], prefix, service, allowed_regions: [region] })
     this.putConfig()
-    const change: SoakChange & { kind: 'route' } = { kind: 'route', prefix, atMs: performance.now(), untilMs: Infinity }
-    this.history.changes.push(change)
-    return () => {
-      change.untilMs = performance.now()
-      this.addedRoutes.delete(name)
-      this.putConfig()
+    this.history.changes.push({ kind: 'move', prefix, service, region, atMs: performance.now(), untilMs: Infinity })
+  }
+
+  removeRoute (prefix: string): void {
+    for (const change of this.history.changes) {
+      if ((change.kind === 'route' || change.kind === 'move') && change.prefix === prefix) change.untilMs = performance.now()
     }
+    this.addedRoutes.delete(toRouteName(prefix))
+    this.putConfig()
+  }
+
+  /** Lets all connections of all hosts that are open now fall silent for good, except those of callers. */
+  async silenceOpenConnections (): Promise<void> {
+    const links = [...this.links.values()].flat().filter(({ target }) => target !== 'callers')
+    await Promise.all(links.map(async ({ link }) => { await link.setFaults({ silencesOpen: true }) }))
   }
 
   /** Sets faults on the links of a host to all targets of a kind. */
@@ -151,11 +177,12 @@
   }
 
   private async addEndpoint (index: number): Promise<void> {
-    const names = Object.keys(zones)
+    const zone = pickZone(index)
     const endpoint = new SoakEndpoint({
       host: this.address(octets.endpoints, index + 1),
       port: endpointPort,
-      zone: names[index % names.length]!,
+      zone,
+      region: zones[zone]!,
       serviceMs,
       tables: this.store.tables,
       history: this.history
@@ -165,8 +192,9 @@
   }
 
   private async addHost (index: number, storeAddress: string): Promise<void> {
-    const names = Object.keys(zones)
     const name = `host-${index}`
+    const zone = pickZone(index)
+    const region = zones[zone]!
     const dial: Record<string, string> = {}
     for (let other = 0; other < this.options.endpoints; other++) {
       dial[`${this.address(octets.endpoints, other + 1)}:${endpointPort}`] = `${this.address(octets.hostLinks + index, other + 1)}:${endpointPort}`
@@ -177,8 +205,8 @@
     const host = new SoakHost({
       name,
       address: this.address(octets.hosts, index + 1),
-      zone: names[index % names.length]!,
-      region: zones[names[index % names.length]!]!,
+      zone,
+      region,
       zones,
       dial,
       storeAddress: `${this.address(octets.hostLinks + index, octets.store)}:${storePort}`,
@@ -188,14 +216,23 @@
       nodeArgs: this.options.nodeArgs
     }, this.guard)
     this.hosts.push(host)
-    for (const [target, listen] of Object.entries(dial)) await this.openLink(name, target.endsWith(`:${soakPorts.peers}`) ? 'host' : 'endpoint', listen, target)
-    await this.openLink(name, 'store', host.plan.storeAddress, storeAddress)
-    await this.openLink(name, 'callers', this.callerLink(index), host.callerAddress)
+    for (const [target, listen] of Object.entries(dial)) {
+      const place = Number(target.split(':')[0]!.split('.').at(-1)) - 1
+      const delayMs = this.delayBetween(region, zones[pickZone(place)]!)
+      await this.openLink({ source: name, target: target.endsWith(`:${soakPorts.peers}`) ? 'host' : 'endpoint', listen, address: target, delayMs })
+    }
+    await this.openLink({ source: name, target: 'store', listen: host.plan.storeAddress, address: storeAddress, delayMs: this.delayBetween(region, storeRegion) })
+    await this.openLink({ source: name, target: 'callers', listen: this.callerLink(index), address: host.callerAddress, delayMs: 0 })
+  }
+
+  /** Returns the one-way delay in ms between two regions. */
+  private delayBetween (region: string, other: string): number {
+    return region === other ? 0 : this.options.regionDelayMs ?? 0
   }
 
-  private async openLink (source: string, target: LinkTarget, listen: string, address: string): Promise<void> {
+  private async openLink ({ source, target, listen, address, delayMs }: SoakLink): Promise<void> {
     const place = { source, sourceZone: '', sourceRegion: '', targetName: address, targetKind: 'host', targetZone: '', targetRegion: '' } as const
-    const link = new Link({ ...place, listen, target: address, delayMs: 0, findsLateResets: target === 'endpoint' }, new Map())
+    const link = new Link({ ...place, listen, target: address, delayMs, findsLateResets: target === 'endpoint' }, new Map())
     await link.open()
     this.links.set(source, [...this.links.get(source) ?? [], { target, link }])
   }
@@ -248,6 +285,15 @@
   }
 }
 
+function pickZone (index: number): string {
+  const names = Object.keys(zones)
+  return names[index % names.length]!
+}
+
+function toRouteName (prefix: string): string {
+  return `r${prefix.replaceAll('/', '-')}`
+}
+
 /** Returns the body of a successful response, otherwise undefined. */
 async function fetchText (address: string, path: string): Promise<string | undefined> {
   try {
--- a/dev/soak/SoakEndpoint.ts
+++ b/dev/soak/SoakEndpoint.ts
@@ -7,6 +7,7 @@
   readonly host: string
   readonly port: number
   readonly zone: string
+  readonly region: string
   readonly serviceMs: number
   readonly tables: StoreTables
   readonly history: SoakHistory
@@ -28,15 +29,19 @@
     return this.options.zone
   }
 
+  get region (): string {
+    return this.options.region
+  }
+
   /** Starts an incarnation for a service and registers it. */
   async start (service: string): Promise<void> {
-    const { host, port, serviceMs, zone, history } = this.options
+    const { host, port, serviceMs, zone, region, history } = this.options
     this.startCount += 1
     this.service = service
     const endpoint = new PlatformEndpoint(`e-${host.split('.').at(-1)}-${this.startCount}`, slots)
     endpoint.serviceMs = serviceMs
     endpoint.onRun = ({ id, method, path, body, headers, atMs }) => {
-      history.runs.push({ id, endpoint: endpoint.id, service, zone, method, path, body, deadlineMs: Number(headers['x-deadline-ms'] ?? Infinity), atMs })
+      history.runs.push({ id, endpoint: endpoint.id, service, zone, region, method, path, body, deadlineMs: Number(headers['x-deadline-ms'] ?? Infinity), atMs })
     }
     await endpoint.listen(host, port)
     this.current = endpoint
@@ -47,7 +52,14 @@
   drain (): void {
     if (this.current === undefined) return
     this.register('draining')
-    this.options.history.changes.push({ kind: 'drain', endpoint: this.current.id, atMs: performance.now() })
+    this.recordLeaving(this.current.id)
+  }
+
+  /** Removes the entry of the incarnation without an announcement; it still serves requests until it is stopped. */
+  withdraw (): void {
+    if (this.current === undefined) return
+    this.deregister(this.current.id)
+    this.recordLeaving(this.current.id)
   }
 
   /** Stops the incarnation; its registry entry is removed only when the stop was planned. */
@@ -68,6 +80,10 @@
     return this.service
   }
 
+  private recordLeaving (id: string): void {
+    this.options.history.changes.push({ kind: 'drain', endpoint: id, atMs: performance.now() })
+  }
+
   private register (state: 'ready' | 'draining'): void {
     const { tables, zone } = this.options
     tables.put('servers', this.current!.id, this.current!.describe(this.service, zone, { state }))
--- a/dev/soak/SoakOptions.ts
+++ b/dev/soak/SoakOptions.ts
@@ -11,4 +11,6 @@
   readonly overlap: number
   /** Adds connections that fall silent for good to the faults. */
   readonly silencesConnections?: boolean
+  /** One-way delay in ms between regions; 0 when it is not set. */
+  readonly regionDelayMs?: number
 }
--- a/dev/soak/SoakRun.ts
+++ b/dev/soak/SoakRun.ts
@@ -4,6 +4,7 @@
   readonly endpoint: string
   readonly service: string
   readonly zone: string
+  readonly region: string
   readonly method: string
   readonly path: string
   readonly body: string
--- a/dev/soak/checkSoakPromises.ts
+++ b/dev/soak/checkSoakPromises.ts
@@ -73,13 +73,16 @@
     .with({ kind: 'drain' }, (drain) => checkDrain(drain, traces, history))
     .with({ kind: 'evacuate' }, (evacuation) => checkEvacuation(evacuation, traces, history))
     .with({ kind: 'route' }, (route) => checkRoute(route, traces, history))
+    .with({ kind: 'move' }, (move) => checkMove(move, traces, history))
     .exhaustive()
 }
 
 function checkDrain (change: SoakChange & { kind: 'drain' }, traces: readonly RequestTrace[], { disturbances }: SoakHistory): SoakFinding[] {
   return traces.flatMap(({ request, runs }) => {
     const late = runs.find((run) => run.endpoint === change.endpoint && run.atMs > change.atMs + soakLimits.drainMs)
-    if (late === undefined || request.sentAtMs < change.atMs || !disturbances.isHostUndisturbed(request.host, change.atMs, late.atMs)) return []
+    // The bound holds from an acknowledgement that the store gave while it was stable.
+    if (late === undefined || !disturbances.isUndisturbed('store', change.atMs - soakLimits.settleMs, change.atMs)) return []
+    if (request.sentAtMs < change.atMs || !disturbances.isHostUndisturbed(request.host, request.sentAtMs, late.atMs)) return []
     return [{ promise: 'a leaving endpoint gets nothing new', detail: `${request.id} at ${request.host}: ${change.endpoint} ran it ${Math.round(late.atMs - change.atMs)} ms after it announced to leave` }]
   })
 }
@@ -87,7 +90,7 @@
 function checkEvacuation (change: SoakChange & { kind: 'evacuate' }, traces: readonly RequestTrace[], { disturbances }: SoakHistory): SoakFinding[] {
   return traces.flatMap(({ request, runs }) => {
     const late = runs.find((run) => run.zone === change.zone && run.atMs > change.atMs + soakLimits.evacuationMs && run.atMs < change.untilMs)
-    if (late === undefined || request.sentAtMs < change.atMs || !disturbances.isHostUndisturbed(request.host, change.atMs, late.atMs)) return []
+    if (late === undefined || request.sentAtMs < change.atMs || !disturbances.isHostUndisturbed(request.host, request.sentAtMs, late.atMs)) return []
     return [{ promise: 'an evacuated zone gets nothing', detail: `${request.id} at ${request.host}: ${late.endpoint} of ${change.zone} ran it ${Math.round(late.atMs - change.atMs)} ms after the order` }]
   })
 }
@@ -98,12 +101,27 @@
     if (!path.startsWith(change.prefix)) return []
     const isInEffect = sentAtMs > change.atMs + soakLimits.configApplyMs && endedAtMs < change.untilMs
     const isGone = sentAtMs > change.untilMs + soakLimits.configApplyMs
-    if (isInEffect && status === notFoundStatus && disturbances.isHostUndisturbed(host, change.atMs, endedAtMs)) return [{ promise: 'a new route is served', detail: `${request.id} at ${host}: ${status} for ${path}` }]
-    if (isGone && runs.length > 0 && disturbances.isHostUndisturbed(host, change.untilMs, endedAtMs)) return [{ promise: 'a removed route is not served', detail: `${request.id} at ${host}: ${runs[0]!.endpoint} ran ${path}` }]
+    if (isInEffect && status === notFoundStatus && disturbances.isHostUndisturbed(host, sentAtMs, endedAtMs)) return [{ promise: 'a new route is served', detail: `${request.id} at ${host}: ${status} for ${path}` }]
+    if (isGone && runs.length > 0 && disturbances.isHostUndisturbed(host, sentAtMs, endedAtMs)) return [{ promise: 'a removed route is not served', detail: `${request.id} at ${host}: ${runs[0]!.endpoint} ran ${path}` }]
     return []
   })
 }
 
+function checkMove (change: SoakChange & { kind: 'move' }, traces: readonly RequestTrace[], { disturbances }: SoakHistory): SoakFinding[] {
+  return traces.flatMap(({ request, runs }) => {
+    const { host, sentAtMs, endedAtMs, path } = request
+    const isBound = path.startsWith(change.prefix) && sentAtMs > change.atMs + soakLimits.configApplyMs && endedAtMs < change.untilMs
+    if (!isBound || !disturbances.isHostUndisturbed(host, sentAtMs, endedAtMs)) return []
+    const late = `sent ${Math.round(sentAtMs - change.atMs)} ms after the change`
+    const old = runs.find((run) => run.service !== change.service)
+    const outside = runs.find((run) => run.region !== change.region)
+    return [
+      ...(old === undefined ? [] : [{ promise: 'a moved route is served by its new service', detail: `${request.id} at ${host}: ${old.endpoint} of ${old.service}, ${late}` }]),
+      ...(outside === undefined ? [] : [{ promise: 'a route runs in its allowed regions', detail: `${request.id} at ${host}: ${outside.endpoint} of ${outside.region}, ${late}` }])
+    ]
+  })
+}
+
 function checkRetries ({ runs }: SoakHistory, traces: readonly RequestTrace[]): SoakFinding[] {
   const findings: SoakFinding[] = []
   const requestsById = new Map(traces.map(({ request }) => [request.id, request]))
--- a/dev/soak/createSoakFaults.ts
+++ b/dev/soak/createSoakFaults.ts
@@ -1,3 +1,4 @@
+import { CommonSilenceFault } from './CommonSilenceFault.js'
 import { EndpointBehaviourFault } from './EndpointBehaviourFault.js'
 import { EndpointShutdownFault } from './EndpointShutdownFault.js'
 import { EvacuationFault } from './EvacuationFault.js'
@@ -5,17 +6,18 @@
 import { HostPauseFault } from './HostPauseFault.js'
 import { LinkFault } from './LinkFault.js'
 import { RouteFault } from './RouteFault.js'
+import { RouteMoveFault } from './RouteMoveFault.js'
 import { SettingsFault } from './SettingsFault.js'
 import type { SoakFault } from './SoakFault.js'
 import { StoreFault } from './StoreFault.js'
 
 /**
- * Creates all kinds of faults from which a run draws. Connections that fall silent for good come only with
- * `silencesConnections`, so that the seeds of earlier runs still draw the same faults.
+ * Creates all kinds of faults from which a run draws. Connections that fall silent for good, and what is checked beside them, come
+ * only with `silencesConnections`, so that the seeds of earlier runs still draw the same faults.
  */
 export function createSoakFaults (silencesConnections = false): SoakFault[] {
   return [
-    ...(silencesConnections ? [new LinkFault('connections-silent', 8, { silencesOpen: true })] : []),
+    ...(silencesConnections ? createSilenceFaults() : []),
     new HostShutdownFault('SIGKILL', 1, 4),
     new HostShutdownFault('SIGKILL', 3, 1),
     new HostShutdownFault('SIGTERM', 1, 4),
@@ -34,9 +36,18 @@
     new LinkFault('link-no-answers', 2, { silentBackward: true }),
     new LinkFault('link-no-requests', 2, { silentForward: true }),
     ...(['shed', 'lost', 'error', 'cut', 'extra', 'silent', 'forgetful'] as const).map((behaviour) => new EndpointBehaviourFault(behaviour)),
-    new EndpointShutdownFault(true),
-    new EndpointShutdownFault(false),
+    new EndpointShutdownFault('leave'),
+    new EndpointShutdownFault('crash'),
     new RouteFault(),
     new EvacuationFault()
   ]
 }
+
+function createSilenceFaults (): SoakFault[] {
+  return [
+    new LinkFault('connections-silent', 8, { silencesOpen: true }),
+    new CommonSilenceFault(),
+    new RouteMoveFault(),
+    new EndpointShutdownFault('withdraw')
+  ]
+}
--- a/test/soak/checkSoakPromises.test.ts
+++ b/test/soak/checkSoakPromises.test.ts
@@ -32,7 +32,7 @@
 }
 
 function createRun (id: string, change: Partial<SoakRun> = {}): SoakRun {
-  return { id, endpoint: 'e-1-1', service: 'ledger', zone: 'north-a', method: 'POST', path: '/order/1?n=1', body: 'x', deadlineMs: 1_990, atMs: start + 10, ...change }
+  return { id, endpoint: 'e-1-1', service: 'ledger', zone: 'north-a', region: 'north', method: 'POST', path: '/order/1?n=1', body: 'x', deadlineMs: 1_990, atMs: start + 10, ...change }
 }
 
 /** Creates a history in which every promise is kept. */
@@ -90,6 +90,15 @@
     ['a removed route is not served', (history) => {
       history.changes.push({ kind: 'route', prefix: '/order/', atMs: start - 90_000, untilMs: start - soakLimits.configApplyMs - 1 })
     }],
+    ['a moved route is served by its new service', (history) => {
+      history.changes.push({ kind: 'move', prefix: '/order/', service: 'stock', region: 'north', atMs: start - soakLimits.configApplyMs - 1, untilMs: Infinity })
+      history.requests.pop()
+      history.runs.pop()
+      add(history, createRequest('late', { path: '/read/1', sentAtMs: recoveredMs, endedAtMs: recoveredMs + 50 }), createRun('late', { path: '/read/1', atMs: recoveredMs + 10 }))
+    }],
+    ['a route runs in its allowed regions', (history) => {
+      history.changes.push({ kind: 'move', prefix: '/order/', service: 'ledger', region: 'south', atMs: start - soakLimits.configApplyMs - 1, untilMs: recoveredMs })
+    }],
     ['further attempts stay within the budget', (history) => {
       for (let index = 0; index < 100; index++) {
         const change = { isIdempotent: true, method: 'GET', path: '/read/1', body: '' } as const
@@ -109,8 +118,10 @@
 test('promises with a time bound apply only to undisturbed hosts', () => {
   const farMs = start + 60_000
   const addLateRun = (history: SoakHistory): void => {
-    history.changes.push({ kind: 'drain', endpoint: 'e-1-1', atMs: farMs - soakLimits.drainMs - 100 })
-    add(history, createRequest('b', { sentAtMs: farMs - 50, endedAtMs: farMs + 50 }), createRun('b', { atMs: farMs }))
+    // An endpoint of its own, since the other requests of the history run after its leaving too.
+    history.changes.push({ kind: 'drain', endpoint: 'e-9-1', atMs: farMs - soakLimits.drainMs - 100 })
+    const request = createRequest('b', { sentAtMs: farMs - 50, endedAtMs: farMs + 50, signedBy: 'e-9-1', responseBody: 'done e-9-1' })
+    add(history, request, createRun('b', { endpoint: 'e-9-1', atMs: farMs }))
   }
   for (const name of ['host-0', 'store']) {
     expect(listBroken((history) => {
@@ -118,6 +129,11 @@
       history.disturbances.begin(name, farMs - 3_000)(farMs - 2_900)
     })).toEqual([])
   }
+  // A change during a disturbance must be in force as well once the host has been calm for long enough.
+  expect(listBroken((history) => {
+    addLateRun(history)
+    history.disturbances.begin('host-0', farMs - 4_500)(farMs - 4_400)
+  })).toEqual(['a leaving endpoint gets nothing new'])
   expect(listBroken((history) => {
     addLateRun(history)
     history.disturbances.begin('host-1', farMs - 3_000)(farMs - 2_900)
