Let the hosts of a soak hear each other

The key of the links between hosts is derived from the store's address, and in the soak each host had the address of its own link to the store; every handshake was refused, in silence, and each host read the store for itself. Now the settings name one store address and the dial table, which the soak uses for all other links, leads to the link. The start waits until every host has heard of all others.

--- a/dev/soak/SoakCluster.ts
+++ b/dev/soak/SoakCluster.ts
@@ -83,6 +83,7 @@
     for (let index = 0; index < this.options.hosts; index++) await this.addHost(index, storeAddress)
     for (const host of this.hosts) host.start()
     await this.waitForReady()
+    await this.waitForPeers()
     for (let index = 0; index < this.options.callers; index++) this.addCaller(index)
     this.callerRuns = Promise.all(this.callers.map(async (caller) => { await caller.run() }))
     this.exitTimer = setInterval(() => this.recordUnexpectedExits(), soakLimits.pollMs)
@@ -176,6 +177,17 @@
     }
   }
 
+  /** Waits until each host has heard of all others; without peers, a run would not test what hosts learn from each other. */
+  private async waitForPeers (): Promise<void> {
+    const endMs = performance.now() + soakLimits.startTimeoutMs
+    for (const host of this.hosts) {
+      while (host.countPeers() < this.hosts.length - 1) {
+        if (performance.now() > endMs) throw new Error(`host "${host.name}" has heard of ${host.countPeers()} of ${this.hosts.length - 1} hosts:\n${host.process.readLogTail()}`)
+        await new Promise((resolve) => setTimeout(resolve, soakLimits.pollMs))
+      }
+    }
+  }
+
   private async addEndpoint (index: number): Promise<void> {
     const zone = pickZone(index)
     const endpoint = new SoakEndpoint({
@@ -202,14 +214,15 @@
     for (let other = 0; other < this.options.hosts; other++) {
       if (other !== index) dial[`${this.address(octets.hosts, other + 1)}:${soakPorts.peers}`] = `${this.address(octets.hostLinks + index, octets.peers + other)}:${soakPorts.peers}`
     }
+    const storeLink = `${this.address(octets.hostLinks + index, octets.store)}:${storePort}`
     const host = new SoakHost({
       name,
       address: this.address(octets.hosts, index + 1),
       zone,
       region,
       zones,
-      dial,
-      storeAddress: `${this.address(octets.hostLinks + index, octets.store)}:${storePort}`,
+      dial: { ...dial, [storeAddress]: storeLink },
+      storeAddress,
       seeds: [1, 2, 3].slice(0, this.options.hosts).map((other) => this.address(octets.hosts, other)),
       folder: this.options.folder,
       script: this.options.script,
@@ -221,7 +234,7 @@
       const delayMs = this.delayBetween(region, zones[pickZone(place)]!)
       await this.openLink({ source: name, target: target.endsWith(`:${soakPorts.peers}`) ? 'host' : 'endpoint', listen, address: target, delayMs })
     }
-    await this.openLink({ source: name, target: 'store', listen: host.plan.storeAddress, address: storeAddress, delayMs: this.delayBetween(region, storeRegion) })
+    await this.openLink({ source: name, target: 'store', listen: storeLink, address: storeAddress, delayMs: this.delayBetween(region, storeRegion) })
     await this.openLink({ source: name, target: 'callers', listen: this.callerLink(index), address: host.callerAddress, delayMs: 0 })
   }
 
--- a/dev/soak/SoakHost.ts
+++ b/dev/soak/SoakHost.ts
@@ -84,6 +84,12 @@
     return Number(line?.[1] ?? 0) * bytesPerKb / bytesPerMb
   }
 
+  /** Returns the number of hosts that this one has logged as up. */
+  countPeers (): number {
+    const lines = readFileSync(this.logFile, 'utf8').split('\n').filter((line) => line.includes('event=peer-up'))
+    return new Set(lines.map((line) => / peer=(\S+)/.exec(line)?.[1])).size
+  }
+
   /** Returns the log lines that report an internal error of the host. */
   listErrors (): string[] {
     return readFileSync(this.logFile, 'utf8').split('\n').filter((line) => /event=(tick-failed|task-failed|heartbeat-failed|stop-failed|start-failed)| {4}at /.test(line))
