Log and count connections to other hosts that end with an error

A host whose links to all others were refused, since their keys differ, logged nothing: it read the store for itself and named only itself to callers. Each such end is now the line peer-connection-failed (bounded like other input) with address, code and reason, and counts in shunt_input_rejected_total for the edge peer.

--- a/src/peers/PeerMesh.ts
+++ b/src/peers/PeerMesh.ts
@@ -53,7 +53,16 @@
     const { self, clusterKey, dial, clock } = options
     const identity = { name: self.name, role: 'entry', incarnation: self.incarnation } as const
     this.server = new FrameServer({ self: identity, clusterKey, onMessage: (message) => this.handleRequest(message) })
-    this.client = new FrameClient({ self: identity, clusterKey, dial, clock, onMessage: () => undefined })
+    this.client = new FrameClient({
+      self: identity,
+      clusterKey,
+      dial,
+      clock,
+      onMessage: () => undefined,
+      onClose: (address, failure) => {
+        if (failure !== undefined) options.rejected.record(InputEdge.peer, 'peer-connection-failed', { address, code: failure.name, reason: failure.message })
+      }
+    })
   }
 
   async start (): Promise<void> {
--- a/test/peers/PeerMesh.test.ts
+++ b/test/peers/PeerMesh.test.ts
@@ -5,11 +5,28 @@
 import { SystemClock } from '../../src/common/SystemClock.js'
 import { PeerMesh } from '../../src/peers/PeerMesh.js'
 import { PeerTable } from '../../src/peers/PeerTable.js'
+import { FrameServer } from '../../src/wire/FrameServer.js'
 import { createHeartbeat } from '../support/createHeartbeat.js'
 import { createRejectedInput } from '../support/createRejectedInput.js'
+import { findFreePorts } from '../support/findFreePorts.js'
 import { MemoryLogger } from '../support/MemoryLogger.js'
 import { waitUntil } from '../support/waitUntil.js'
 
+type MeshOptions = ConstructorParameters<typeof PeerMesh>[0]
+
+function createMesh (options: Pick<MeshOptions, 'self' | 'peers' | 'describeSelf'> & { logger: MemoryLogger }): PeerMesh {
+  return new PeerMesh({
+    clusterKey: 'test',
+    dial: new DialMap(),
+    listSeeds: () => [],
+    catalog: new Catalog(() => {}),
+    clock: new SystemClock(),
+    rejected: createRejectedInput(options.logger),
+    isReader: () => true,
+    ...options
+  })
+}
+
 // Guards against heartbeats to a host that end for good after one of them failed with an exception.
 test('heartbeats go on after an exception', async () => {
   const { host, versions: _versions, pages: _pages, ...state } = createHeartbeat('a', 1)
@@ -17,17 +34,10 @@
   peers.upsert({ ...host, name: 'b', peerAddress: '127.0.0.1:1' })
   let heartbeats = 0
   const logger = new MemoryLogger()
-  const mesh = new PeerMesh({
+  const mesh = createMesh({
     self: host,
-    clusterKey: 'test',
-    dial: new DialMap(),
-    listSeeds: () => [],
-    catalog: new Catalog(() => {}),
     peers,
-    clock: new SystemClock(),
     logger,
-    rejected: createRejectedInput(logger),
-    isReader: () => true,
     describeSelf: () => {
       heartbeats += 1
       if (heartbeats === 1) throw new Error('planted')
@@ -45,3 +55,22 @@
     await mesh.stop()
   }
 })
+
+// Guards against hosts that have no peers, without a trace in the logs, because their keys differ.
+test('a peer with another cluster key is logged', async () => {
+  const port = (await findFreePorts(1))[0]!
+  const server = new FrameServer({ self: { name: 'b', role: 'entry', incarnation: 1 }, clusterKey: 'other', onMessage: () => undefined })
+  await server.listen('127.0.0.1', port)
+  const { host, versions: _versions, pages: _pages, ...state } = createHeartbeat('a', 1)
+  const peers = new PeerTable('a')
+  peers.upsert({ ...host, name: 'b', peerAddress: `127.0.0.1:${port}` })
+  const logger = new MemoryLogger()
+  const mesh = createMesh({ self: host, peers, logger, describeSelf: () => state })
+  try {
+    mesh.announce()
+    await waitUntil(() => logger.lines.some((line) => line.includes('peer-connection-failed') && line.includes('code=frameAuth')))
+  } finally {
+    await mesh.stop()
+    await server.close()
+  }
+})
--- a/test/support/HostGroup.ts
+++ b/test/support/HostGroup.ts
@@ -1,7 +1,6 @@
 import { request } from 'node:http'
 import type { IncomingHttpHeaders, RequestOptions } from 'node:http'
-import { connect, createServer } from 'node:net'
-import type { AddressInfo } from 'node:net'
+import { connect } from 'node:net'
 import { Registry } from 'prom-client'
 import { PlatformHttpBinding } from '../../platform/PlatformHttpBinding.js'
 import { HttpCatalogStore } from '../../platform/HttpCatalogStore.js'
@@ -13,6 +12,7 @@
 import { StoreServer } from '../../dev/store/StoreServer.js'
 import { CuttableStore } from './CuttableStore.js'
 import { createHostSettings } from './createHostSettings.js'
+import { findFreePorts } from './findFreePorts.js'
 import { MemoryLogger } from './MemoryLogger.js'
 import type { RawEndpoint } from './RawEndpoint.js'
 import { waitUntil } from './waitUntil.js'
@@ -179,14 +179,3 @@
     req.end(body)
   })
 }
-
-/** Returns ports that were free a moment ago, found by opening and closing listeners. */
-async function findFreePorts (count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer())
-  const ports = await Promise.all(servers.map(async (server) => {
-    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
-    return (server.address() as AddressInfo).port
-  }))
-  await Promise.all(servers.map(async (server) => await new Promise((resolve) => server.close(resolve))))
-  return ports
-}
