Close accepted peer connections on which nothing arrives

Each moment of silence costs every host one socket a peer; at 1,024 the frame server refuses all new connections, and the host is without peers. An accepted connection without a byte for 30 s is closed now; heartbeats come every 1.5 s at the slowest. The option is set for hosts' links only, the earlier daemons keep their idle connections. Test that failed before: 'an accepted connection on which nothing arrives is closed' (no such option; the connection stayed).

--- a/src/peers/PeerMesh.ts
+++ b/src/peers/PeerMesh.ts
@@ -52,7 +52,7 @@
   constructor (private readonly options: PeerMeshOptions) {
     const { self, clusterKey, dial, clock } = options
     const identity = { name: self.name, role: 'entry', incarnation: self.incarnation } as const
-    this.server = new FrameServer({ self: identity, clusterKey, onMessage: (message) => this.handleRequest(message) })
+    this.server = new FrameServer({ self: identity, clusterKey, idleTimeoutMs: peerLimits.idleTimeoutMs, onMessage: (message) => this.handleRequest(message) })
     this.client = new FrameClient({
       self: identity,
       clusterKey,
--- a/src/peers/peerLimits.ts
+++ b/src/peers/peerLimits.ts
@@ -8,6 +8,8 @@
   maxSlowdown: 3,
   /** Time in ms to wait for the reply to a heartbeat; the connection is reopened after a timeout. */
   heartbeatTimeoutMs: 1_000,
+  /** Time in ms without a request after which an accepted connection is closed, since the peer uses a new one by then. */
+  idleTimeoutMs: 30_000,
   /** Time in ms without a heartbeat after which a host is considered down. */
   deadAfterMs: 2_000,
   /** Age in ms of a table version from which it is also sent to readers that lack it. */
--- a/src/wire/FrameConnection.ts
+++ b/src/wire/FrameConnection.ts
@@ -20,6 +20,8 @@
   readonly self: PeerIdentity
   readonly clusterKey: string
   readonly onMessage: MessageHandler
+  /** Time in ms without any bytes after which the connection is closed; none when it is not set. */
+  readonly idleTimeoutMs?: number | undefined
 }
 
 /** A request that awaits its response. */
@@ -56,6 +58,8 @@
     socket.on('data', (chunk: Buffer) => this.receive(chunk))
     socket.on('error', () => {})
     socket.on('close', () => this.close(undefined))
+    const { idleTimeoutMs } = options
+    if (idleTimeoutMs !== undefined) socket.setTimeout(idleTimeoutMs, () => this.close(createFailure('peerTimeout', { message: `the peer sent nothing for ${idleTimeoutMs} ms` })))
     this.handshakeTimer = setTimeout(() => this.close(createFailure('peerTimeout', { message: 'the handshake did not complete in time' })), frameLimits.handshakeTimeoutMs)
     this.send({ t: 'hello', ...options.self, nonce: this.nonce })
   }
--- a/src/wire/FrameServer.ts
+++ b/src/wire/FrameServer.ts
@@ -14,6 +14,8 @@
   readonly onReady?: (peer: PeerIdentity, connection: FrameConnection) => void
   /** Called when a connection has closed; `failure` is set when a protocol error or a timeout closed it. */
   readonly onClose?: (peer: PeerIdentity | undefined, failure: Failure | undefined, connection: FrameConnection) => void
+  /** Time in ms without any bytes after which a connection is closed; a connection that fell silent has no other end. */
+  readonly idleTimeoutMs?: number
   /** Largest number of concurrent connections. */
   readonly maxConnections?: number
 }
@@ -60,6 +62,7 @@
     const connection: FrameConnection = new FrameConnection(socket, {
       self: this.options.self,
       clusterKey: this.options.clusterKey,
+      idleTimeoutMs: this.options.idleTimeoutMs,
       onMessage: (message, peer) => this.options.onMessage(message, peer, connection)
     })
     return connection
--- a/test/wire/FrameConnection.test.ts
+++ b/test/wire/FrameConnection.test.ts
@@ -51,3 +51,21 @@
   expect(handled).toEqual(0)
   await server.close()
 })
+
+// Guards against accepted connections that fell silent and are kept for good, until no peer can connect any more.
+test('an accepted connection on which nothing arrives is closed', async () => {
+  const idleTimeoutMs = 200
+  const failures: Array<string | undefined> = []
+  const server = new FrameServer({ self: serverSelf, clusterKey: 'k', idleTimeoutMs, onMessage: (message) => ({ t: 'echo', n: message.n }), onClose: (_peer, failure) => { failures.push(failure?.name) } })
+  await server.listen(address, 17_004)
+  const client = createClient('k')
+  for (let n = 0; n < 5; n++) {
+    expect((await client.request(`${address}:17004`, { t: 'ask', n }, 1_000)).isOk()).toEqual(true)
+    await new Promise((resolve) => setTimeout(resolve, idleTimeoutMs / 2))
+  }
+  expect(failures).toEqual([])
+  await new Promise((resolve) => setTimeout(resolve, idleTimeoutMs * 2))
+  expect(failures).toEqual(['peerTimeout'])
+  client.close()
+  await server.close()
+})
