Check every entry that another host forwards, and fuzz heartbeats

A host checked endpoints that another one forwards, but took configurations and hosts as they came. Found by the new edge of the fuzzer: a configuration whose route lacks its services, or a host without a usable address, is applied; the first makes each of its requests end with 500, the second an exception for each heartbeat. No report of it; it takes hosts of two releases that read the store by different rules, as in an upgrade. catalogEntrySchema, with routingConfigSchema and hostRecordSchema, says what an entry must be. A page with an order that can't be used is left out whole: the host then has no proof that its copy is complete and reads the store itself, while a half-applied page would hide the order until the next change. Other unusable entries name nothing.

--- a/dev/fuzz/EntryFuzzEdge.ts
+++ b/dev/fuzz/EntryFuzzEdge.ts
@@ -1,13 +1,12 @@
-import { validateHeaderValue } from 'node:http'
 import * as fc from 'fast-check'
 import { Registry } from 'prom-client'
 import { decodeRow } from '../../platform/decodeRow.js'
 import { SilentLogger } from '../../platform/SilentLogger.js'
-import { parseDestination } from '../../src/common/parseDestination.js'
 import { SystemClock } from '../../src/common/SystemClock.js'
-import type { EndpointRecord } from '../../src/endpoints/EndpointRecord.js'
 import { RejectedInput } from '../../src/metrics/RejectedInput.js'
+import { checkEndpoint } from './checkEndpoint.js'
 import { FuzzEdge } from './FuzzEdge.js'
+import { mostly } from './mostly.js'
 import { mutateText } from './mutateText.js'
 
 /** A row of the endpoint registry as another writer may leave it. */
@@ -16,14 +15,6 @@
   readonly text: string
 }
 
-const oddNumbers = fc.constantFrom(-1, 0, 1.5, 1e15, 1e300, Number.MAX_SAFE_INTEGER)
-const oddValues = fc.oneof(oddNumbers, fc.constantFrom<unknown>(null, '', [], {}, true), fc.string())
-
-/** Mostly `value`, sometimes anything else, sometimes missing. */
-function mostly (value: fc.Arbitrary<unknown>): fc.Arbitrary<unknown> {
-  return fc.oneof({ weight: 12, arbitrary: value }, { weight: 1, arbitrary: oddValues }, { weight: 1, arbitrary: fc.constant(undefined) })
-}
-
 const addresses = fc.tuple(fc.nat(300), fc.nat(70_000)).map(([octet, port]) => `10.0.0.${octet}:${port}`)
 const entries = fc.record({
   address: mostly(addresses),
@@ -44,15 +35,6 @@
 
   override async check ({ key, text }: EntryInput): Promise<void> {
     const row = decodeRow('endpoints', { key, ver: 1, value: Buffer.from(text).toString('base64') }, this.rejected)
-    if (row?.entry?.kind === 'endpoint') checkUsable(row.entry.endpoint)
+    if (row?.entry?.kind === 'endpoint') checkEndpoint(row.entry.endpoint)
   }
 }
-
-function checkUsable ({ id, address, service, zone, slots, coldMs, bornAtMs }: EndpointRecord): void {
-  validateHeaderValue('X-Expect-Instance', id)
-  parseDestination(address)
-  if (service === '' || zone === '') throw new Error('an endpoint has an empty name')
-  if (!Number.isSafeInteger(slots) || slots < 1 || slots > 1_000_000) throw new Error(`an endpoint has ${slots} slots`)
-  if (!Number.isFinite(coldMs) || coldMs < 0 || coldMs > 1e12) throw new Error(`an endpoint is cold for ${coldMs} ms`)
-  if (!Number.isSafeInteger(bornAtMs)) throw new Error(`an endpoint was born at ${bornAtMs}`)
-}
--- a/dev/fuzz/createFuzzEdges.ts
+++ b/dev/fuzz/createFuzzEdges.ts
@@ -1,9 +1,10 @@
 import { EntryFuzzEdge } from './EntryFuzzEdge.js'
 import type { FuzzEdge } from './FuzzEdge.js'
+import { HeartbeatFuzzEdge } from './HeartbeatFuzzEdge.js'
 import { RequestFuzzEdge } from './RequestFuzzEdge.js'
 import { ResponseFuzzEdge } from './ResponseFuzzEdge.js'
 
 /** Creates all edges that the fuzzer knows. */
 export function createFuzzEdges (): Array<FuzzEdge<unknown>> {
-  return [new EntryFuzzEdge(), new ResponseFuzzEdge(), new RequestFuzzEdge()] as Array<FuzzEdge<unknown>>
+  return [new EntryFuzzEdge(), new ResponseFuzzEdge(), new RequestFuzzEdge(), new HeartbeatFuzzEdge()] as Array<FuzzEdge<unknown>>
 }
--- a/src/peers/PeerMesh.ts
+++ b/src/peers/PeerMesh.ts
@@ -157,7 +157,7 @@
   /** `sentAtMs` is the time of this host's request when the message is its reply. */
   private receive (message: Message, sentAtMs?: number): Heartbeat | undefined {
     const { catalog, clock, peers, logger, rejected } = this.options
-    const heartbeat = message.t === 'beat' ? readHeartbeat(message.beat) : undefined
+    const heartbeat = message.t === 'beat' ? readHeartbeat(message.beat, (reason, fields) => rejected.record(InputEdge.peer, reason, fields)) : undefined
     if (heartbeat === undefined) {
       rejected.record(InputEdge.peer, 'heartbeat-refused', { type: String(message.t) })
       return undefined
--- a/src/peers/readHeartbeat.ts
+++ b/src/peers/readHeartbeat.ts
@@ -1,8 +1,10 @@
 import * as z from 'zod/mini'
-import type { CatalogEntry } from '../catalog/CatalogEntry.js'
+import type { CatalogPage } from '../catalog/CatalogPage.js'
+import type { CatalogRow } from '../catalog/CatalogRow.js'
 import { CatalogTable } from '../catalog/CatalogTable.js'
-import { endpointRecordSchema } from '../endpoints/endpointRecordSchema.js'
+import { catalogEntrySchema } from './catalogEntrySchema.js'
 import type { Heartbeat } from './Heartbeat.js'
+import { hostRecordSchema } from './hostRecordSchema.js'
 
 const namedNumbers = z.array(z.tuple([z.string(), z.number()]))
 const tables = z.enum(Object.values(CatalogTable) as [CatalogTable, ...CatalogTable[]])
@@ -10,15 +12,7 @@
 const unknownAges = { orders: -1, endpoints: -1, hosts: -1 }
 
 const schema = z.object({
-  host: z.object({
-    name: z.string(),
-    zone: z.string(),
-    region: z.string(),
-    callerAddress: z.string(),
-    peerAddress: z.string(),
-    linkMbps: z.number(),
-    incarnation: z.number()
-  }),
+  host: hostRecordSchema,
   isReady: z.boolean(),
   isLeaving: z.boolean(),
   storeAgeMs: z.number(),
@@ -34,22 +28,38 @@
   pages: z.array(z.tuple([tables, z.object({
     version: z.number(),
     after: z.optional(z.number()),
-    rows: z.array(z.object({ key: z.string(), version: z.number(), entry: z.optional(z.pipe(z.unknown(), z.transform(readEntry))) }))
+    rows: z.array(z.object({ key: z.string(), version: z.number(), entry: z.optional(z.unknown()) }))
   })]))
 })
 
-/** Validates a heartbeat from another host. Returns undefined when its shape is invalid. */
-export function readHeartbeat (value: unknown): Heartbeat | undefined {
+/** Called for each part of a heartbeat that is left out. */
+type RejectionHandler = (reason: string, fields: Readonly<Record<string, string | number>>) => void
+
+/** Validates a heartbeat from another host. Returns undefined when its shape is invalid; leaves out pages and entries that can't be used. */
+export function readHeartbeat (value: unknown, onRejected: RejectionHandler = () => {}): Heartbeat | undefined {
   const parsed = schema.safeParse(value)
-  return parsed.success ? parsed.data as Heartbeat : undefined
+  if (!parsed.success) return undefined
+  const pages = parsed.data.pages.flatMap(([table, page]) => {
+    const checked = readPage(table, page, onRejected)
+    return checked === undefined ? [] : [[table, checked] as const]
+  })
+  return { ...parsed.data, pages }
 }
 
+/** A page as a peer sends it, with entries of any shape. */
+type ForwardedPage = z.infer<typeof schema>['pages'][number][1]
+
 /**
- * Returns undefined for an entry that names no usable endpoint: a host of an earlier release forwards such entries from the
- * store. Other entries are checked by the host that read them.
+ * Returns undefined for a page with an order that can't be used: without the page this host has no proof that its copy is
+ * complete, and reads the orders from the store. An unusable entry of another table names no endpoint or host; the others hold.
  */
-function readEntry (value: unknown): CatalogEntry | undefined {
-  if (typeof value !== 'object' || value === null || !('kind' in value)) return undefined
-  const entry = value as CatalogEntry
-  return entry.kind === 'endpoint' && !endpointRecordSchema.safeParse(entry.endpoint).success ? undefined : entry
+function readPage (table: CatalogTable, page: ForwardedPage, onRejected: RejectionHandler): CatalogPage | undefined {
+  const rows: CatalogRow[] = []
+  for (const { key, version, entry } of page.rows) {
+    const parsed = entry === undefined ? undefined : catalogEntrySchema.safeParse(entry)
+    if (parsed?.success === false) onRejected('forwarded-entry-unusable', { table, key, version })
+    if (parsed?.success === false && table === CatalogTable.orders) return undefined
+    rows.push({ key, version, entry: parsed?.data })
+  }
+  return { version: page.version, ...(page.after === undefined ? {} : { after: page.after }), rows }
 }
--- a/test/peers/readHeartbeat.test.ts
+++ b/test/peers/readHeartbeat.test.ts
@@ -1,9 +1,12 @@
 import { test } from 'node:test'
 import { expect } from 'earl'
 import fc from 'fast-check'
+import type { CatalogEntry } from '../../src/catalog/CatalogEntry.js'
 import { readHeartbeat } from '../../src/peers/readHeartbeat.js'
 import { createEndpoint } from '../support/createEndpoint.js'
 import { createHeartbeat } from '../support/createHeartbeat.js'
+import { createRoute } from '../support/createRoute.js'
+import { createRoutingConfig } from '../support/createRoutingConfig.js'
 
 // Guards against validation that alters a heartbeat.
 test('a valid heartbeat is returned unchanged', () => {
@@ -39,3 +42,23 @@
   const read = readHeartbeat(createHeartbeat('a', 1, { pages: [['endpoints', { version: 3, after: 1, rows }]] }))
   expect(read?.pages[0]![1].rows.map(({ key, entry }) => [key, entry?.kind])).toEqual([['e-1', 'endpoint'], ['i-t\u016branga-1', undefined]])
 })
+
+// Guards against a configuration that a host of another release read by other rules, and that requests can't be served with.
+test('a page with a configuration that can not be used is left out and recorded', () => {
+  const config = createRoutingConfig()
+  const { parts: _parts, ...route } = createRoute()
+  const reasons: string[] = []
+  const read = (entry: object): number | undefined => {
+    const page = { version: 3, after: 1, rows: [{ key: 'config', version: 3, entry: entry as CatalogEntry }] }
+    return readHeartbeat(createHeartbeat('a', 1, { pages: [['orders', page]] }), (reason) => reasons.push(reason))?.pages.length
+  }
+  const counts = [config, { ...config, routes: [route] }, { ...config, routes: [{ ...route, parts: [] }] }, { version: 2 }].map((each) => read({ kind: 'routing', config: each }))
+  expect([counts, read({ kind: 'later' })]).toEqual([[1, 0, 0, 0], 0])
+  expect(reasons).toEqual(Array(4).fill('forwarded-entry-unusable'))
+})
+
+// Guards against a host whose address no other host can connect to; each heartbeat to it would fail with an exception.
+test('a heartbeat of a host without a usable address is refused', () => {
+  const beat = createHeartbeat('a', 1)
+  expect(readHeartbeat({ ...beat, host: { ...beat.host, peerAddress: 'host-1' } })).toEqual(undefined)
+})
