--- a/test/platformAdapter/HttpCatalogStore.test.ts
+++ b/test/platformAdapter/HttpCatalogStore.test.ts
@@ -52,3 +52,16 @@
     expect((await client.read('endpoints'))._unsafeUnwrapErr().kind).toEqual('unavailable')
   })
 })
+
+// Guards against a read without end, which fills the memory, when the store repeats a page.
+test('a page of earlier rows fails the read', async () => {
+  await withLargeTable(async (store, client) => {
+    let calls = 0
+    store.intercept = (_req, res) => {
+      calls += 1
+      res.end(JSON.stringify({ rows: [{ key: 'e-1', ver: 1 }], has_more: calls < 100, ver: 1 }))
+      return true
+    }
+    expect([(await client.read('endpoints')).isErr(), calls]).toEqual([true, 2])
+  })
+})
