--- a/test/platformAdapter/readSettings.test.ts
+++ b/test/platformAdapter/readSettings.test.ts
@@ -39,6 +39,9 @@
   const cases: Array<readonly [unknown, string]> = [
     [{ ...valid, zone: undefined }, '"zone"'],
     [{ ...valid, listen: { ...valid.listen, front: 'nowhere' } }, '"listen.front"'],
+    [{ ...valid, listen: { ...valid.listen, ready: '10.1.0.34:0' } }, '"listen.ready"'],
+    [{ ...valid, internal_port_range: [70_000, 70_015] }, '"internal_port_range.0"'],
+    [{ ...valid, ip_address: 'here' }, '"ip_address"'],
     [{ ...valid, rule_params: ['grace_s=soon'] }, '"rule_params"'],
     [{ ...valid, cloud_platform: {} }, '"cloud_platform.address"']
   ]
@@ -47,6 +50,13 @@
     expect(message.includes(field)).toEqual(true)
     expect(message.includes('\n')).toEqual(false)
   }
+  expect(readSettings(createSettingsFile('a\nb\n'))._unsafeUnwrapErr().includes('\n')).toEqual(false)
   expect(readSettings(createSettingsFile('{'))._unsafeUnwrapErr().includes('cannot be read')).toEqual(true)
   expect(readSettings('/no/such/file').isErr()).toEqual(true)
 })
+
+// Guards against a seed that makes each attempt to reach it fail with an exception and a log line.
+test('seeds without a usable address are left out', () => {
+  const { host } = readSettings(createSettingsFile({ ...valid, seed_nodes: ['10.2.0.34:8544', 'host-1:8544', '10.2.0.999:1'] }))._unsafeUnwrap()
+  expect(host.seeds).toEqual(['10.2.0.34:7540'])
+})
