--- a/dev/soak.ts
+++ b/dev/soak.ts
@@ -5,6 +5,7 @@
 import { groupBy } from './common/groupBy.js'
 import { readPositive } from './common/readPositive.js'
 import { runSoak } from './soak/runSoak.js'
+import type { SoakOptions } from './soak/SoakOptions.js'
 import { soakSeeds } from './soak/soakSeeds.js'
 
 /** Options of the command line. */
@@ -46,11 +47,11 @@
   .parse()
   .opts<SoakArguments>()
 
-const runs = args.kept === true
-  ? soakSeeds
+const runs: Array<{ readonly seed: number, readonly seconds: number, readonly options?: Partial<SoakOptions> }> = args.kept === true
+  ? [...soakSeeds]
   : Array.from({ length: args.seeds }, (_value, index) => ({ seed: args.seed + index, seconds: args.minutes * secondsPerMinute }))
 let broken = 0
-for (const { seed, seconds } of runs) {
+for (const { seed, seconds, options = {} } of runs) {
   const folder = mkdtempSync(join(tmpdir(), `soak-${seed}-`))
   const result = await runSoak({
     seed,
@@ -62,6 +63,7 @@
     silencesConnections: args.silentConnections === true,
     folder,
     ...(args.regionDelay === undefined ? {} : { regionDelayMs: args.regionDelay }),
+    ...options,
     script: args.script,
     nodeArgs: args.profile === undefined ? [] : ['--cpu-prof', `--cpu-prof-dir=${args.profile}`],
     onLine: (line) => { if (args.quiet !== true) console.log(line) }
@@ -70,7 +72,7 @@
   for (const [promise, rows] of groupBy(findings, (finding) => finding.promise)) {
     for (const { detail } of rows.slice(0, shownPerPromise)) console.log(`seed=${seed} broken="${promise}" count=${rows.length} detail="${detail}"`)
   }
-  console.log(`seed=${seed} hosts=${args.hosts} endpoints=${args.endpoints} faults=${faults} requests=${requests} served=${served} findings=${findings.length}${findings.length > 0 ? ` logs=${folder}` : ''}`)
+  console.log(`seed=${seed} hosts=${options.hosts ?? args.hosts} endpoints=${options.endpoints ?? args.endpoints} faults=${faults} requests=${requests} served=${served} findings=${findings.length}${findings.length > 0 ? ` logs=${folder}` : ''}`)
   if (findings.length === 0) rmSync(folder, { recursive: true, force: true })
   else broken += 1
 }
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -4,7 +4,6 @@
 import { CatalogFollower } from '../catalog/CatalogFollower.js'
 import type { CatalogStore } from '../catalog/CatalogStore.js'
 import { CatalogTable } from '../catalog/CatalogTable.js'
-import { catalogLimits } from '../catalog/catalogLimits.js'
 import { TableFreshnessSystem } from '../catalog/TableFreshnessSystem.js'
 import type { HostRecord } from '../peers/HostRecord.js'
 import { PeerMesh } from '../peers/PeerMesh.js'
@@ -29,6 +28,7 @@
 import { WeightedPicker } from '../routing/WeightedPicker.js'
 import { ClusterState } from './ClusterState.js'
 import { GraceTime } from './GraceTime.js'
+import { HostRegistration } from './HostRegistration.js'
 import type { HttpBinding } from './HttpBinding.js'
 import { HealthChecker } from './HealthChecker.js'
 import { hostLimits } from './hostLimits.js'
@@ -79,10 +79,11 @@
   private readonly followers: readonly CatalogFollower[]
   private readonly scheduler: Scheduler
   private readonly graceTime: GraceTime
+  private readonly registration: HostRegistration
   private isLeaving = false
 
   constructor (private readonly options: HostProcessOptions) {
-    const { settings, clock, createModuleLogger: createLog, httpBinding, random } = options
+    const { settings, clock, createModuleLogger: createLog, httpBinding } = options
     this.settings = settings
     const dial = new DialMap(settings.dial)
     this.log = createLog('host')
@@ -156,18 +157,8 @@
       isReady: () => this.isReady,
       listServing: () => this.listServing()
     })
-    const followerOptions = {
-      store: options.store,
-      catalog: this.state.catalog,
-      health: this.health,
-      clock,
-      logger: createLog('store'),
-      random,
-      shouldRead: (table: CatalogTable) => this.readers.shouldRead(table),
-      getTableAge: (table: CatalogTable, nowMs: number) => this.readers.getTableAge(table, nowMs),
-      getReaderPlace: () => this.readers.getPlace()
-    }
-    this.followers = Object.values(CatalogTable).map((table) => new CatalogFollower(table, followerOptions))
+    this.followers = this.createFollowers()
+    this.registration = new HostRegistration({ store: options.store, self: this.self, logger: this.log, isLeaving: () => this.isLeaving })
     const checker = new HealthChecker({ endpoints: this.endpoints, dial, routing: this.routing, httpBinding, clock, logger: createLog('endpoints') })
     this.scheduler = new Scheduler(
       clock,
@@ -193,7 +184,7 @@
   async start (): Promise<void> {
     const { host, port } = parseDestination(this.options.settings.listen.callers)
     for (const follower of this.followers) this.runInBackground('follow', follower.run())
-    this.runInBackground('register', this.register())
+    this.runInBackground('register', this.registration.run())
     await this.mesh.start()
     await this.auxiliaryPorts.listen()
     await this.front.listen(host, port)
@@ -207,7 +198,7 @@
     this.settings = settings
     if (!isLinkChanged) return
     this.self.linkMbps = settings.linkMbps
-    this.runInBackground('register', this.register())
+    this.runInBackground('register', this.registration.run())
   }
 
   /** Shuts down gracefully: announces the departure, then waits for requests in flight until the grace time is nearly over. */
@@ -230,17 +221,20 @@
     await this.mesh.stop()
   }
 
-  /** Registers this host, retrying until the store accepts it or the host is leaving. */
-  private async register (): Promise<void> {
-    while (!this.isLeaving) {
-      const result = await this.options.store.registerHost(this.self)
-      if (result.isOk()) {
-        this.log.info('registered', { peerAddress: this.self.peerAddress })
-        return
-      }
-      this.log.warn('register-failed', { reason: result.error.message })
-      await sleep(catalogLimits.maxBackoffMs)
+  private createFollowers (): CatalogFollower[] {
+    const { store, clock, random, createModuleLogger: createLog } = this.options
+    const options = {
+      store,
+      catalog: this.state.catalog,
+      health: this.health,
+      clock,
+      logger: createLog('store'),
+      random,
+      shouldRead: (table: CatalogTable) => this.readers.shouldRead(table),
+      getTableAge: (table: CatalogTable, nowMs: number) => this.readers.getTableAge(table, nowMs),
+      getReaderPlace: () => this.readers.getPlace()
     }
+    return Object.values(CatalogTable).map((table) => new CatalogFollower(table, options))
   }
 
   private createHandler (metrics: HostMetrics, status: HostStatus): RequestHandler {
--- a/test/cluster/soak.test.ts
+++ b/test/cluster/soak.test.ts
@@ -4,19 +4,16 @@
 import { test } from 'node:test'
 import { expect } from 'earl'
 import { runSoak } from '../../dev/soak/runSoak.js'
+import type { SoakOptions } from '../../dev/soak/SoakOptions.js'
 
-const seed = 2
 const faultSeconds = 10
 
-// Guards against promises that hold under each single fault but break when faults follow each other or overlap.
-test('a short soak breaks no promise', async () => {
+async function expectNoFinding (options: Omit<SoakOptions, 'seconds' | 'callers' | 'overlap'>): Promise<void> {
   const folder = mkdtempSync(join(tmpdir(), 'soak-test-'))
   const lines: string[] = []
   const { findings, requests, served, faults } = await runSoak({
-    seed,
+    ...options,
     seconds: faultSeconds,
-    hosts: 4,
-    endpoints: 8,
     callers: 20,
     overlap: 2,
     folder,
@@ -27,4 +24,14 @@
   expect(findings).toEqual([])
   expect([requests > 500, served > requests / 2, faults > 5]).toEqual([true, true, true])
   rmSync(folder, { recursive: true, force: true })
+}
+
+// Guards against promises that hold under each single fault but break when faults follow each other or overlap.
+test('a short soak breaks no promise', async () => {
+  await expectNoFinding({ seed: 2, hosts: 4, endpoints: 8 })
+})
+
+// Guards against hosts in several regions that miss changes after all their connections fell silent together.
+test('a short soak with silent connections breaks no promise', async () => {
+  await expectNoFinding({ seed: 564, hosts: 7, endpoints: 12, silencesConnections: true, regionDelayMs: 35 })
 })
--- a/test/platformAdapter/shuntHost.test.ts
+++ b/test/platformAdapter/shuntHost.test.ts
@@ -1,6 +1,6 @@
-import { spawn } from 'node:child_process'
+import { execFileSync, spawn } from 'node:child_process'
 import type { ChildProcess } from 'node:child_process'
-import { mkdtempSync, writeFileSync } from 'node:fs'
+import { closeSync, constants, mkdtempSync, openSync, readFileSync, writeFileSync, writeSync } from 'node:fs'
 import { request } from 'node:http'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
@@ -140,3 +140,37 @@
     store.close()
   }
 })
+
+// Guards against a process that is ended by SIGHUP because the settings change while it starts.
+test('SIGHUP before the settings are read does not end the program', async () => {
+  const store = new StoreServer()
+  const file = createSettingsFile(await store.listen())
+  const pipe = join(mkdtempSync(join(tmpdir(), 'host-')), 'settings.json')
+  execFileSync('mkfifo', [pipe])
+  const program = new HostProgram(pipe)
+  try {
+    // The program waits in its read of the settings until they are written to the pipe.
+    const writer = await openPipe(pipe)
+    program.child.kill('SIGHUP')
+    await new Promise((resolve) => setTimeout(resolve, 100))
+    writeSync(writer, readFileSync(file))
+    closeSync(writer)
+    await program.waitFor('event=started')
+  } finally {
+    program.child.kill('SIGKILL')
+    store.close()
+  }
+})
+
+/** Opens a pipe for writing as soon as a process reads it. */
+async function openPipe (pipe: string): Promise<number> {
+  const endMs = performance.now() + startTimeoutMs
+  for (;;) {
+    try {
+      return openSync(pipe, constants.O_WRONLY | constants.O_NONBLOCK)
+    } catch (error) {
+      if (performance.now() > endMs) throw error
+      await new Promise((resolve) => setTimeout(resolve, 5))
+    }
+  }
+}
