Share the rounding of ages and the waits of the soak, and open the settings fuzzer's folder late

HostStatus and TableFreshnessSystem each turned an infinite age into -1; toReportedAge does it for both now. waitForReady and waitForPeers of the soak were the same loop. The soak's command merges the sizes of a kept seed once instead of at each use. Two fuzz edges had the same sleep; PageFuzzEdge wrote out a path that wireNames has. SettingsFuzzEdge made its temporary folder when it was created, so that each run of another edge left one behind; it makes it when it is opened. No behaviour of the product changes.

--- a/dev/fuzz/PageFuzzEdge.ts
+++ b/dev/fuzz/PageFuzzEdge.ts
@@ -5,6 +5,7 @@
 import { Registry } from 'prom-client'
 import { HttpCatalogStore } from '../../platform/HttpCatalogStore.js'
 import { SilentLogger } from '../../platform/SilentLogger.js'
+import { wireNames } from '../../platform/wireNames.js'
 import { Catalog } from '../../src/catalog/Catalog.js'
 import { CatalogTable } from '../../src/catalog/CatalogTable.js'
 import { SystemClock } from '../../src/common/SystemClock.js'
@@ -12,6 +13,7 @@
 import { FuzzEdge } from './FuzzEdge.js'
 import { mostly } from './mostly.js'
 import { mutateText } from './mutateText.js'
+import { sleep } from './sleep.js'
 
 /** Responses of the store to a full read and to a call for changes after it, and the table that is read. */
 interface PageInput {
@@ -46,7 +48,7 @@
   override async open (): Promise<void> {
     this.server = createServer((req, res) => {
       const { status, full, changes } = this.current!
-      res.writeHead(status, { 'Content-Type': 'application/json' }).end(req.url?.startsWith('/v1/rows-get') === true ? full : changes)
+      res.writeHead(status, { 'Content-Type': 'application/json' }).end(req.url?.startsWith(wireNames.paths.read) === true ? full : changes)
     })
     await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve))
     const rejected = new RejectedInput({ registry: new Registry(), clock: new SystemClock(), logger: new SilentLogger() })
@@ -76,7 +78,3 @@
     this.server.closeAllConnections()
   }
 }
-
-async function sleep (ms: number): Promise<undefined> {
-  return await new Promise((resolve) => setTimeout(() => resolve(undefined), ms).unref())
-}
--- a/dev/fuzz/ResponseFuzzEdge.ts
+++ b/dev/fuzz/ResponseFuzzEdge.ts
@@ -11,6 +11,7 @@
 import type { UpstreamResponse } from '../../src/entry/UpstreamResponse.js'
 import { FuzzEdge } from './FuzzEdge.js'
 import { mutateText } from './mutateText.js'
+import { sleep } from './sleep.js'
 import { splitText } from './splitText.js'
 import { writeParts } from './writeParts.js'
 
@@ -109,7 +110,3 @@
   const echoedId = findHeader(list, 'x-request-id') ?? id
   if (echoedId !== id) throw new Error(`the response to ${echoedId} was passed on for ${id}`)
 }
-
-async function sleep (ms: number): Promise<undefined> {
-  return await new Promise((resolve) => setTimeout(() => resolve(undefined), ms).unref())
-}
--- a/dev/fuzz/SettingsFuzzEdge.ts
+++ b/dev/fuzz/SettingsFuzzEdge.ts
@@ -30,7 +30,11 @@
 export class SettingsFuzzEdge extends FuzzEdge<string> {
   override readonly name = 'settings'
   override readonly inputs = mutateText(settings.map((value) => JSON.stringify(value)))
-  private readonly folder = mkdtempSync(join(tmpdir(), 'fuzz-settings-'))
+  private folder = ''
+
+  override async open (): Promise<void> {
+    this.folder = mkdtempSync(join(tmpdir(), 'fuzz-settings-'))
+  }
 
   override async check (text: string): Promise<void> {
     const file = join(this.folder, 'settings.json')
--- a/dev/soak.ts
+++ b/dev/soak.ts
@@ -47,13 +47,13 @@
   .parse()
   .opts<SoakArguments>()
 
-const runs: Array<{ readonly seed: number, readonly seconds: number, readonly options?: Partial<SoakOptions> }> = args.kept === true
-  ? [...soakSeeds]
+const runs: ReadonlyArray<Pick<SoakOptions, 'seed' | 'seconds'> & { readonly options?: Partial<SoakOptions> }> = args.kept === true
+  ? soakSeeds
   : Array.from({ length: args.seeds }, (_value, index) => ({ seed: args.seed + index, seconds: args.minutes * secondsPerMinute }))
 let broken = 0
 for (const { seed, seconds, options = {} } of runs) {
   const folder = mkdtempSync(join(tmpdir(), `soak-${seed}-`))
-  const result = await runSoak({
+  const plan: SoakOptions = {
     seed,
     seconds,
     hosts: args.hosts,
@@ -61,9 +61,12 @@
     callers: args.callers,
     overlap: args.overlap,
     silencesConnections: args.silentConnections === true,
+    regionDelayMs: args.regionDelay ?? 0,
+    ...options
+  }
+  const result = await runSoak({
+    ...plan,
     folder,
-    ...(args.regionDelay === undefined ? {} : { regionDelayMs: args.regionDelay }),
-    ...options,
     script: args.script,
     nodeArgs: args.profile === undefined ? [] : ['--cpu-prof', `--cpu-prof-dir=${args.profile}`],
     onLine: (line) => { if (args.quiet !== true) console.log(line) }
@@ -72,7 +75,7 @@
   for (const [promise, rows] of groupBy(findings, (finding) => finding.promise)) {
     for (const { detail } of rows.slice(0, shownPerPromise)) console.log(`seed=${seed} broken="${promise}" count=${rows.length} detail="${detail}"`)
   }
-  console.log(`seed=${seed} hosts=${options.hosts ?? args.hosts} endpoints=${options.endpoints ?? args.endpoints} faults=${faults} requests=${requests} served=${served} findings=${findings.length}${findings.length > 0 ? ` logs=${folder}` : ''}`)
+  console.log(`seed=${seed} hosts=${plan.hosts} endpoints=${plan.endpoints} faults=${faults} requests=${requests} served=${served} findings=${findings.length}${findings.length > 0 ? ` logs=${folder}` : ''}`)
   if (findings.length === 0) rmSync(folder, { recursive: true, force: true })
   else broken += 1
 }
--- a/dev/soak/SoakCluster.ts
+++ b/dev/soak/SoakCluster.ts
@@ -168,21 +168,21 @@
   }
 
   private async waitForReady (): Promise<void> {
-    const endMs = performance.now() + soakLimits.startTimeoutMs
-    for (const host of this.hosts) {
-      while (!await this.isReady(host)) {
-        if (performance.now() > endMs) throw new Error(`host "${host.name}" is not ready:\n${host.process.readLogTail()}`)
-        await new Promise((resolve) => setTimeout(resolve, soakLimits.pollMs))
-      }
-    }
+    await this.waitForHosts(async (host) => await this.isReady(host), () => 'is not ready')
   }
 
   /** Waits until each host has heard of all others; without peers, a run would not test what hosts learn from each other. */
   private async waitForPeers (): Promise<void> {
+    const others = this.hosts.length - 1
+    await this.waitForHosts(async (host) => host.countPeers() >= others, (host) => `has heard of ${host.countPeers()} of ${others} hosts`)
+  }
+
+  /** Waits for each host in turn, all within the timeout of the start; `describe` says what a host that isn't done lacks. */
+  private async waitForHosts (isDone: (host: SoakHost) => Promise<boolean>, describe: (host: SoakHost) => string): Promise<void> {
     const endMs = performance.now() + soakLimits.startTimeoutMs
     for (const host of this.hosts) {
-      while (host.countPeers() < this.hosts.length - 1) {
-        if (performance.now() > endMs) throw new Error(`host "${host.name}" has heard of ${host.countPeers()} of ${this.hosts.length - 1} hosts:\n${host.process.readLogTail()}`)
+      while (!await isDone(host)) {
+        if (performance.now() > endMs) throw new Error(`host "${host.name}" ${describe(host)}:\n${host.process.readLogTail()}`)
         await new Promise((resolve) => setTimeout(resolve, soakLimits.pollMs))
       }
     }
--- a/src/catalog/TableFreshnessSystem.ts
+++ b/src/catalog/TableFreshnessSystem.ts
@@ -2,6 +2,7 @@
 import { System } from '../common/System.js'
 import { catalogLimits } from './catalogLimits.js'
 import { CatalogTable } from './CatalogTable.js'
+import { toReportedAge } from './toReportedAge.js'
 
 /** Inputs of the log lines. */
 interface TableFreshnessOptions {
@@ -42,6 +43,6 @@
 
   private recordStale (table: CatalogTable, ageMs: number, nowMs: number): void {
     this.staleSince.set(table, nowMs)
-    this.options.logger.warn('table-stale', { table, unconfirmedMs: Number.isFinite(ageMs) ? Math.round(ageMs) : -1 })
+    this.options.logger.warn('table-stale', { table, unconfirmedMs: toReportedAge(ageMs) })
   }
 }
--- a/src/host/HostStatus.ts
+++ b/src/host/HostStatus.ts
@@ -1,4 +1,5 @@
 import { CatalogTable } from '../catalog/CatalogTable.js'
+import { toReportedAge } from '../catalog/toReportedAge.js'
 import type { StoreHealth } from '../catalog/StoreHealth.js'
 import type { Clock } from '../common/Clock.js'
 import { endpointLimits } from '../endpoints/endpointLimits.js'
@@ -84,8 +85,3 @@
       .map((row) => [row.record.id, row.breaks] as const)
   }
 }
-
-/** Rounds an age in ms; -1 stands for an infinite one. */
-function toReportedAge (ageMs: number): number {
-  return ageMs === Infinity ? -1 : Math.round(ageMs)
-}
--- a/src/peers/readHeartbeat.ts
+++ b/src/peers/readHeartbeat.ts
@@ -21,7 +21,7 @@
   isStoreSettled: z.boolean(),
   versions: z.object({ orders: z.number(), endpoints: z.number(), hosts: z.number() }),
   loads: namedNumbers,
-  // Absent like the ages.
+  // Absent from heartbeats of an earlier release too.
   breaks: z._default(namedNumbers, []),
   demands: namedNumbers,
   localShares: namedNumbers,
