--- a/src/budget/ServiceRetryBudget.ts
+++ b/src/budget/ServiceRetryBudget.ts
@@ -1,4 +1,5 @@
 import { Table } from '../common/Table.js'
+import type { RetryBudgetState } from './RetryBudgetState.js'
 import { SlidingWindowCounter } from './SlidingWindowCounter.js'
 
 /** Bounds on the retries of a service across all hosts. */
@@ -15,6 +16,8 @@
   readonly windowMs: number
   readonly requests: SlidingWindowCounter
   readonly retries: SlidingWindowCounter
+  /** Retries that were denied since the row was created. */
+  denied: number
 }
 
 /** Share of the bound that is used; the margin covers windows that begin at different times on different hosts. */
@@ -41,18 +44,35 @@
   /** Takes a permit for one retry; returns false when the budget is exhausted. */
   take (service: string, nowMs: number): boolean {
     const row = this.ensureRow(service)
-    const { retryRatio, retrySlack } = this.readBounds()
-    const allowed = safetyFactor * (retryRatio * row.requests.count(nowMs) + retrySlack / Math.max(1, this.countHosts()))
-    if (row.retries.count(nowMs) + 1 > allowed) return false
+    if (row.retries.count(nowMs) + 1 > this.computeAllowed(row, nowMs)) {
+      row.denied += 1
+      return false
+    }
     row.retries.add(nowMs)
     return true
   }
 
+  /** Lists the use of the budgets, for logs and metrics. */
+  list (nowMs: number): RetryBudgetState[] {
+    return [...this.rows.entries()].map(([service, row]) => ({
+      service,
+      requests: row.requests.count(nowMs),
+      retries: row.retries.count(nowMs),
+      allowed: this.computeAllowed(row, nowMs),
+      denied: row.denied
+    }))
+  }
+
+  private computeAllowed (row: BudgetRow, nowMs: number): number {
+    const { retryRatio, retrySlack } = this.readBounds()
+    return safetyFactor * (retryRatio * row.requests.count(nowMs) + retrySlack / Math.max(1, this.countHosts()))
+  }
+
   private ensureRow (service: string): BudgetRow {
     const { retryWindowMs } = this.readBounds()
     const row = this.rows.get(service)
     if (row !== undefined && row.windowMs === retryWindowMs) return row
-    const created = { windowMs: retryWindowMs, requests: new SlidingWindowCounter(retryWindowMs), retries: new SlidingWindowCounter(retryWindowMs) }
+    const created = { windowMs: retryWindowMs, requests: new SlidingWindowCounter(retryWindowMs), retries: new SlidingWindowCounter(retryWindowMs), denied: row?.denied ?? 0 }
     this.rows.set(service, created)
     return created
   }
--- a/src/host/AttemptSeries.ts
+++ b/src/host/AttemptSeries.ts
@@ -87,6 +87,7 @@
     }
     if (this.lastFailure === undefined) return row
     if (!context.retries.take(request.service, nowMs)) {
+      context.metrics.recordDeniedRetry(this.lastFailure.name, request.service)
       if (this.possibleRuns === 0) this.lastFailure = { name: 'retryBudget', outcome: Outcome.notRun }
       return undefined
     }
--- a/src/host/HostMetrics.ts
+++ b/src/host/HostMetrics.ts
@@ -1,5 +1,6 @@
 import { Counter, Gauge } from 'prom-client'
 import type { Registry } from 'prom-client'
+import type { RetryBudgetState } from '../budget/RetryBudgetState.js'
 import { CatalogTable } from '../catalog/CatalogTable.js'
 import type { Clock } from '../common/Clock.js'
 import { resultCodes } from '../common/resultCodes.js'
@@ -15,12 +16,14 @@
   readonly isStoreDown: () => boolean
   /** Returns for how long in ms the local copy of a table may miss changes. */
   readonly getTableAge: (table: CatalogTable) => number
+  readonly listRetryBudgets: () => readonly RetryBudgetState[]
 }
 
 /** Metrics of a host process. */
 export class HostMetrics {
   private readonly refusals: Counter
   private readonly retries: Counter
+  private readonly deniedRetries: Counter
   private readonly completions: Counter
   private readonly suppressed: Counter
   private readonly latency: QuantileGauge
@@ -39,6 +42,12 @@
       labelNames: ['code', 'name', 'service'],
       registers
     })
+    this.deniedRetries = new Counter({
+      name: 'shunt_retries_denied_total',
+      help: 'Retries that were not made because the retry budget was used up, by the result code of the failed attempt',
+      labelNames: ['code', 'name', 'service'],
+      registers
+    })
     this.completions = new Counter({
       name: 'shunt_completed_total',
       help: 'Responses of endpoints that were forwarded',
@@ -62,6 +71,7 @@
     this.addGauge('shunt_config_version', 'Version of the configuration in force', gauges.configVersion)
     this.addGauge('shunt_store_down', '1 while the store cannot be reached', () => gauges.isStoreDown() ? 1 : 0)
     this.addTableAges(gauges.getTableAge)
+    this.addRetryBudgets(gauges.listRetryBudgets)
   }
 
   recordRefusal (name: ResultName, route: string): void {
@@ -72,6 +82,10 @@
     this.retries.inc({ code: resultCodes[name].code, name, service })
   }
 
+  recordDeniedRetry (name: ResultName, service: string): void {
+    this.deniedRetries.inc({ code: resultCodes[name].code, name, service })
+  }
+
   recordCompletion (service: string, status: number, elapsedMs: number): void {
     this.completions.inc({ service, status })
     this.latency.record(service, elapsedMs)
@@ -91,6 +105,21 @@
     })
   }
 
+  private addRetryBudgets (list: HostGauges['listRetryBudgets']): void {
+    this.addServiceGauge('shunt_retry_budget_used', 'Retries of the last window, by service', list, ({ retries }) => retries)
+    this.addServiceGauge('shunt_retry_budget_allowed', 'Retries that this host may make in a window, by service', list, ({ allowed }) => allowed)
+  }
+
+  private addServiceGauge (name: string, help: string, list: HostGauges['listRetryBudgets'], read: (state: RetryBudgetState) => number): void {
+    const gauge: Gauge = new Gauge({
+      name,
+      help,
+      labelNames: ['service'],
+      registers: [this.registry],
+      collect: () => { for (const state of list()) gauge.set({ service: state.service }, read(state)) }
+    })
+  }
+
   private addGauge (name: string, help: string, read: () => number): void {
     const gauge: Gauge = new Gauge({ name, help, registers: [this.registry], collect: () => gauge.set(read()) })
   }
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -1,5 +1,6 @@
 import type { Registry } from 'prom-client'
 import { ColdStartRateLimiter } from '../budget/ColdStartRateLimiter.js'
+import { RetryBudgetLogSystem } from '../budget/RetryBudgetLogSystem.js'
 import { ServiceRetryBudget } from '../budget/ServiceRetryBudget.js'
 import { CatalogFollower } from '../catalog/CatalogFollower.js'
 import type { CatalogStore } from '../catalog/CatalogStore.js'
@@ -162,7 +163,7 @@
     const checker = new HealthChecker({ endpoints: this.endpoints, dial, routing: this.routing, httpBinding, clock, logger: createLog('endpoints') })
     this.scheduler = new Scheduler(
       clock,
-      [checker, this.createMaintenanceSystem(), this.createShareSystem(), this.createFreshnessSystem()],
+      [checker, this.createMaintenanceSystem(), this.createShareSystem(), this.createFreshnessSystem(), this.createRetryBudgetLogSystem()],
       (system, error) => {
         this.log.error('tick-failed', { system: system.name, error: formatException(error) })
       }
@@ -173,7 +174,8 @@
       countPeers: () => this.peers.listAlive(clock.nowMs()).length,
       configVersion: () => this.routing.config?.version ?? 0,
       isStoreDown: () => this.health.isDown,
-      getTableAge: (table) => this.readers.getTableAge(table, clock.nowMs())
+      getTableAge: (table) => this.readers.getTableAge(table, clock.nowMs()),
+      listRetryBudgets: () => this.retries.list(clock.nowMs())
     })
   }
 
@@ -291,6 +293,11 @@
     return new TableFreshnessSystem({ getAgeMs, logger: this.options.createModuleLogger('store') })
   }
 
+  private createRetryBudgetLogSystem (): RetryBudgetLogSystem {
+    const logger = this.options.createModuleLogger('request')
+    return new RetryBudgetLogSystem({ retries: this.retries, countHosts: () => this.countKnownHosts(), logger })
+  }
+
   private createFront (metrics: HostMetrics): DrainableHttpServer {
     return new DrainableHttpServer({
       clock: this.options.clock,
