--- a/dev/store/PlatformEndpoint.ts
+++ b/dev/store/PlatformEndpoint.ts
@@ -43,6 +43,8 @@
   serviceMs = 0
   /** Remaining cold start time in ms that health checks report. */
   coldMs = 0
+  /** Number of requests received besides health checks, also of those that did not run. */
+  arrivals = 0
   /** Number of health checks received. */
   healthChecks = 0
   private readonly bornAtMs = Date.now()
@@ -98,6 +100,7 @@
       res.writeHead(200, { 'X-Instance-Id': this.id, 'X-Cold-Start-Ms': String(this.coldMs) }).end()
       return
     }
+    this.arrivals += 1
     const expected = req.headers['x-expect-instance']
     if (expected !== undefined && expected !== this.id) {
       res.writeHead(421, { 'X-Instance-Id': this.id }).end()
