Give a restarted process no slack of the retry budget in its first window (BUDGET)

Callers' requests were repeated beyond the budget of their service when hosts were restarted or killed while endpoints refused requests. Cause: a host keeps the retries that it has made in memory, and each new process had the host's share of the slack in full from its start, so three lives in a window used it three times. Change: RetrySlackShare. A process uses no slack until a window and one second for late arrivals have passed since its start, by then nothing that an earlier process used is in the window; until then it has the ratio of its own requests. At the first start of the system there is no earlier process. A host that has not received the table of hosts uses none either, since it would take the whole slack for its own. Why it holds: the slack that a host uses in any window is used by one process; the ratio is of requests of that same process.

--- a/src/budget/RetryBudgetLogSystem.ts
+++ b/src/budget/RetryBudgetLogSystem.ts
@@ -15,8 +15,8 @@
 /** Dependencies of the log lines. */
 interface RetryBudgetLogOptions {
   readonly retries: ServiceRetryBudget
-  /** Number of hosts that the slack is divided among, including this one. */
-  readonly countHosts: () => number
+  /** Returns the share of the slack that this host may use now. */
+  readonly getSlackShare: (nowMs: number) => number
   readonly logger: Logger
 }
 
@@ -41,7 +41,7 @@
         requests,
         retries,
         allowed: Math.floor(allowed),
-        hosts: this.options.countHosts(),
+        slackShare: Math.round(this.options.getSlackShare(nowMs) * 1_000) / 1_000,
         upMs: Math.round(nowMs - this.startMs)
       })
       row.denied = denied
--- a/src/budget/ServiceRetryBudget.ts
+++ b/src/budget/ServiceRetryBudget.ts
@@ -25,7 +25,7 @@
 
 /**
  * Limits the retries of each service, so that a failure of many endpoints doesn't multiply the load. Each host may use the
- * ratio of its own requests and an equal share of the slack, so that the hosts in total stay within the bound without
+ * ratio of its own requests and its share of the slack, so that the hosts in total stay within the bound without
  * communication, even during a network partition.
  */
 export class ServiceRetryBudget {
@@ -33,8 +33,8 @@
 
   constructor (
     private readonly readBounds: () => RetryBounds,
-    /** Returns the number of hosts that may send requests now. */
-    private readonly countHosts: () => number
+    /** Returns the share of the slack that this host may use now, between 0 and 1. */
+    private readonly getSlackShare: (nowMs: number) => number
   ) {}
 
   recordRequest (service: string, nowMs: number): void {
@@ -65,7 +65,7 @@
 
   private computeAllowed (row: BudgetRow, nowMs: number): number {
     const { retryRatio, retrySlack } = this.readBounds()
-    return safetyFactor * (retryRatio * row.requests.count(nowMs) + retrySlack / Math.max(1, this.countHosts()))
+    return safetyFactor * (retryRatio * row.requests.count(nowMs) + retrySlack * this.getSlackShare(nowMs))
   }
 
   private ensureRow (service: string): BudgetRow {
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -1,6 +1,7 @@
 import type { Registry } from 'prom-client'
 import { ColdStartRateLimiter } from '../budget/ColdStartRateLimiter.js'
 import { RetryBudgetLogSystem } from '../budget/RetryBudgetLogSystem.js'
+import { RetrySlackShare } from '../budget/RetrySlackShare.js'
 import { ServiceRetryBudget } from '../budget/ServiceRetryBudget.js'
 import { CatalogFollower } from '../catalog/CatalogFollower.js'
 import type { CatalogStore } from '../catalog/CatalogStore.js'
@@ -73,6 +74,7 @@
   private readonly readers: StoreReaders
   private readonly mesh: PeerMesh
   private readonly client: HttpUpstreamClient
+  private readonly slackShare: RetrySlackShare
   private readonly retries: ServiceRetryBudget
   private readonly handler: RequestHandler
   private readonly front: DrainableHttpServer
@@ -145,7 +147,13 @@
       policy: { connectTimeoutMs: hostLimits.connectTimeoutMs, maxBufferedBytes: hostLimits.maxHeldBytes, acceptsUnframedResponse: true, retriesStaleConnection: false, onRejectedResponse: (reason, address) => options.rejected.record(InputEdge.endpoint, reason, { address }) }
     })
     this.endpointSelector = this.createEndpointSelector()
-    this.retries = new ServiceRetryBudget(() => this.settings.bounds, () => this.countKnownHosts())
+    this.slackShare = new RetrySlackShare({
+      // At the very first start of the system there is no earlier process.
+      startMs: settings.isFirstStart ? -Infinity : clock.nowMs(),
+      readWindowMs: () => this.settings.bounds.retryWindowMs,
+      countHosts: () => this.countKnownHosts()
+    })
+    this.retries = new ServiceRetryBudget(() => this.settings.bounds, (nowMs) => this.slackShare.get(nowMs))
     const metrics = new HostMetrics(options.registry, clock)
     this.handler = this.createHandler(metrics, status)
     this.front = this.createFront(metrics)
@@ -191,7 +199,7 @@
     await this.auxiliaryPorts.listen()
     await this.front.listen(host, port)
     this.scheduler.start(hostLimits.tickMs)
-    this.log.info('listening', { address: this.options.settings.listen.callers, incarnation: this.self.incarnation })
+    this.log.info('listening', { address: this.options.settings.listen.callers, incarnation: this.self.incarnation, isFirstStart: this.settings.isFirstStart })
   }
 
   /** Applies settings that have changed since the start. */
@@ -295,7 +303,7 @@
 
   private createRetryBudgetLogSystem (): RetryBudgetLogSystem {
     const logger = this.options.createModuleLogger('request')
-    return new RetryBudgetLogSystem({ retries: this.retries, countHosts: () => this.countKnownHosts(), logger })
+    return new RetryBudgetLogSystem({ retries: this.retries, getSlackShare: (nowMs) => this.slackShare.get(nowMs), logger })
   }
 
   private createFront (metrics: HostMetrics): DrainableHttpServer {
@@ -332,8 +340,9 @@
     return [this.self.name, ...this.peers.listAlive(this.options.clock.nowMs()).map((row) => row.record.name)]
   }
 
-  private countKnownHosts (): number {
-    return [...this.peers].length + 1
+  /** Returns the number of known hosts, including this one; undefined before the table of hosts has been received. */
+  private countKnownHosts (): number | undefined {
+    return this.state.catalog.versionOf(CatalogTable.hosts) < 0 ? undefined : this.peers.size + 1
   }
 
   private runInBackground (task: string, promise: Promise<void>): void {
--- a/test/budget/ServiceRetryBudget.test.ts
+++ b/test/budget/ServiceRetryBudget.test.ts
@@ -11,7 +11,7 @@
     fc.integer({ min: 1, max: 20 }),
     fc.array(fc.integer({ min: 0, max: 400 }), { minLength: 20, maxLength: 60 }),
     (hosts, rates) => {
-      const budgets = Array.from({ length: hosts }, () => new ServiceRetryBudget(() => bounds, () => hosts))
+      const budgets = Array.from({ length: hosts }, () => new ServiceRetryBudget(() => bounds, () => 1 / hosts))
       const retries: number[] = []
       const requests: number[] = []
       for (const [second, rate] of rates.entries()) {
--- a/test/support/HostGroup.ts
+++ b/test/support/HostGroup.ts
@@ -162,6 +162,7 @@
       region,
       regionOfZone: Object.fromEntries(this.regions.map((each) => [`${each}-a`, each])),
       listen: { callers: callers!, readiness: readiness!, directory: directory!, peers: peers!, metrics: metrics! },
+      isFirstStart: this.settings.every((earlier) => earlier.name !== name),
       seeds: this.settings.slice(0, 3).map((settings) => settings.listen.peers)
     })
   }
