Count retries until a whole window has passed (BUDGET)

Callers' requests could be repeated beyond the budget of their service without any restart: the count of a window leaves out up to one of its 20 slices at its start, so retries of the last moment of a slice were forgotten 9.5 s later and their part of the budget was used again within the same 10 s. The counter of retries now omits nothing of the window and may include up to one slice more; the counter of requests goes on omitting, so both err to the side of fewer retries. Why tests missed it: the property test moves in whole seconds, where slices and window end together. Test: retries count until a whole window has passed (failed before: a retry was granted 9,501 ms after the budget was used up).

--- a/src/budget/ServiceRetryBudget.ts
+++ b/src/budget/ServiceRetryBudget.ts
@@ -72,7 +72,7 @@
     const { retryWindowMs } = this.readBounds()
     const row = this.rows.get(service)
     if (row !== undefined && row.windowMs === retryWindowMs) return row
-    const created = { windowMs: retryWindowMs, requests: new SlidingWindowCounter(retryWindowMs), retries: new SlidingWindowCounter(retryWindowMs), denied: row?.denied ?? 0 }
+    const created = { windowMs: retryWindowMs, requests: new SlidingWindowCounter(retryWindowMs), retries: SlidingWindowCounter.covering(retryWindowMs), denied: row?.denied ?? 0 }
     this.rows.set(service, created)
     return created
   }
--- a/src/budget/SlidingWindowCounter.ts
+++ b/src/budget/SlidingWindowCounter.ts
@@ -1,7 +1,7 @@
-/** Number of slices of a window; the count may omit events from up to one slice at the start of the window. */
+/** Number of slices of a window. */
 const sliceCount = 20
 
-/** Counts the events of the last `windowMs`. */
+/** Counts the events of the last `windowMs`. The count may omit events from up to one slice at the start of the window. */
 export class SlidingWindowCounter {
   private readonly counts = new Float64Array(sliceCount)
   private readonly sliceMs: number
@@ -12,6 +12,11 @@
     this.sliceMs = windowMs / sliceCount
   }
 
+  /** Creates a counter that omits no event of the last `windowMs`, but may include events that are up to one slice older. */
+  static covering (windowMs: number): SlidingWindowCounter {
+    return new SlidingWindowCounter(windowMs * sliceCount / (sliceCount - 1))
+  }
+
   add (nowMs: number, amount = 1): void {
     const index = this.advance(nowMs) % sliceCount
     this.counts[index] = this.counts[index]! + amount
--- a/test/budget/ServiceRetryBudget.test.ts
+++ b/test/budget/ServiceRetryBudget.test.ts
@@ -33,6 +33,15 @@
   ), { numRuns: 50 })
 })
 
+// Guards against retries that are forgotten up to a slice of the window too early, so that the slack is used twice in a window.
+test('retries count until a whole window has passed', () => {
+  const budget = new ServiceRetryBudget(() => ({ retryWindowMs: 10_000, retryRatio: 0, retrySlack: 5 }), () => 1)
+  const firstAtMs = 499
+  while (budget.take('stock', firstAtMs));
+  for (let nowMs = firstAtMs; nowMs < firstAtMs + 10_000; nowMs++) expect([nowMs, budget.take('stock', nowMs)]).toEqual([nowMs, false])
+  expect(budget.take('stock', firstAtMs + 11_000)).toEqual(true)
+})
+
 // Guards against services that exhaust each other's budget.
 test('each service has a separate budget', () => {
   const budget = new ServiceRetryBudget(() => ({ retryWindowMs: 1_000, retryRatio: 0, retrySlack: 2 }), () => 1)
