Let a restarted process use little of the retry ratio in its first window (BUDGET)

The ratio of the requests is memory of a process too: the processes before the kill use it up for the requests of the window before, those after it use it again for their own. Up to 2 x 0.8 of the ratio falls into one window. Change: RetryAllowance, which replaces RetrySlackShare, decides both shares. Until a window and one second have passed since its start a process uses 0.15 of the ratio, which together with the 0.8 that an earlier one may have used stays below 1; processes of one host don't overlap, so more starts don't add to it. Tests: retryBudget.test plays kills and restarts in turn while endpoints fail, with a steady stream of requests that is spread over the running hosts, and counts as the rule does; the code before is one of its planted faults and is found. The model of cold endpoints stays in coldStartRate.test as it was. The property of ServiceRetryBudget.test counted the requests of the window alone; with the counter of retries that omits nothing it found a case that the rule allows (81 retries, 106 requests in the window before), so its oracle has the rule's three windows now and the case is kept.

--- a/src/budget/RetryBudgetLogSystem.ts
+++ b/src/budget/RetryBudgetLogSystem.ts
@@ -1,6 +1,7 @@
 import type { Logger } from '../common/Logger.js'
 import { System } from '../common/System.js'
 import { Table } from '../common/Table.js'
+import type { RetryShares } from './RetryShares.js'
 import type { ServiceRetryBudget } from './ServiceRetryBudget.js'
 
 /** Shortest time in ms between two log lines about the budget of one service. */
@@ -15,8 +16,8 @@
 /** Dependencies of the log lines. */
 interface RetryBudgetLogOptions {
   readonly retries: ServiceRetryBudget
-  /** Returns the share of the slack that this host may use now. */
-  readonly getSlackShare: (nowMs: number) => number
+  /** Returns the shares of the bounds that this host may use now. */
+  readonly getShares: (nowMs: number) => RetryShares
   readonly logger: Logger
 }
 
@@ -32,6 +33,7 @@
 
   override run (nowMs: number): void {
     this.startMs ??= nowMs
+    const { ofRatio, ofSlack } = this.options.getShares(nowMs)
     for (const { service, requests, retries, allowed, denied } of this.options.retries.list(nowMs)) {
       const row = this.logged.ensure(service, () => ({ denied: 0, nextLogAtMs: nowMs }))
       if (denied === row.denied || nowMs < row.nextLogAtMs) continue
@@ -41,7 +43,8 @@
         requests,
         retries,
         allowed: Math.floor(allowed),
-        slackShare: Math.round(this.options.getSlackShare(nowMs) * 1_000) / 1_000,
+        ratioShare: ofRatio,
+        slackShare: Math.round(ofSlack * 1_000) / 1_000,
         upMs: Math.round(nowMs - this.startMs)
       })
       row.denied = denied
--- a/src/budget/ServiceRetryBudget.ts
+++ b/src/budget/ServiceRetryBudget.ts
@@ -1,5 +1,6 @@
 import { Table } from '../common/Table.js'
 import type { RetryBudgetState } from './RetryBudgetState.js'
+import type { RetryShares } from './RetryShares.js'
 import { SlidingWindowCounter } from './SlidingWindowCounter.js'
 
 /** Bounds on the retries of a service across all hosts. */
@@ -20,12 +21,9 @@
   denied: number
 }
 
-/** Share of the bound that is used; the margin covers windows that begin at different times on different hosts. */
-const safetyFactor = 0.8
-
 /**
- * Limits the retries of each service, so that a failure of many endpoints doesn't multiply the load. Each host may use the
- * ratio of its own requests and its share of the slack, so that the hosts in total stay within the bound without
+ * Limits the retries of each service, so that a failure of many endpoints doesn't multiply the load. Each host may use
+ * its share of the ratio of its own requests and of the slack, so that the hosts in total stay within the bound without
  * communication, even during a network partition.
  */
 export class ServiceRetryBudget {
@@ -33,8 +31,8 @@
 
   constructor (
     private readonly readBounds: () => RetryBounds,
-    /** Returns the share of the slack that this host may use now, between 0 and 1. */
-    private readonly getSlackShare: (nowMs: number) => number
+    /** Returns the shares of the bounds that this host may use now. */
+    private readonly getShares: (nowMs: number) => RetryShares
   ) {}
 
   recordRequest (service: string, nowMs: number): void {
@@ -65,7 +63,8 @@
 
   private computeAllowed (row: BudgetRow, nowMs: number): number {
     const { retryRatio, retrySlack } = this.readBounds()
-    return safetyFactor * (retryRatio * row.requests.count(nowMs) + retrySlack * this.getSlackShare(nowMs))
+    const { ofRatio, ofSlack } = this.getShares(nowMs)
+    return ofRatio * retryRatio * row.requests.count(nowMs) + ofSlack * retrySlack
   }
 
   private ensureRow (service: string): BudgetRow {
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -1,7 +1,7 @@
 import type { Registry } from 'prom-client'
 import { ColdStartRateLimiter } from '../budget/ColdStartRateLimiter.js'
 import { RetryBudgetLogSystem } from '../budget/RetryBudgetLogSystem.js'
-import { RetrySlackShare } from '../budget/RetrySlackShare.js'
+import { RetryAllowance } from '../budget/RetryAllowance.js'
 import { ServiceRetryBudget } from '../budget/ServiceRetryBudget.js'
 import { CatalogFollower } from '../catalog/CatalogFollower.js'
 import type { CatalogStore } from '../catalog/CatalogStore.js'
@@ -74,7 +74,7 @@
   private readonly readers: StoreReaders
   private readonly mesh: PeerMesh
   private readonly client: HttpUpstreamClient
-  private readonly slackShare: RetrySlackShare
+  private readonly retryAllowance: RetryAllowance
   private readonly retries: ServiceRetryBudget
   private readonly handler: RequestHandler
   private readonly front: DrainableHttpServer
@@ -147,13 +147,13 @@
       policy: { connectTimeoutMs: hostLimits.connectTimeoutMs, maxBufferedBytes: hostLimits.maxHeldBytes, acceptsUnframedResponse: true, retriesStaleConnection: false, onRejectedResponse: (reason, address) => options.rejected.record(InputEdge.endpoint, reason, { address }) }
     })
     this.endpointSelector = this.createEndpointSelector()
-    this.slackShare = new RetrySlackShare({
+    this.retryAllowance = new RetryAllowance({
       // At the very first start of the system there is no earlier process.
       startMs: settings.isFirstStart ? -Infinity : clock.nowMs(),
       readWindowMs: () => this.settings.bounds.retryWindowMs,
       countHosts: () => this.countKnownHosts()
     })
-    this.retries = new ServiceRetryBudget(() => this.settings.bounds, (nowMs) => this.slackShare.get(nowMs))
+    this.retries = new ServiceRetryBudget(() => this.settings.bounds, (nowMs) => this.retryAllowance.get(nowMs))
     const metrics = new HostMetrics(options.registry, clock)
     this.handler = this.createHandler(metrics, status)
     this.front = this.createFront(metrics)
@@ -303,7 +303,7 @@
 
   private createRetryBudgetLogSystem (): RetryBudgetLogSystem {
     const logger = this.options.createModuleLogger('request')
-    return new RetryBudgetLogSystem({ retries: this.retries, getSlackShare: (nowMs) => this.slackShare.get(nowMs), logger })
+    return new RetryBudgetLogSystem({ retries: this.retries, getShares: (nowMs) => this.retryAllowance.get(nowMs), logger })
   }
 
   private createFront (metrics: HostMetrics): DrainableHttpServer {
