Read and log the rate limits that endpoints name (LIMIT)

For the incident of endpoints beyond their limits: no host read the limit, so nothing told which host knew which limit when. The adapter decodes the header into a limit, none, or an invalid one (the lowest of several; one that isn't a short decimal number is counted and logged as response-limit-invalid and leaves the limit before in force). endpoint-limited and endpoint-unlimited are logged on change, once a second and endpoint; shunt_endpoints_limited is a gauge. A 421 comes from another endpoint and says nothing of this one. Requests are placed as before. Test: a response tells the rate limit of its endpoint.

--- a/dev/store/PlatformEndpoint.ts
+++ b/dev/store/PlatformEndpoint.ts
@@ -46,6 +46,8 @@
   /** Number of health checks received. */
   healthChecks = 0
   private readonly bornAtMs = Date.now()
+  /** Requests a second that responses name as the limit for all hosts together. */
+  rateLimit: string | undefined
   /** Called for each request besides health checks, also when it does not run. */
   onArrival: (requestId: string) => void = () => {}
   /** Called for each request when it gets a slot. */
@@ -107,7 +109,7 @@
       return
     }
     if (this.behaviour === 'shed' || this.slotQueue.length >= maxQueuedRequests) {
-      res.writeHead(503, { 'X-Not-Executed': '1' }).end()
+      res.writeHead(503, { 'X-Not-Executed': '1', ...this.createLimitHeader() }).end()
       return
     }
     await this.run(req, res, body)
@@ -129,7 +131,11 @@
     const load = `${this.running},${this.slotQueue.length},${this.slots}`
     this.releaseSlot()
     this.idleSinceMs.set(req.socket, performance.now())
-    this.sendResponse(req, res, { 'X-Request-Id': id, 'X-Server-Signature': `sig-${this.id}`, 'X-Server-Load': load })
+    this.sendResponse(req, res, { 'X-Request-Id': id, 'X-Server-Signature': `sig-${this.id}`, 'X-Server-Load': load, ...this.createLimitHeader() })
+  }
+
+  private createLimitHeader (): Record<string, string> {
+    return this.rateLimit === undefined ? {} : { 'Server-Limit': this.rateLimit }
   }
 
   private async acquireSlot (): Promise<void> {
--- /dev/null
+++ b/src/endpoints/EndpointRateLimit.ts
@@ -0,0 +1,7 @@
+/** Latest news of the rate limit that an endpoint names in its responses. */
+export interface EndpointRateLimit {
+  /** Requests a second that the endpoint takes from all hosts together; undefined since a response named no limit. */
+  readonly perSecond: number | undefined
+  /** Time in monotonic ms of the response. */
+  readonly heardAtMs: number
+}
--- a/src/endpoints/EndpointRow.ts
+++ b/src/endpoints/EndpointRow.ts
@@ -1,3 +1,4 @@
+import type { EndpointRateLimit } from './EndpointRateLimit.js'
 import type { EndpointRecord } from './EndpointRecord.js'
 
 /** State of an endpoint as seen by this host; times are monotonic ms. */
@@ -15,6 +16,8 @@
   peerInFlight: number
   /** The endpoint is cold until this time, and its request rate is limited. */
   coldUntilMs: number
+  /** Undefined while no response has named a limit. */
+  rateLimit: EndpointRateLimit | undefined
   /** The endpoint is avoided until a health check succeeds. */
   isSuspect: boolean
   nextProbeAtMs: number
--- a/src/endpoints/EndpointTable.ts
+++ b/src/endpoints/EndpointTable.ts
@@ -124,6 +124,7 @@
     reportedAtMs: -endpointLimits.loadReportValidMs,
     peerInFlight: 0,
     coldUntilMs: nowMs + record.coldMs,
+    rateLimit: undefined,
     isSuspect: false,
     nextProbeAtMs: 0,
     isProbing: false,
--- a/src/host/EndpointAttempt.ts
+++ b/src/host/EndpointAttempt.ts
@@ -1,7 +1,9 @@
 import type { EndpointRow } from '../endpoints/EndpointRow.js'
 import { estimateLoad } from '../endpoints/estimateLoad.js'
 import { recordAttempt } from '../endpoints/recordAttempt.js'
+import { recordRateLimit } from '../endpoints/recordRateLimit.js'
 import { recordLoadReport } from '../endpoints/recordLoadReport.js'
+import { InputEdge } from '../common/InputEdge.js'
 import { Outcome } from '../common/Outcome.js'
 import type { ResultName } from '../common/ResultName.js'
 import type { OpenResponse } from '../entry/OpenResponse.js'
@@ -10,6 +12,7 @@
 import { AttemptResult } from '../steer/AttemptResult.js'
 import { RequestKind } from '../routing/RequestKind.js'
 import type { HostContext } from './HostContext.js'
+import type { RateLimitReading } from './RateLimitReading.js'
 import type { ServedRequest } from './ServedRequest.js'
 
 /** Result of an attempt. */
@@ -97,6 +100,7 @@
   private inspect (answer: UpstreamResponse): AttemptEnd {
     const { context, row } = this
     const metadata = context.httpBinding.readAnswerMetadata(answer.status, answer.headers)
+    if (!metadata.isMisdirected) this.recordRateLimit(metadata.rateLimit)
     if (metadata.isNotExecuted) {
       this.release(AttemptResult.shed)
       if (answer.stream !== undefined) this.call.cancel('cancelled')
@@ -109,6 +113,16 @@
     return { kind: 'answer', open: this.open(answer) }
   }
 
+  /** An invalid limit says neither that there is none nor what it is, so the one before stays in force. */
+  private recordRateLimit (reading: RateLimitReading): void {
+    const { context, row } = this
+    if (reading.kind === 'invalid') {
+      context.rejected.record(InputEdge.endpoint, 'response-limit-invalid', { endpoint: row.record.id, text: reading.text })
+      return
+    }
+    recordRateLimit(row, { perSecond: reading.kind === 'limit' ? reading.perSecond : undefined, heardAtMs: context.clock.nowMs() })
+  }
+
   private open (answer: UpstreamResponse): OpenResponse {
     return {
       response: answer,
--- a/src/host/HostContext.ts
+++ b/src/host/HostContext.ts
@@ -5,6 +5,7 @@
 import type { RoutingTable } from '../routing/RoutingTable.js'
 import type { WeightedPicker } from '../routing/WeightedPicker.js'
 import type { ServiceRequestRate } from '../placing/ServiceRequestRate.js'
+import type { RejectedInput } from '../metrics/RejectedInput.js'
 import type { HttpBinding } from './HttpBinding.js'
 import type { HostMetrics } from './HostMetrics.js'
 import type { RequestLog } from './RequestLog.js'
@@ -22,6 +23,7 @@
   readonly retries: ServiceRetryBudget
   readonly client: UpstreamClient
   readonly metrics: HostMetrics
+  readonly rejected: RejectedInput
   readonly log: RequestLog
   /** Returns true once the host has tables on which it may rely. */
   readonly isSynced: () => boolean
--- a/src/host/HostMetrics.ts
+++ b/src/host/HostMetrics.ts
@@ -16,6 +16,7 @@
   readonly isStoreDown: () => boolean
   /** Returns for how long in ms the local copy of a table may miss changes. */
   readonly getTableAge: (table: CatalogTable) => number
+  readonly countLimitedEndpoints: () => number
   readonly listRetryBudgets: () => readonly RetryBudgetState[]
 }
 
@@ -70,6 +71,7 @@
     this.addGauge('shunt_peers_alive', 'Other hosts whose last heartbeat is recent', gauges.countPeers)
     this.addGauge('shunt_config_version', 'Version of the configuration in force', gauges.configVersion)
     this.addGauge('shunt_store_down', '1 while the store cannot be reached', () => gauges.isStoreDown() ? 1 : 0)
+    this.addGauge('shunt_endpoints_limited', 'Endpoints that name a rate limit in their responses', gauges.countLimitedEndpoints)
     this.addTableAges(gauges.getTableAge)
     this.addRetryBudgets(gauges.listRetryBudgets)
   }
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -19,6 +19,7 @@
 import { InputEdge } from '../common/InputEdge.js'
 import type { Logger } from '../common/Logger.js'
 import { Scheduler } from '../common/Scheduler.js'
+import { RateLimitLogSystem } from '../endpoints/RateLimitLogSystem.js'
 import { EndpointTable } from '../endpoints/EndpointTable.js'
 import { DrainableHttpServer } from '../entry/DrainableHttpServer.js'
 import { HttpUpstreamClient } from '../entry/HttpUpstreamClient.js'
@@ -171,7 +172,7 @@
     const checker = new HealthChecker({ endpoints: this.endpoints, dial, routing: this.routing, httpBinding, clock, logger: createLog('endpoints') })
     this.scheduler = new Scheduler(
       clock,
-      [checker, this.createMaintenanceSystem(), this.createShareSystem(), this.createFreshnessSystem(), this.createRetryBudgetLogSystem()],
+      [checker, this.createMaintenanceSystem(), this.createShareSystem(), this.createFreshnessSystem(), this.createRetryBudgetLogSystem(), new RateLimitLogSystem(this.endpoints, createLog('endpoints'))],
       (system, error) => {
         this.log.error('tick-failed', { system: system.name, error: formatException(error) })
       }
@@ -183,6 +184,7 @@
       configVersion: () => this.routing.config?.version ?? 0,
       isStoreDown: () => this.health.isDown,
       getTableAge: (table) => this.readers.getTableAge(table, clock.nowMs()),
+      countLimitedEndpoints: () => [...this.endpoints].filter((row) => row.rateLimit?.perSecond !== undefined).length,
       listRetryBudgets: () => this.retries.list(clock.nowMs())
     })
   }
@@ -260,6 +262,7 @@
       requestRate,
       retries,
       client: this.client,
+      rejected: this.options.rejected,
       metrics,
       isSynced: () => this.state.isSynced,
       mayPassOn: (leftMs) => this.graceTime.mayPassOn(leftMs),
--- a/src/host/HttpBinding.ts
+++ b/src/host/HttpBinding.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from 'node:http'
+import type { RateLimitReading } from './RateLimitReading.js'
 
 /** Metadata of an endpoint's answer besides status and body. */
 interface AnswerMetadata {
@@ -8,6 +9,7 @@
   readonly isMisdirected: boolean
   /** Load after the answer; undefined when not reported. */
   readonly load: { readonly running: number, readonly waiting: number } | undefined
+  readonly rateLimit: RateLimitReading
 }
 
 /** Result of a health check of an endpoint. */
--- a/test/platformAdapter/PlatformHttpBinding.test.ts
+++ b/test/platformAdapter/PlatformHttpBinding.test.ts
@@ -29,6 +29,15 @@
   expect(binding.readAnswerMetadata(200, ['X-Server-Load', 'much']).load).toEqual(undefined)
 })
 
+// Guards against a limit that is not seen, and against text that becomes a limit by chance.
+test('a response tells the rate limit of its endpoint', () => {
+  const read = (...values: string[]): unknown => binding.readAnswerMetadata(200, values.flatMap((value) => ['Server-Limit', value])).rateLimit
+  expect(read()).toEqual({ kind: 'none' })
+  expect([read('6.6'), read('0'), read('40', ' 2.5 ')]).toEqual([6.6, 0, 2.5].map((perSecond) => ({ kind: 'limit', perSecond })))
+  for (const text of ['', '-1', '1e9', 'NaN', 'Infinity', '0x10', '1.', '3, 4', '9'.repeat(10)]) expect(read(text)).toEqual({ kind: 'invalid', text })
+  expect(read('3', 'many')).toEqual({ kind: 'invalid', text: '3,many' })
+})
+
 // Guards against rounding short retry delays up to a whole second.
 test('Retry-After has fractions of seconds', () => {
   expect(binding.formatRetryAfter(150)).toEqual('0.150')
