--- /dev/null
+++ b/src/budget/NamedRateLimiter.ts
@@ -0,0 +1,24 @@
+import { SharedRateLimiter } from './SharedRateLimiter.js'
+
+/** Rate in requests a second that is used of any lower limit, also of 0, since only a response shows that a limit has ended. */
+const minPerSecond = 0.25
+
+/**
+ * Each sender may send one request at once, whatever its share. A window of 4 s may hold 1.5 times the limit and 5 requests;
+ * so many senders use at most this part of what that leaves beside the limit itself.
+ */
+const burstShare = 0.8
+const windowSeconds = 4
+const overshoot = 1.5
+const slack = 5
+
+/** Limits the requests to endpoints that name in their responses how many a second they take from all hosts together. */
+export class NamedRateLimiter extends SharedRateLimiter {
+  protected override countSenders (perSecond: number): number {
+    return Math.max(1, Math.floor(burstShare * ((overshoot - 1) * windowSeconds * perSecond + slack)))
+  }
+
+  protected override computeIntervalMs (perSecond: number, senders: number): number {
+    return 1_000 * senders / Math.max(minPerSecond, perSecond)
+  }
+}
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -1,5 +1,6 @@
 import type { Registry } from 'prom-client'
 import { ColdStartRateLimiter } from '../budget/ColdStartRateLimiter.js'
+import { NamedRateLimiter } from '../budget/NamedRateLimiter.js'
 import { RetryBudgetLogSystem } from '../budget/RetryBudgetLogSystem.js'
 import { RetryAllowance } from '../budget/RetryAllowance.js'
 import { ServiceRetryBudget } from '../budget/ServiceRetryBudget.js'
@@ -281,6 +282,7 @@
       endpoints,
       routing,
       coldStartLimiter: new ColdStartRateLimiter(settings.name, () => this.listLiveHostNames()),
+      namedRateLimiter: new NamedRateLimiter(settings.name, () => this.listRecentHostNames()),
       shares,
       getRoundTripMs: (region) => region === settings.region ? 0 : peers.getRoundTripMs(region),
       evacuated: state.evacuatedZones,
@@ -343,6 +345,11 @@
     return [this.self.name, ...this.peers.listAlive(this.options.clock.nowMs()).map((row) => row.record.name)]
   }
 
+  /** Lists the names of the hosts that may send now, including this one and those that may only be cut off. */
+  private listRecentHostNames (): string[] {
+    return [this.self.name, ...this.peers.listRecent(this.options.clock.nowMs()).map((row) => row.record.name)]
+  }
+
   /** Returns the number of known hosts, including this one; undefined before the table of hosts has been received. */
   private countKnownHosts (): number | undefined {
     return this.state.catalog.versionOf(CatalogTable.hosts) < 0 ? undefined : this.peers.size + 1
--- a/src/peers/PeerTable.ts
+++ b/src/peers/PeerTable.ts
@@ -59,6 +59,14 @@
     return [...this.rows].filter((row) => row.lastHeartbeatAtMs !== undefined && nowMs - row.lastHeartbeatAtMs < peerLimits.deadAfterMs)
   }
 
+  /** Lists the hosts that may still send requests: those alive, and silent ones that may only be cut off. */
+  listRecent (nowMs: number): PeerRow[] {
+    return [...this.rows].filter(({ lastHeartbeatAtMs, isLeaving }) => {
+      const keptMs = isLeaving ? peerLimits.deadAfterMs : peerLimits.recentMs
+      return lastHeartbeatAtMs !== undefined && nowMs - lastHeartbeatAtMs < keptMs
+    })
+  }
+
   /** Sums the requests in flight of the other live hosts by endpoint. */
   sumLoads (nowMs: number): Map<string, number> {
     const sums = new Map<string, number>()
--- a/src/peers/peerLimits.ts
+++ b/src/peers/peerLimits.ts
@@ -12,6 +12,8 @@
   idleTimeoutMs: 30_000,
   /** Time in ms without a heartbeat after which a host is considered down. */
   deadAfterMs: 2_000,
+  /** Time in ms without a heartbeat for which a host that hasn't announced its leaving may still send requests, as it may only be cut off. */
+  recentMs: 30_000,
   /** Age in ms of a table version from which it is also sent to readers that lack it. */
   readerPushDelayMs: 250,
   /** Weight of a measured round trip that is longer than the smoothed one. */
--- a/src/placing/EndpointSelector.ts
+++ b/src/placing/EndpointSelector.ts
@@ -1,4 +1,4 @@
-import type { ColdStartRateLimiter } from '../budget/ColdStartRateLimiter.js'
+import type { SharedRateLimiter } from '../budget/SharedRateLimiter.js'
 import { hashRendezvous } from '../common/hashRendezvous.js'
 import type { EndpointRow } from '../endpoints/EndpointRow.js'
 import { endpointLimits } from '../endpoints/endpointLimits.js'
@@ -20,7 +20,10 @@
   readonly region: string
   readonly endpoints: EndpointTable
   readonly routing: RoutingTable
-  readonly coldStartLimiter: ColdStartRateLimiter
+  /** Limits the requests to cold endpoints. */
+  readonly coldStartLimiter: SharedRateLimiter
+  /** Limits the requests to endpoints that name a rate limit. */
+  readonly namedRateLimiter: SharedRateLimiter
   readonly shares: LocalShares
   /** Returns the round trip time in ms from this host to a region. */
   readonly getRoundTripMs: (region: string) => number
@@ -99,6 +102,7 @@
   retain (isRegistered: (endpoint: string) => boolean): void {
     this.recentObjects.retain(isRegistered)
     this.options.coldStartLimiter.retain(isRegistered)
+    this.options.namedRateLimiter.retain(isRegistered)
   }
 
   private rankEndpoints (request: SelectionRequest): readonly EndpointRow[] {
@@ -154,11 +158,20 @@
     return waitMs + workMs + newObjectMs * rank * placementLimits.rankFactor
   }
 
-  /** Takes a permit to send a request to a cold endpoint; returns true without one when the endpoint isn't cold. */
+  /** Takes the permits to send a request to an endpoint that is cold or names a rate limit; returns true without one when neither holds. */
   private acquirePermit (row: EndpointRow, nowMs: number): boolean {
-    if (row.coldUntilMs <= nowMs) return true
-    const perSecond = this.options.routing.findService(row.record.service)?.coldPerSecond ?? 0
-    return this.options.coldStartLimiter.take(row.record.id, perSecond, nowMs)
+    const rates = this.listRates(row, nowMs)
+    if (!rates.every(([limiter, perSecond]) => limiter.mayTake(row.record.id, perSecond, nowMs))) return false
+    return rates.every(([limiter, perSecond]) => limiter.take(row.record.id, perSecond, nowMs))
+  }
+
+  /** Lists the rates in requests a second that bind an endpoint now, with the limiters that divide them among the hosts. */
+  private listRates (row: EndpointRow, nowMs: number): Array<readonly [SharedRateLimiter, number]> {
+    const { routing, coldStartLimiter, namedRateLimiter } = this.options
+    const rates: Array<readonly [SharedRateLimiter, number]> = []
+    if (row.coldUntilMs > nowMs) rates.push([coldStartLimiter, routing.findService(row.record.service)?.coldPerSecond ?? 0])
+    if (row.rateLimit?.perSecond !== undefined) rates.push([namedRateLimiter, row.rateLimit.perSecond])
+    return rates
   }
 }
 
--- a/test/placing/EndpointSelector.test.ts
+++ b/test/placing/EndpointSelector.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'earl'
 import { test } from 'node:test'
 import { ColdStartRateLimiter } from '../../src/budget/ColdStartRateLimiter.js'
+import { NamedRateLimiter } from '../../src/budget/NamedRateLimiter.js'
 import { EndpointTable } from '../../src/endpoints/EndpointTable.js'
 import type { EndpointRecord } from '../../src/endpoints/EndpointRecord.js'
 import { LocalShares } from '../../src/placing/LocalShares.js'
@@ -29,6 +30,7 @@
       endpoints: this.endpoints,
       routing,
       coldStartLimiter: new ColdStartRateLimiter('me', () => ['me']),
+      namedRateLimiter: new NamedRateLimiter('me', () => ['me']),
       shares: this.shares,
       getRoundTripMs: (region) => region === 'north' ? 0 : this.roundTripMs,
       evacuated: this.evacuated,
@@ -223,3 +225,22 @@
   Object.assign(fixture.endpoints.get(first)!, { serviceTimeMs: 800, inFlight: 1 })
   expect(fixture.choose('object-7') === first).toEqual(false)
 })
+
+// Guards against a limited endpoint that is chosen and then refused, although another one could take the request.
+test('an endpoint that has used up its named limit is left out', () => {
+  const fixture = new SelectorFixture(six)
+  const first = fixture.choose('object-7')!
+  fixture.endpoints.get(first)!.rateLimit = { perSecond: 1, heardAtMs: 0 }
+  expect(fixture.choose('object-7')).toEqual(first)
+  expect([first, undefined].includes(fixture.choose('object-7'))).toEqual(false)
+})
+
+// Guards against a permit for one rate that is lost because another rate of the endpoint denies the request.
+test('a cold endpoint that names a limit is bound by the lower rate', () => {
+  const [record] = six
+  const fixture = new SelectorFixture([record!])
+  const row = fixture.endpoints.get(record!.id)!
+  row.coldUntilMs = 1_000
+  row.rateLimit = { perSecond: 0, heardAtMs: 0 }
+  expect([fixture.choose('object-7'), fixture.choose('object-7')]).toEqual([record!.id, undefined])
+})
--- a/test/placing/LoadSimulator.ts
+++ b/test/placing/LoadSimulator.ts
@@ -1,5 +1,6 @@
 import { SeededRandom } from '../../dev/common/SeededRandom.js'
 import { ColdStartRateLimiter } from '../../src/budget/ColdStartRateLimiter.js'
+import { NamedRateLimiter } from '../../src/budget/NamedRateLimiter.js'
 import type { EndpointRow } from '../../src/endpoints/EndpointRow.js'
 import { EndpointTable } from '../../src/endpoints/EndpointTable.js'
 import { recordAttempt } from '../../src/endpoints/recordAttempt.js'
@@ -92,6 +93,7 @@
       endpoints: this.endpoints,
       routing,
       coldStartLimiter: new ColdStartRateLimiter('me', () => ['me']),
+      namedRateLimiter: new NamedRateLimiter('me', () => ['me']),
       shares: new LocalShares(),
       getRoundTripMs: () => 0,
       evacuated: new Set(),
