Exchange the rate limits of endpoints by heartbeats (LIMIT)

One that had sent nothing to an endpoint in need sent it what it liked until its first response (30 of 30 requests at a limit of 1 a second), and so does one that has just started. And a host that isn't among the senders of a low limit never sent there again, so it never heard that the limit had ended. Change: heartbeats carry the limits that the sender has heard itself, with the age of the response, and for 10 s that one has ended; the newest news counts. News of other hosts isn't passed on, since it would look younger with each hop. An entry costs about 30 bytes while its endpoint names a limit; heartbeats of earlier releases have none.

--- a/src/endpoints/EndpointRow.ts
+++ b/src/endpoints/EndpointRow.ts
@@ -16,8 +16,10 @@
   peerInFlight: number
   /** The endpoint is cold until this time, and its request rate is limited. */
   coldUntilMs: number
-  /** Undefined while no response has named a limit. */
+  /** Newest news of the rate limit, from any host; undefined while none has heard of a limit. */
   rateLimit: EndpointRateLimit | undefined
+  /** News of the rate limit from responses to this host. */
+  ownRateLimit: EndpointRateLimit | undefined
   /** The endpoint is avoided until a health check succeeds. */
   isSuspect: boolean
   nextProbeAtMs: number
--- a/src/endpoints/EndpointTable.ts
+++ b/src/endpoints/EndpointTable.ts
@@ -125,6 +125,7 @@
     peerInFlight: 0,
     coldUntilMs: nowMs + record.coldMs,
     rateLimit: undefined,
+    ownRateLimit: undefined,
     isSuspect: false,
     nextProbeAtMs: 0,
     isProbing: false,
--- a/src/endpoints/endpointLimits.ts
+++ b/src/endpoints/endpointLimits.ts
@@ -21,6 +21,8 @@
   /** Minimum number of reporting hosts, and of consecutive broken attempts in total, for an endpoint to be ejected. */
   minReportingHosts: 2,
   minReportedBreaks: 3,
+  /** Time in ms for which a host reports that an endpoint named no limit any more. */
+  reportWithdrawalMs: 10_000,
   /** Age in ms of this host's last success up to which reports of other hosts are ignored. */
   ownSuccessValidMs: 1_000,
   /** Time in ms after a failed attempt in which non-idempotent requests don't reuse connections. */
--- a/src/host/EndpointAttempt.ts
+++ b/src/host/EndpointAttempt.ts
@@ -120,7 +120,9 @@
       context.rejected.record(InputEdge.endpoint, 'response-limit-invalid', { endpoint: row.record.id, text: reading.text })
       return
     }
-    recordRateLimit(row, { perSecond: reading.kind === 'limit' ? reading.perSecond : undefined, heardAtMs: context.clock.nowMs() })
+    const limit = { perSecond: reading.kind === 'limit' ? reading.perSecond : undefined, heardAtMs: context.clock.nowMs() }
+    row.ownRateLimit = limit
+    recordRateLimit(row, limit)
   }
 
   private open (answer: UpstreamResponse): OpenResponse {
--- a/src/host/HostStatus.ts
+++ b/src/host/HostStatus.ts
@@ -2,6 +2,7 @@
 import { toReportedAge } from '../catalog/toReportedAge.js'
 import type { StoreHealth } from '../catalog/StoreHealth.js'
 import type { Clock } from '../common/Clock.js'
+import { listRateLimits } from '../endpoints/listRateLimits.js'
 import { endpointLimits } from '../endpoints/endpointLimits.js'
 import type { EndpointTable } from '../endpoints/EndpointTable.js'
 import type { Heartbeat } from '../peers/Heartbeat.js'
@@ -31,7 +32,7 @@
 
   /** Returns the state for a heartbeat to a host of a region, complete when the receiver's region is unknown. */
   describe (region: string | undefined): Omit<Heartbeat, 'host' | 'versions' | 'pages'> {
-    const { clock, state, requestRate, shares, isReady, isLeaving } = this.options
+    const { clock, endpoints, state, requestRate, shares, isReady, isLeaving } = this.options
     const nowMs = clock.nowMs()
     return {
       isReady: isReady(),
@@ -41,6 +42,7 @@
       isStoreSettled: state.isStoreSettled(nowMs),
       loads: this.listLoads(region),
       breaks: this.listBreaks(nowMs),
+      rateLimits: listRateLimits(endpoints, nowMs),
       demands: requestRate.list(nowMs),
       localShares: shares.list()
     }
--- a/src/host/MaintenanceSystem.ts
+++ b/src/host/MaintenanceSystem.ts
@@ -1,6 +1,7 @@
 import type { Logger } from '../common/Logger.js'
 import { System } from '../common/System.js'
 import { applyBreakReports } from '../endpoints/applyBreakReports.js'
+import { recordRateLimit } from '../endpoints/recordRateLimit.js'
 import type { EndpointTable } from '../endpoints/EndpointTable.js'
 import type { PeerTable } from '../peers/PeerTable.js'
 import type { EndpointSelector } from '../placing/EndpointSelector.js'
@@ -29,6 +30,7 @@
     endpointSelector.retain((endpoint) => endpoints.get(endpoint) !== undefined)
     this.applyLoads(nowMs)
     this.applyBreaks(nowMs)
+    this.applyRateLimits(nowMs)
   }
 
   private applyLoads (nowMs: number): void {
@@ -37,6 +39,16 @@
     for (const row of endpoints) row.peerInFlight = sums.get(row.record.id) ?? 0
   }
 
+  private applyRateLimits (nowMs: number): void {
+    const { endpoints, peers } = this.options
+    for (const { rateLimits, lastHeartbeatAtMs } of peers.listAlive(nowMs)) {
+      for (const [endpoint, perSecond, ageMs] of rateLimits) {
+        const row = endpoints.get(endpoint)
+        if (row !== undefined) recordRateLimit(row, { perSecond: perSecond < 0 ? undefined : perSecond, heardAtMs: lastHeartbeatAtMs! - ageMs })
+      }
+    }
+  }
+
   private applyBreaks (nowMs: number): void {
     const { endpoints, peers, logger } = this.options
     for (const [endpoint, reports] of peers.sumBreaks(nowMs)) {
--- a/src/peers/Heartbeat.ts
+++ b/src/peers/Heartbeat.ts
@@ -22,6 +22,11 @@
   readonly loads: ReadonlyArray<readonly [endpoint: string, inFlight: number]>
   /** Consecutive broken attempts by endpoint, for endpoints whose last attempt broke recently. */
   readonly breaks: ReadonlyArray<readonly [endpoint: string, count: number]>
+  /**
+   * Rate limits that endpoints named in responses to the sender, in requests a second, and the age of the response in ms; -1 when
+   * the endpoint has named none since.
+   */
+  readonly rateLimits: ReadonlyArray<readonly [endpoint: string, perSecond: number, ageMs: number]>
   /** Request rate that the sender receives, by service. */
   readonly demands: ReadonlyArray<readonly [service: string, perSecond: number]>
   /** Share of the sender's requests that stay in its region, by service. */
--- a/src/peers/PeerRow.ts
+++ b/src/peers/PeerRow.ts
@@ -1,4 +1,5 @@
 import type { CatalogTable } from '../catalog/CatalogTable.js'
+import type { Heartbeat } from './Heartbeat.js'
 import type { HostRecord } from './HostRecord.js'
 
 /** State of another host as this host sees it. Times are monotonic ms. */
@@ -29,6 +30,8 @@
   localShares: ReadonlyArray<readonly [service: string, share: number]>
   /** The peer's consecutive broken attempts by endpoint. */
   breaks: ReadonlyArray<readonly [endpoint: string, count: number]>
+  /** Rate limits that endpoints named to the peer; see `Heartbeat`. */
+  rateLimits: Heartbeat['rateLimits']
   /** The peer's requests in flight by endpoint. */
   loads: ReadonlyMap<string, number>
 }
--- a/src/peers/PeerTable.ts
+++ b/src/peers/PeerTable.ts
@@ -44,6 +44,7 @@
     row.demands = heartbeat.demands
     row.localShares = heartbeat.localShares
     row.breaks = heartbeat.breaks
+    row.rateLimits = heartbeat.rateLimits
     return row
   }
 
@@ -105,6 +106,7 @@
     tableContacts: new Map(),
     demands: [],
     localShares: [],
-    breaks: []
+    breaks: [],
+    rateLimits: []
   }
 }
--- a/src/peers/readHeartbeat.ts
+++ b/src/peers/readHeartbeat.ts
@@ -23,6 +23,7 @@
   loads: namedNumbers,
   // Absent from heartbeats of an earlier release too.
   breaks: z._default(namedNumbers, []),
+  rateLimits: z._default(z.array(z.tuple([z.string(), z.number().check(z.gte(-1)), z.number().check(z.gte(0))])), []),
   demands: namedNumbers,
   localShares: namedNumbers,
   pages: z.array(z.tuple([tables, z.object({
--- a/test/support/createHeartbeat.ts
+++ b/test/support/createHeartbeat.ts
@@ -12,6 +12,7 @@
     versions: { orders: 1, endpoints: 1, hosts: 1 },
     loads: [],
     breaks: [],
+    rateLimits: [],
     demands: [],
     localShares: [],
     pages: [],
