Let senders of a named limit keep unused permits (LIMIT)

Hypothesis: what a window of 4 s leaves beside the limit can be kept as permits. Change: a sender keeps up to an equal part of that, 1.6 at seven hosts and 4.6 a second, in place of one. A rate of 0 allows no request to a cold endpoint, as before the limiters were shared; an infinite one allows all. Tests: a limit is used when requests arrive at random (failed before); a rate of 0 allows no request and an infinite one all.

--- a/src/budget/ColdStartRateLimiter.ts
+++ b/src/budget/ColdStartRateLimiter.ts
@@ -15,4 +15,8 @@
   protected override computeIntervalMs (perSecond: number): number {
     return 1_000 * sendersPerEndpoint / (safetyFactor * perSecond)
   }
+
+  protected override computeCapacity (): number {
+    return 1
+  }
 }
--- a/src/budget/NamedRateLimiter.ts
+++ b/src/budget/NamedRateLimiter.ts
@@ -4,8 +4,8 @@
 const minPerSecond = 0.25
 
 /**
- * Each sender may send one request at once, whatever its share. A window of 4 s may hold 1.5 times the limit and 5 requests;
- * so many senders use at most this part of what that leaves beside the limit itself.
+ * A window of 4 s may hold 1.5 times the limit and 5 requests. The permits that all senders keep unused, at least one each, are at
+ * most this part of what that leaves beside the limit itself.
  */
 const burstShare = 0.8
 const windowSeconds = 4
@@ -15,10 +15,19 @@
 /** Limits the requests to endpoints that name in their responses how many a second they take from all hosts together. */
 export class NamedRateLimiter extends SharedRateLimiter {
   protected override countSenders (perSecond: number): number {
-    return Math.max(1, Math.floor(burstShare * ((overshoot - 1) * windowSeconds * perSecond + slack)))
+    return Math.max(1, Math.floor(computeBurst(perSecond)))
+  }
+
+  protected override computeCapacity (perSecond: number, senders: number): number {
+    return Math.max(1, computeBurst(perSecond) / senders)
   }
 
   protected override computeIntervalMs (perSecond: number, senders: number): number {
     return 1_000 * senders / Math.max(minPerSecond, perSecond)
   }
 }
+
+/** Returns the number of requests that all senders together may send at once. */
+function computeBurst (perSecond: number): number {
+  return burstShare * ((overshoot - 1) * windowSeconds * perSecond + slack)
+}
--- a/src/budget/SharedRateLimiter.ts
+++ b/src/budget/SharedRateLimiter.ts
@@ -6,8 +6,9 @@
 
 /** State of a limited endpoint at this host. */
 interface LimitedEndpointRow {
-  /** Time of the last permit; -Infinity before the first one. */
-  lastPermitAtMs: number
+  /** Permits that may be taken at `updatedAtMs`, in fractions. */
+  permits: number
+  updatedAtMs: number
   /** This host is one of the senders, as of the last refresh. */
   isSender: boolean
   /** Number of senders as of the last refresh; at least 1. */
@@ -17,7 +18,7 @@
 
 /**
  * Limits the rate of requests to each of some endpoints across all hosts. Hosts that are selected by rendezvous hashing for
- * the endpoint share its rate evenly and send without bursts, so the limit holds without coordination messages.
+ * the endpoint share its rate evenly and keep few unused permits, so the limit holds without coordination messages.
  */
 export abstract class SharedRateLimiter {
   private readonly rows = new Table<LimitedEndpointRow>()
@@ -31,20 +32,29 @@
   /** Returns the largest number of hosts that may send to an endpoint. */
   protected abstract countSenders (perSecond: number): number
 
-  /** Returns the time in ms between two requests of one of the `senders` to an endpoint. */
+  /** Returns the time in ms between two requests of one of the `senders` to an endpoint; 0 for no limit, Infinity when there are to be none. */
   protected abstract computeIntervalMs (perSecond: number, senders: number): number
 
+  /** Returns the number of unused permits that one of the `senders` keeps, at least 1. */
+  protected abstract computeCapacity (perSecond: number, senders: number): number
+
   /** Returns true when this host may send a request to an endpoint now. */
   mayTake (endpoint: string, perSecond: number, nowMs: number): boolean {
-    const row = this.rows.ensure(endpoint, () => ({ lastPermitAtMs: -Infinity, isSender: false, senders: 1, nextSenderRefreshMs: nowMs }))
+    const row = this.rows.ensure(endpoint, () => ({ permits: 1, updatedAtMs: nowMs, isSender: false, senders: 1, nextSenderRefreshMs: nowMs }))
     this.refreshSender(row, endpoint, perSecond, nowMs)
-    return row.isSender && nowMs - row.lastPermitAtMs >= this.computeIntervalMs(perSecond, row.senders)
+    const intervalMs = this.computeIntervalMs(perSecond, row.senders)
+    if (intervalMs === 0) return row.isSender
+    if (intervalMs === Infinity) return false
+    row.permits = Math.min(this.computeCapacity(perSecond, row.senders), row.permits + (nowMs - row.updatedAtMs) / intervalMs)
+    row.updatedAtMs = nowMs
+    return row.isSender && row.permits >= 1
   }
 
   /** Takes a permit to send one request to an endpoint; returns false when none is available. */
   take (endpoint: string, perSecond: number, nowMs: number): boolean {
     if (!this.mayTake(endpoint, perSecond, nowMs)) return false
-    this.rows.get(endpoint)!.lastPermitAtMs = nowMs
+    const row = this.rows.get(endpoint)!
+    row.permits = Math.max(0, row.permits - 1)
     return true
   }
 
--- a/test/budget/ColdStartRateLimiter.test.ts
+++ b/test/budget/ColdStartRateLimiter.test.ts
@@ -20,6 +20,13 @@
   }), { numRuns: 50 })
 })
 
+// Guards against requests to a cold endpoint that is to get none, and against refusals where the configuration sets no rate.
+test('a rate of 0 allows no request and an infinite one all', () => {
+  const limiter = new ColdStartRateLimiter('a', () => ['a'])
+  expect([limiter.take('none', 0, 0), limiter.take('none', 0, 10_000)]).toEqual([false, false])
+  expect(Array.from({ length: 5 }, () => limiter.take('all', Infinity, 0))).toEqual([true, true, true, true, true])
+})
+
 // Guards against a cold endpoint that receives requests from no host.
 test('three hosts may send to a cold endpoint', () => {
   const names = ['a', 'b', 'c', 'd', 'e']
--- a/test/budget/NamedRateLimiter.test.ts
+++ b/test/budget/NamedRateLimiter.test.ts
@@ -2,6 +2,7 @@
 import fc from 'fast-check'
 import { test } from 'node:test'
 import { NamedRateLimiter } from '../../src/budget/NamedRateLimiter.js'
+import { createRandom } from '../model/createRandom.js'
 
 const windowMs = 4_000
 
@@ -19,6 +20,16 @@
   return sent
 }
 
+/** Lists times of independent requests at a mean rate. */
+function listArrivals (perSecond: number, endMs: number, random: () => number): number[] {
+  const times: number[] = []
+  for (let atMs = 0; atMs < endMs;) {
+    atMs -= Math.log(1 - random()) * 1_000 / perSecond
+    times.push(atMs)
+  }
+  return times
+}
+
 // Guards against an endpoint in need that gets more than its limit since each host alone keeps it, and against one that is left idle.
 test('all hosts together keep a named limit and use it', () => {
   fc.assert(fc.property(
@@ -37,6 +48,16 @@
   ), { numRuns: 150 })
 })
 
+// Guards against an endpoint that stays below its limit, although more is wanted, since a permit is lost while no request waits.
+test('a limit is used when requests arrive at random', () => {
+  const limiters = createLimiters(7)
+  const perSecond = 4.6
+  const random = createRandom(7)
+  const arrivals = limiters.flatMap((limiter) => listArrivals(3 * perSecond / limiters.length, 200_000, random).map((atMs) => ({ atMs, limiter })))
+  const sent = arrivals.sort((a, b) => a.atMs - b.atMs).filter(({ atMs, limiter }) => limiter.take('e', perSecond, atMs))
+  expect(sent.length >= 0.9 * 200 * perSecond).toEqual(true)
+})
+
 // Guards against a long wait after a limit that was very low.
 test('a higher limit holds at once', () => {
   const [limiter] = createLimiters(1)
