Fuzz the rate limits in heartbeats (LIMIT)

The generator draws limits, their end, and values out of range; what is read must have a rate of -1 or more and an age.

--- a/dev/fuzz/HeartbeatFuzzEdge.ts
+++ b/dev/fuzz/HeartbeatFuzzEdge.ts
@@ -77,6 +77,7 @@
   versions: mostly(fc.constant(ages)),
   loads: named,
   breaks: named,
+  rateLimits: mostly(fc.constantFrom([], [['e-1', 3, 0]], [['e-1', -1, 5], ['e-2', 1e300, 1e300]], [['e-1', -2, -1]])),
   demands: named,
   localShares: named,
   pages: mostly(fc.array(mostly(fc.tuple(mostly(fc.constantFrom(...Object.values(CatalogTable))), mostly(page))), { maxLength: 2 }))
@@ -129,7 +130,10 @@
     for (const [table, page] of beat.pages) catalog.apply(table, page, nowMs, beat.host.name)
     checkRoutes(routing)
     for (const row of endpoints) checkEndpoint(row.record)
-    for (const row of peers) parseDestination(row.record.peerAddress)
+    for (const row of peers) {
+      parseDestination(row.record.peerAddress)
+      for (const [, perSecond, ageMs] of row.rateLimits) if (!(perSecond >= -1 && ageMs >= 0)) throw new Error(`a host reports a limit of ${perSecond} from ${ageMs} ms ago`)
+    }
     for (const sum of [...peers.sumLoads(nowMs).values()]) if (!Number.isFinite(sum)) throw new Error(`a host has ${sum} requests in flight`)
   }
 }
