Keep the count of retries when the window of the budget is changed (BUDGET)

Found from the source. The new counter takes over the count of the old one; requests still begin at 0, which errs to the side of fewer retries. Test: retries still count after the window has been changed (failed before).

--- a/src/budget/ServiceRetryBudget.ts
+++ b/src/budget/ServiceRetryBudget.ts
@@ -36,12 +36,12 @@
   ) {}
 
   recordRequest (service: string, nowMs: number): void {
-    this.ensureRow(service).requests.add(nowMs)
+    this.ensureRow(service, nowMs).requests.add(nowMs)
   }
 
   /** Takes a permit for one retry; returns false when the budget is exhausted. */
   take (service: string, nowMs: number): boolean {
-    const row = this.ensureRow(service)
+    const row = this.ensureRow(service, nowMs)
     if (row.retries.count(nowMs) + 1 > this.computeAllowed(row, nowMs)) {
       row.denied += 1
       return false
@@ -67,11 +67,13 @@
     return ofRatio * retryRatio * row.requests.count(nowMs) + ofSlack * retrySlack
   }
 
-  private ensureRow (service: string): BudgetRow {
+  /** A changed window begins without requests, but with the retries of the one before. */
+  private ensureRow (service: string, nowMs: number): BudgetRow {
     const { retryWindowMs } = this.readBounds()
     const row = this.rows.get(service)
     if (row !== undefined && row.windowMs === retryWindowMs) return row
     const created = { windowMs: retryWindowMs, requests: new SlidingWindowCounter(retryWindowMs), retries: SlidingWindowCounter.covering(retryWindowMs), denied: row?.denied ?? 0 }
+    created.retries.add(nowMs, row?.retries.count(nowMs) ?? 0)
     this.rows.set(service, created)
     return created
   }
--- a/test/budget/ServiceRetryBudget.test.ts
+++ b/test/budget/ServiceRetryBudget.test.ts
@@ -52,3 +52,12 @@
   expect(budget.take('a', 0)).toEqual(false)
   expect(budget.take('b', 0)).toEqual(true)
 })
+
+// Guards against a change of the settings after which the retries of the window are forgotten.
+test('retries still count after the window has been changed', () => {
+  let retryWindowMs = 10_000
+  const budget = new ServiceRetryBudget(() => ({ retryWindowMs, retryRatio: 0, retrySlack: 5 }), () => singleHostShares)
+  while (budget.take('stock', 0));
+  retryWindowMs = 12_000
+  expect([budget.take('stock', 1_000), budget.take('stock', 14_000)]).toEqual([false, true])
+})
