Move the lists of known hosts out of HostProcess

KnownHosts has the four lists: hosts that serve, live ones, those that may still send, and their number. No behaviour changes; 46 tests of HostProcess, limits, restarts and peers pass.

--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -40,6 +40,7 @@
 import type { RejectedInput } from '../metrics/RejectedInput.js'
 import type { HostSettings } from './HostSettings.js'
 import { HostStatus } from './HostStatus.js'
+import { KnownHosts } from './KnownHosts.js'
 import { MaintenanceSystem } from './MaintenanceSystem.js'
 import { RequestHandler } from './RequestHandler.js'
 import { RequestLog } from './RequestLog.js'
@@ -69,6 +70,7 @@
   private readonly health = new StoreHealth()
   private readonly endpoints: EndpointTable
   private readonly peers: PeerTable
+  private readonly knownHosts: KnownHosts
   private readonly state: ClusterState
   private readonly requestRate: ServiceRequestRate
   private readonly shares = new LocalShares()
@@ -116,6 +118,13 @@
       onStoreChange: () => this.mesh.relay(),
       confirmSettled: (isOwnSettled) => this.readers.isSettled(isOwnSettled)
     })
+    this.knownHosts = new KnownHosts({
+      self: this.self,
+      peers: this.peers,
+      clock,
+      isReady: () => this.isReady,
+      hasTable: () => this.state.catalog.versionOf(CatalogTable.hosts) >= 0
+    })
     const status = new HostStatus({
       region: settings.region,
       clock,
@@ -153,7 +162,7 @@
       // At the very first start of the system there is no earlier process.
       startMs: settings.isFirstStart ? -Infinity : clock.nowMs(),
       readWindowMs: () => this.settings.bounds.retryWindowMs,
-      countHosts: () => this.countKnownHosts()
+      countHosts: () => this.knownHosts.count()
     })
     this.retries = new ServiceRetryBudget(() => this.settings.bounds, (nowMs) => this.retryAllowance.get(nowMs))
     const metrics = new HostMetrics(options.registry, clock)
@@ -166,7 +175,7 @@
       registry: options.registry,
       logger: this.log,
       isReady: () => this.isReady,
-      listServing: () => this.listServing()
+      listServing: () => this.knownHosts.listServing()
     })
     this.followers = this.createFollowers()
     this.registration = new HostRegistration({ store: options.store, self: this.self, logger: this.log, isLeaving: () => this.isLeaving })
@@ -281,8 +290,8 @@
       region: settings.region,
       endpoints,
       routing,
-      coldStartLimiter: new ColdStartRateLimiter(settings.name, () => this.listLiveHostNames()),
-      namedRateLimiter: new NamedRateLimiter(settings.name, () => this.listRecentHostNames()),
+      coldStartLimiter: new ColdStartRateLimiter(settings.name, () => this.knownHosts.listLiveNames()),
+      namedRateLimiter: new NamedRateLimiter(settings.name, () => this.knownHosts.listRecentNames()),
       shares,
       getRoundTripMs: (region) => region === settings.region ? 0 : peers.getRoundTripMs(region),
       evacuated: state.evacuatedZones,
@@ -307,8 +316,7 @@
   }
 
   private createRetryBudgetLogSystem (): RetryBudgetLogSystem {
-    const logger = this.options.createModuleLogger('request')
-    return new RetryBudgetLogSystem({ retries: this.retries, getShares: (nowMs) => this.retryAllowance.get(nowMs), logger })
+    return new RetryBudgetLogSystem({ retries: this.retries, getShares: (nowMs) => this.retryAllowance.get(nowMs), logger: this.options.createModuleLogger('request') })
   }
 
   private createFront (metrics: HostMetrics): DrainableHttpServer {
@@ -332,29 +340,6 @@
     })
   }
 
-  /** Lists the hosts that can serve callers now, including this one when it is ready. */
-  private listServing (): HostRecord[] {
-    const serving = this.peers.listAlive(this.options.clock.nowMs())
-      .filter((row) => row.isReady && !row.isLeaving)
-      .map((row) => row.record)
-    return this.isReady ? [...serving, this.self] : serving
-  }
-
-  /** Lists the names of the live hosts, including this one. */
-  private listLiveHostNames (): string[] {
-    return [this.self.name, ...this.peers.listAlive(this.options.clock.nowMs()).map((row) => row.record.name)]
-  }
-
-  /** Lists the names of the hosts that may send now, including this one and those that may only be cut off. */
-  private listRecentHostNames (): string[] {
-    return [this.self.name, ...this.peers.listRecent(this.options.clock.nowMs()).map((row) => row.record.name)]
-  }
-
-  /** Returns the number of known hosts, including this one; undefined before the table of hosts has been received. */
-  private countKnownHosts (): number | undefined {
-    return this.state.catalog.versionOf(CatalogTable.hosts) < 0 ? undefined : this.peers.size + 1
-  }
-
   private runInBackground (task: string, promise: Promise<void>): void {
     promise.catch((error: unknown) => this.log.error('task-failed', { task, error: formatException(error) }))
   }
