Read an answer that has arrived before the callers' timeout counts

All 15 timeouts fell within 9 ms, at requests that had been sent over six seconds, which is a stall of the callers' process and none of the hosts': after it the timers fire before the answers that arrived meanwhile are read. Change: a timeout counts after the pending reads of one turn of the event loop. An answer that isn't there by then is late as before.

--- a/dev/callers/exchange.ts
+++ b/dev/callers/exchange.ts
@@ -25,12 +25,19 @@
     const [host, port] = address.split(':')
     const req = request({ host, port, method, path, headers: body === undefined ? headers : { ...headers, 'content-length': body.length }, agent })
     let sent = false
-    const fail = (reason: string): void => {
+    let hasEnded = false
+    const end = (result: ExchangeResult): void => {
+      hasEnded = true
       clearTimeout(timer)
+      resolve(result)
+    }
+    const fail = (reason: string): void => {
+      if (hasEnded) return
       req.destroy()
-      resolve({ kind: 'failure', sent, reason })
+      end({ kind: 'failure', sent, reason })
     }
-    const timer = setTimeout(() => fail('timeout'), timeoutMs)
+    // After a stall of this process the timer fires before the answer that arrived meanwhile has been read.
+    const timer = setTimeout(() => setImmediate(fail, 'timeout'), timeoutMs)
     req.on('socket', (socket) => {
       if (socket.connecting) socket.once('connect', () => { sent = true })
       else sent = true
@@ -42,10 +49,7 @@
       const chunks: Buffer[] = []
       res.on('data', (chunk: Buffer) => chunks.push(chunk))
       res.on('error', (err: NodeJS.ErrnoException) => fail(`incomplete:${err.code ?? err.message}`))
-      res.on('end', () => {
-        clearTimeout(timer)
-        resolve({ kind: 'answer', status: res.statusCode ?? 0, headers: res.headers, body: Buffer.concat(chunks) })
-      })
+      res.on('end', () => end({ kind: 'answer', status: res.statusCode ?? 0, headers: res.headers, body: Buffer.concat(chunks) }))
     })
     req.end(body)
   })
