Say what bounds the unused permits of named limits (LIMIT)

Read-through: the comment of one constant told the meaning of three others. Comments and pages only.

--- a/src/budget/NamedRateLimiter.ts
+++ b/src/budget/NamedRateLimiter.ts
@@ -3,15 +3,14 @@
 /** Rate in requests a second that is used of any lower limit, also of 0, since only a response shows that a limit has ended. */
 const minPerSecond = 0.25
 
-/**
- * A window of 4 s may hold 1.5 times the limit and 5 requests. The permits that all senders keep unused, at least one each, are at
- * most this part of what that leaves beside the limit itself.
- */
-const burstShare = 0.8
+/** Bound that all hosts keep together: a window may hold `overshoot` times the requests of the limit, and `slack` more. */
 const windowSeconds = 4
 const overshoot = 1.5
 const slack = 5
 
+/** Part of what the bound leaves beside the limit itself that senders may keep as unused permits; each sender keeps at least one. */
+const burstShare = 0.8
+
 /** Limits the requests to endpoints that name in their responses how many a second they take from all hosts together. */
 export class NamedRateLimiter extends SharedRateLimiter {
   protected override countSenders (perSecond: number): number {
--- a/src/peers/PeerTable.ts
+++ b/src/peers/PeerTable.ts
@@ -60,7 +60,7 @@
     return [...this.rows].filter((row) => row.lastHeartbeatAtMs !== undefined && nowMs - row.lastHeartbeatAtMs < peerLimits.deadAfterMs)
   }
 
-  /** Lists the hosts that may still send requests: those alive, and silent ones that may only be cut off. */
+  /** Lists the hosts that may still send requests: live ones, and silent ones that may only be cut off. */
   listRecent (nowMs: number): PeerRow[] {
     return [...this.rows].filter(({ lastHeartbeatAtMs, isLeaving }) => {
       const keptMs = isLeaving ? peerLimits.deadAfterMs : peerLimits.recentMs
