Describe the fields of an endpoint's rate limit by the response that they come from

Read-through of the change since: three comments spoke of news, and one told what nobody means. Comments only; lint and the compiler pass, the tests were not run again.

--- a/src/endpoints/EndpointRateLimit.ts
+++ b/src/endpoints/EndpointRateLimit.ts
@@ -1,4 +1,4 @@
-/** Latest news of the rate limit that an endpoint names in its responses. */
+/** What a response said of its endpoint's rate limit. */
 export interface EndpointRateLimit {
   /** Requests a second that the endpoint takes from all hosts together; undefined since a response named no limit. */
   readonly perSecond: number | undefined
--- a/src/endpoints/EndpointRow.ts
+++ b/src/endpoints/EndpointRow.ts
@@ -16,9 +16,9 @@
   peerInFlight: number
   /** The endpoint is cold until this time, and its request rate is limited. */
   coldUntilMs: number
-  /** Newest news of the rate limit, from any host; undefined while none has heard of a limit. */
+  /** Rate limit by the latest response to any host; undefined while no host has reported one. */
   rateLimit: EndpointRateLimit | undefined
-  /** News of the rate limit from responses to this host. */
+  /** Rate limit by the latest response to this host. */
   ownRateLimit: EndpointRateLimit | undefined
   /** The endpoint is avoided until a health check succeeds. */
   isSuspect: boolean
