Log the era of the store and the full reads that are dropped (CONFIG)

The logs couldn't tell whether hosts read the tables after a restore, what they did with them, and whether a configuration was refused. No decision depends on it yet.

--- a/src/catalog/Catalog.ts
+++ b/src/catalog/Catalog.ts
@@ -6,6 +6,8 @@
 
 /** Local copy of one table. */
 interface TableCopy {
+  /** Era of the store that the versions belong to. */
+  era: number
   /** Store version at which the rows last changed or were read in full. */
   version: number
   /** Store version up to which all changes have been received. */
@@ -49,9 +51,9 @@
   /** Returns the changes after a version, or the whole table when the history no longer reaches back that far. */
   exportSince (table: CatalogTable, after: number): CatalogPage {
     const copy = this.copies.get(table)
-    if (copy === undefined) return { version: -1, rows: [] }
-    if (after < copy.historyFrom) return { version: copy.version, rows: [...copy.rows.values()] }
-    return { version: copy.version, after, rows: copy.history.filter((row) => row.version > after) }
+    if (copy === undefined) return { era: 0, version: -1, rows: [] }
+    if (after < copy.historyFrom) return { era: copy.era, version: copy.version, rows: [...copy.rows.values()] }
+    return { era: copy.era, version: copy.version, after, rows: copy.history.filter((row) => row.version > after) }
   }
 
   /** Applies a page and returns false when it is not newer or leaves a gap after the copy. `source` names the origin for logs. */
@@ -64,8 +66,8 @@
   private replaceRows (table: CatalogTable, page: CatalogPage, nowMs: number): boolean {
     if (page.version <= this.versionOf(table)) return false
     const rows = new Map(page.rows.filter((row) => row.entry !== undefined).map((row) => [row.key, row]))
-    const { version } = page
-    this.copies.set(table, { version, syncedVersion: version, updatedAtMs: nowMs, rows, history: [], historyFrom: version })
+    const { era, version } = page
+    this.copies.set(table, { era, version, syncedVersion: version, updatedAtMs: nowMs, rows, history: [], historyFrom: version })
     return true
   }
 
--- a/src/catalog/CatalogFollower.ts
+++ b/src/catalog/CatalogFollower.ts
@@ -34,6 +34,8 @@
   private needsFullRead = true
   /** True after a call without a response; the next call shows whether the store or only the connection is gone. */
   private isConfirming = false
+  /** Era of the store by its last response. */
+  private era: number | undefined
   private readonly schedule: PollSchedule
 
   constructor (private readonly table: CatalogTable, private readonly options: FollowerOptions) {
@@ -74,7 +76,9 @@
     const page = await store.read(this.table)
     if (page.isErr()) return this.handleFailure(page.error)
     this.handleSuccess(page.value)
-    catalog.apply(this.table, page.value, clock.nowMs(), 'store')
+    const heldVersion = catalog.versionOf(this.table)
+    const isApplied = catalog.apply(this.table, page.value, clock.nowMs(), 'store')
+    if (!isApplied && page.value.version < heldVersion) this.logDroppedRead(page.value, heldVersion)
     this.needsFullRead = false
     return 0
   }
@@ -112,24 +116,30 @@
     return getTableAge(this.table, clock.nowMs()) >= catalogLimits.staleAfterMs[this.table]
   }
 
-  private handleSuccess ({ storeTimeMs }: CatalogPage): void {
+  private logDroppedRead ({ era, version }: CatalogPage, heldVersion: number): void {
+    this.options.logger.warn('full-read-dropped', { table: this.table, era, version, heldVersion })
+  }
+
+  private handleSuccess ({ era, version, storeTimeMs }: CatalogPage): void {
     this.isConfirming = false
     this.backoffMs = catalogLimits.minBackoffMs
-    const { health, clock, logger } = this.options
+    const { catalog, health, clock, logger } = this.options
     const nowMs = clock.nowMs()
     if (storeTimeMs !== undefined) this.schedule.synchronize(storeTimeMs, nowMs)
     if (health.recordSuccess(this.table, nowMs)) logger.info('store-regained', { table: this.table })
+    if (this.era !== undefined && era !== this.era) logger.warn('store-era-changed', { table: this.table, era, before: this.era, version, heldVersion: catalog.versionOf(this.table) })
+    this.era = era
   }
 
   private handleFailure (failure: StoreFailure): number {
-    const { logger, health, random } = this.options
+    const { catalog, logger, health, random } = this.options
     if (failure.kind === 'disconnected' && !this.isConfirming && !health.isDown) {
       this.isConfirming = true
       logger.info('store-connection-lost', { table: this.table, reason: failure.message })
       return 0
     }
     if (failure.kind === 'historyGone') {
-      logger.info('history-gone', { table: this.table })
+      logger.info('history-gone', { table: this.table, after: catalog.resumeAfter(this.table) })
       this.needsFullRead = true
       return 0
     }
--- a/src/catalog/CatalogPage.ts
+++ b/src/catalog/CatalogPage.ts
@@ -2,6 +2,8 @@
 
 /** Rows of a table as of one store version. */
 export interface CatalogPage {
+  /** Number of the store's history that the versions belong to; it rises when the store is restored from an older copy. */
+  readonly era: number
   readonly version: number
   /** When present, the page holds only the rows that changed after this version. Otherwise it holds the whole table. */
   readonly after?: number
--- a/src/host/ClusterState.ts
+++ b/src/host/ClusterState.ts
@@ -66,7 +66,12 @@
     const { routing, logger, onConfigApplied } = this.options
     const entries = this.catalog.entries(CatalogTable.orders)
     for (const entry of entries) {
-      if (entry.kind !== 'routing' || !routing.apply(entry.config)) continue
+      if (entry.kind !== 'routing') continue
+      const inForce = routing.config?.version
+      if (!routing.apply(entry.config)) {
+        if (entry.config.version !== inForce) logger.warn('config-outdated', { version: entry.config.version, inForce, source })
+        continue
+      }
       logger.info('config-applied', { version: entry.config.version, routes: entry.config.routes.length, source })
       onConfigApplied()
     }
--- a/src/peers/readHeartbeat.ts
+++ b/src/peers/readHeartbeat.ts
@@ -27,6 +27,7 @@
   demands: namedNumbers,
   localShares: namedNumbers,
   pages: z.array(z.tuple([tables, z.object({
+    era: z._default(z.number(), 0),
     version: z.number(),
     after: z.optional(z.number()),
     rows: z.array(z.object({ key: z.string(), version: z.number(), entry: z.optional(z.unknown()) }))
@@ -62,5 +63,5 @@
     if (parsed?.success === false && table === CatalogTable.orders) return undefined
     rows.push({ key, version, entry: parsed?.data })
   }
-  return { version: page.version, ...(page.after === undefined ? {} : { after: page.after }), rows }
+  return { era: page.era, version: page.version, ...(page.after === undefined ? {} : { after: page.after }), rows }
 }
--- a/test/catalog/Catalog.test.ts
+++ b/test/catalog/Catalog.test.ts
@@ -14,19 +14,20 @@
 // Guards against a slow peer or a late store response that reverts a table to an older version.
 test('a table never reverts to an older version', () => {
   const catalog = new Catalog(() => {})
-  catalog.apply('orders', { version: 5, rows: [{ key: 'a', version: 5, entry: createEvacuation('new') }] }, 0, 'store')
-  expect(catalog.apply('orders', { version: 4, rows: [{ key: 'a', version: 4, entry: createEvacuation('old') }] }, 1, 'peer')).toEqual(false)
+  catalog.apply('orders', { era: 0, version: 5, rows: [{ key: 'a', version: 5, entry: createEvacuation('new') }] }, 0, 'store')
+  expect(catalog.apply('orders', { era: 0, version: 4, rows: [{ key: 'a', version: 4, entry: createEvacuation('old') }] }, 1, 'peer')).toEqual(false)
   // The page overlaps the copy and contains a row of an earlier version.
   const overlap = [{ key: 'a', version: 4, entry: createEvacuation('old') }, { key: 'b', version: 6, entry: createEvacuation('b') }]
-  expect(catalog.apply('orders', { after: 3, version: 6, rows: overlap }, 1, 'peer')).toEqual(true)
+  expect(catalog.apply('orders', { era: 0, after: 3, version: 6, rows: overlap }, 1, 'peer')).toEqual(true)
   expect(listZones(catalog)).toEqual(['new', 'b'])
 })
 
 // Guards against rows that remain after they were removed from the store.
 test('changes put and remove rows', () => {
   const catalog = new Catalog(() => {})
-  catalog.apply('orders', { version: 1, rows: [{ key: 'a', version: 1, entry: createEvacuation('a') }] }, 0, 'store')
+  catalog.apply('orders', { era: 0, version: 1, rows: [{ key: 'a', version: 1, entry: createEvacuation('a') }] }, 0, 'store')
   expect(catalog.apply('orders', {
+    era: 0,
     after: 1,
     version: 3,
     rows: [{ key: 'a', version: 3, entry: undefined }, { key: 'b', version: 3, entry: createEvacuation('b') }]
@@ -37,8 +38,8 @@
 // Guards against sending whole tables because the store's version increased without a change of the table.
 test('an empty page advances the synced version and not the version of the rows', () => {
   const catalog = new Catalog(() => {})
-  catalog.apply('orders', { version: 1, rows: [] }, 0, 'store')
-  catalog.apply('orders', { after: 1, version: 9, rows: [] }, 0, 'store')
+  catalog.apply('orders', { era: 0, version: 1, rows: [] }, 0, 'store')
+  catalog.apply('orders', { era: 0, after: 1, version: 9, rows: [] }, 0, 'store')
   expect(catalog.versionOf('orders')).toEqual(1)
   expect(catalog.resumeAfter('orders')).toEqual(9)
 })
@@ -51,10 +52,10 @@
     const history: CatalogRow[] = []
     const one = new Catalog(() => {})
     const two = new Catalog(() => {})
-    for (const catalog of [one, two]) catalog.apply('orders', { version: 0, rows: [] }, 0, 'store')
+    for (const catalog of [one, two]) catalog.apply('orders', { era: 0, version: 0, rows: [] }, 0, 'store')
     const feed = (catalog: Catalog): void => {
       const after = catalog.resumeAfter('orders')
-      catalog.apply('orders', { after, version: history.length, rows: history.slice(after) }, 0, 'store')
+      catalog.apply('orders', { era: 0, after, version: history.length, rows: history.slice(after) }, 0, 'store')
     }
     for (const { key, isPut, via } of changes) {
       const entry = isPut ? createEvacuation(`${key}${history.length}`) : undefined
@@ -75,17 +76,17 @@
 // Guards against applying changes after a gap, which would lose the changes within the gap.
 test('changes that leave a gap after the copy are not applied', () => {
   const catalog = new Catalog(() => {})
-  catalog.apply('orders', { version: 1, rows: [] }, 0, 'store')
-  expect(catalog.apply('orders', { after: 3, version: 4, rows: [{ key: 'a', version: 4, entry: createEvacuation('a') }] }, 0, 'peer')).toEqual(false)
+  catalog.apply('orders', { era: 0, version: 1, rows: [] }, 0, 'store')
+  expect(catalog.apply('orders', { era: 0, after: 3, version: 4, rows: [{ key: 'a', version: 4, entry: createEvacuation('a') }] }, 0, 'peer')).toEqual(false)
   expect(catalog.versionOf('orders')).toEqual(1)
 })
 
 // Guards against sending the whole table for each change.
 test('a host that lacks only the last change is sent only that change', () => {
   const catalog = new Catalog(() => {})
-  catalog.apply('orders', { version: 1, rows: [{ key: 'a', version: 1, entry: createEvacuation('a') }] }, 0, 'store')
-  catalog.apply('orders', { after: 1, version: 2, rows: [{ key: 'b', version: 2, entry: createEvacuation('b') }] }, 0, 'store')
-  expect(catalog.exportSince('orders', 1)).toEqual({ version: 2, after: 1, rows: [{ key: 'b', version: 2, entry: createEvacuation('b') }] })
+  catalog.apply('orders', { era: 0, version: 1, rows: [{ key: 'a', version: 1, entry: createEvacuation('a') }] }, 0, 'store')
+  catalog.apply('orders', { era: 0, after: 1, version: 2, rows: [{ key: 'b', version: 2, entry: createEvacuation('b') }] }, 0, 'store')
+  expect(catalog.exportSince('orders', 1)).toEqual({ era: 0, version: 2, after: 1, rows: [{ key: 'b', version: 2, entry: createEvacuation('b') }] })
   expect(catalog.exportSince('orders', 0).rows.length).toEqual(2)
   expect(catalog.exportSince('orders', 0).after).toEqual(undefined)
 })
--- a/test/peers/readHeartbeat.test.ts
+++ b/test/peers/readHeartbeat.test.ts
@@ -14,7 +14,7 @@
     loads: [['e1', 2]],
     breaks: [['e2', 3]],
     demands: [['stock', 4.5]],
-    pages: [['hosts', { version: 3, after: 1, rows: [{ key: 'a', version: 3, entry: undefined }] }]]
+    pages: [['hosts', { era: 0, version: 3, after: 1, rows: [{ key: 'a', version: 3, entry: undefined }] }]]
   })
   expect(readHeartbeat(beat)).toEqual(beat)
 })
@@ -39,7 +39,7 @@
 // Guards against an unusable entry that a host of an earlier release forwards, and against losing the rest of its heartbeat.
 test('a forwarded entry that names no usable endpoint is dropped', () => {
   const rows = ['e-1', 'i-t\u016branga-1'].map((id) => ({ key: id, version: 3, entry: { kind: 'endpoint' as const, endpoint: createEndpoint(id, { address: '10.0.0.1:80' }) } }))
-  const read = readHeartbeat(createHeartbeat('a', 1, { pages: [['endpoints', { version: 3, after: 1, rows }]] }))
+  const read = readHeartbeat(createHeartbeat('a', 1, { pages: [['endpoints', { era: 0, version: 3, after: 1, rows }]] }))
   expect(read?.pages[0]![1].rows.map(({ key, entry }) => [key, entry?.kind])).toEqual([['e-1', 'endpoint'], ['i-t\u016branga-1', undefined]])
 })
 
@@ -49,7 +49,7 @@
   const { parts: _parts, ...route } = createRoute()
   const reasons: string[] = []
   const read = (entry: object): number | undefined => {
-    const page = { version: 3, after: 1, rows: [{ key: 'config', version: 3, entry: entry as CatalogEntry }] }
+    const page = { era: 0, version: 3, after: 1, rows: [{ key: 'config', version: 3, entry: entry as CatalogEntry }] }
     return readHeartbeat(createHeartbeat('a', 1, { pages: [['orders', page]] }), (reason) => reasons.push(reason))?.pages.length
   }
   const counts = [config, { ...config, routes: [route] }, { ...config, routes: [{ ...route, parts: [] }] }, { version: 2 }].map((each) => read({ kind: 'routing', config: each }))
