--- a/dev/store/StoreServer.ts
+++ b/dev/store/StoreServer.ts
@@ -104,7 +104,7 @@
   private readBlob (name: string, res: ServerResponse): void {
     const bytes = this.tables.readBlob(name)
     if (bytes === undefined) return this.send(res, 404, {})
-    res.writeHead(200, { 'Content-Type': 'application/octet-stream', 'Content-Length': bytes.length }).end(bytes)
+    res.writeHead(200, { 'Content-Type': 'application/octet-stream', 'Content-Length': bytes.length, 'Store-Era': this.tables.era }).end(bytes)
   }
 
   /** Writes an object once; a second write under the same name is refused. */
@@ -123,7 +123,7 @@
 
   private send (res: ServerResponse, status: number, body: object): void {
     if (res.socket !== null && this.silentSockets.has(res.socket)) return
-    res.writeHead(status, { 'Content-Type': 'application/json' }).end(JSON.stringify(body))
+    res.writeHead(status, { 'Content-Type': 'application/json', 'Store-Era': this.tables.era }).end(JSON.stringify(body))
   }
 }
 
--- a/dev/store/StoreTables.ts
+++ b/dev/store/StoreTables.ts
@@ -14,19 +14,33 @@
   readonly remove?: readonly RowKey[]
 }
 
+/** Rows and change history as of one version, to which the stand-in can be restored. */
+interface StoreCopy {
+  readonly rows: ReadonlyMap<string, StoreRow>
+  readonly history: readonly StoreRow[]
+  readonly historyStartVersion: number
+  readonly version: number
+}
+
 /** Rows, change history and objects of the store stand-in. */
 export class StoreTables {
-  private readonly rows = new Map<string, StoreRow>()
+  private rows = new Map<string, StoreRow>()
   private history: StoreRow[] = []
   private historyStartVersion = 0
   private version = 0
+  private eraNumber = 1
   private readonly blobs = new Map<string, Buffer>()
-  private readonly undoLog: Array<() => void> = []
+  private undoLog: Array<() => void> = []
 
   get latestVersion (): number {
     return this.version
   }
 
+  /** Rises by one with each restore. */
+  get era (): number {
+    return this.eraNumber
+  }
+
   /** Writes one row and returns the new version. */
   put (table: string, key: string, value: unknown): number {
     return this.apply({ puts: [{ table, key, value: encode(value) }] })
@@ -46,9 +60,9 @@
       .sort((a, b) => a.key < b.key ? -1 : 1)
   }
 
-  /** Returns the changes of a table after a version, or undefined when the history no longer reaches back to that version. */
+  /** Returns the changes of a table after a version, or undefined when the store doesn't have that version or its history. */
   listChanges (table: string, after: number): StoreRow[] | undefined {
-    if (after < this.historyStartVersion) return undefined
+    if (after < this.historyStartVersion || after > this.version) return undefined
     return this.history.filter((row) => row.table === table && row.ver > after)
   }
 
@@ -84,6 +98,21 @@
     return undone.length
   }
 
+  copy (): StoreCopy {
+    const { rows, history, historyStartVersion, version } = this
+    return { rows: new Map(rows), history: [...history], historyStartVersion, version }
+  }
+
+  /** Returns to an earlier copy: what was written since is lost, and its versions are given out again. Objects stay. */
+  restore (copy: StoreCopy): void {
+    this.rows = new Map(copy.rows)
+    this.history = [...copy.history]
+    this.historyStartVersion = copy.historyStartVersion
+    this.version = copy.version
+    this.undoLog = []
+    this.eraNumber += 1
+  }
+
   apply (transaction: Transaction): number {
     this.version += 1
     this.recordUndo([...transaction.puts ?? [], ...transaction.remove ?? []])
