Order copies of the store's tables by era, then by version (CONFIG)

Cause: Catalog, PeerMesh and CatalogFollower ordered everything by the store's counter. A restored store gives its versions out again, so what it returned looked older than the copy and was dropped, from the store and from peers, until the counter had passed the old one; rows under versions in between were never seen. Class of fault: an order taken from a counter that is only monotonic within one history of its source.

Change: a position is (era, version). Pages, copies and heartbeats carry it and are compared by it; changes are merged only into a copy of their own era, and a response of another era leads to a full read; a full read of several pages that spans a restore starts again. It works because the era rises with each restore, so each history of the store has an order of its own, and all hosts and peers use the same one. Peers of an earlier release name no era: their pages count as the earliest one, their versions as before.

--- a/dev/fuzz/PageFuzzEdge.ts
+++ b/dev/fuzz/PageFuzzEdge.ts
@@ -8,6 +8,7 @@
 import { wireNames } from '../../platform/wireNames.js'
 import { Catalog } from '../../src/catalog/Catalog.js'
 import { CatalogTable } from '../../src/catalog/CatalogTable.js'
+import { noPosition } from '../../src/catalog/noPosition.js'
 import { SystemClock } from '../../src/common/SystemClock.js'
 import { RejectedInput } from '../../src/metrics/RejectedInput.js'
 import { FuzzEdge } from './FuzzEdge.js'
@@ -64,11 +65,11 @@
     if (full.isErr()) return
     catalog.apply(table, full.value, 0, 'store')
     const before = catalog.versionOf(table)
-    const changes = await this.store.follow(table, catalog.resumeAfter(table), 0, new AbortController().signal)
+    const changes = await this.store.follow(table, catalog.resumeAfter(table).version, 0, new AbortController().signal)
     if (changes.isOk()) catalog.apply(table, changes.value, 1, 'store')
     if (!(catalog.versionOf(table) >= before)) throw new Error(`the version fell from ${before} to ${catalog.versionOf(table)}`)
     const forwarded = new Catalog(() => {})
-    forwarded.apply(table, catalog.exportSince(table, -1), 2, 'peer')
+    forwarded.apply(table, catalog.exportSince(table, noPosition), 2, 'peer')
     if (forwarded.entries(table).length !== catalog.entries(table).length) throw new Error('a forwarded table has other entries')
   }
 
--- a/src/catalog/Catalog.ts
+++ b/src/catalog/Catalog.ts
@@ -3,6 +3,9 @@
 import type { CatalogPage } from './CatalogPage.js'
 import type { CatalogRow } from './CatalogRow.js'
 import type { CatalogTable } from './CatalogTable.js'
+import { comparePositions } from './comparePositions.js'
+import { noPosition } from './noPosition.js'
+import type { StorePosition } from './StorePosition.js'
 
 /** Local copy of one table. */
 interface TableCopy {
@@ -23,7 +26,10 @@
 /** Called after a table has changed; `source` is the store or the name of a peer. */
 type ChangeListener = (table: CatalogTable, source: string) => void
 
-/** Holds local copies of the shared tables. Versions only increase, so a late response or a slow peer can't revert a table. */
+/**
+ * Holds local copies of the shared tables. Positions only increase, so a late response or a slow peer can't revert a table. The
+ * era comes first, since a restored store gives out versions again.
+ */
 export class Catalog {
   private readonly copies = new Map<CatalogTable, TableCopy>()
 
@@ -31,12 +37,19 @@
 
   /** Returns the version of the local copy, or -1 when there is none yet. */
   versionOf (table: CatalogTable): number {
-    return this.copies.get(table)?.version ?? -1
+    return this.positionOf(table).version
   }
 
-  /** Returns the version after which changes must be requested from the store, or -1 when there is no copy yet. */
-  resumeAfter (table: CatalogTable): number {
-    return this.copies.get(table)?.syncedVersion ?? -1
+  /** Returns the position of the local copy, or `noPosition` when there is none yet. */
+  positionOf (table: CatalogTable): StorePosition {
+    const copy = this.copies.get(table)
+    return copy === undefined ? noPosition : { era: copy.era, version: copy.version }
+  }
+
+  /** Returns the position after which changes must be requested from the store, or `noPosition` when there is no copy yet. */
+  resumeAfter (table: CatalogTable): StorePosition {
+    const copy = this.copies.get(table)
+    return copy === undefined ? noPosition : { era: copy.era, version: copy.syncedVersion }
   }
 
   /** Returns the time in ms since the current version was applied. */
@@ -48,12 +61,13 @@
     return [...this.copies.get(table)?.rows.values() ?? []].flatMap((row) => row.entry ?? [])
   }
 
-  /** Returns the changes after a version, or the whole table when the history no longer reaches back that far. */
-  exportSince (table: CatalogTable, after: number): CatalogPage {
+  /** Returns the changes after a position, or the whole table when the history no longer reaches back that far. */
+  exportSince (table: CatalogTable, after: StorePosition): CatalogPage {
     const copy = this.copies.get(table)
-    if (copy === undefined) return { era: 0, version: -1, rows: [] }
-    if (after < copy.historyFrom) return { era: copy.era, version: copy.version, rows: [...copy.rows.values()] }
-    return { era: copy.era, version: copy.version, after, rows: copy.history.filter((row) => row.version > after) }
+    if (copy === undefined) return { ...noPosition, rows: [] }
+    const { era, version, history, historyFrom, rows } = copy
+    if (after.era !== era || after.version < historyFrom) return { era, version, rows: [...rows.values()] }
+    return { era, version, after: after.version, rows: history.filter((row) => row.version > after.version) }
   }
 
   /** Applies a page and returns false when it is not newer or leaves a gap after the copy. `source` names the origin for logs. */
@@ -64,7 +78,7 @@
   }
 
   private replaceRows (table: CatalogTable, page: CatalogPage, nowMs: number): boolean {
-    if (page.version <= this.versionOf(table)) return false
+    if (comparePositions(page, this.positionOf(table)) <= 0) return false
     const rows = new Map(page.rows.filter((row) => row.entry !== undefined).map((row) => [row.key, row]))
     const { era, version } = page
     this.copies.set(table, { era, version, syncedVersion: version, updatedAtMs: nowMs, rows, history: [], historyFrom: version })
@@ -74,7 +88,7 @@
   private mergeChanges (table: CatalogTable, page: CatalogPage, after: number, nowMs: number): boolean {
     const copy = this.copies.get(table)
     // Changes within a gap between the copy and the page would be lost.
-    if (copy === undefined || after > copy.syncedVersion || page.version <= copy.version) return false
+    if (copy === undefined || page.era !== copy.era || after > copy.syncedVersion || page.version <= copy.version) return false
     const newerRows = page.rows.filter((row) => row.version > copy.version)
     copy.syncedVersion = Math.max(copy.syncedVersion, page.version)
     if (newerRows.length === 0) return false
--- a/src/catalog/CatalogFollower.ts
+++ b/src/catalog/CatalogFollower.ts
@@ -7,9 +7,11 @@
 import type { CatalogStore } from './CatalogStore.js'
 import type { CatalogTable } from './CatalogTable.js'
 import { catalogLimits } from './catalogLimits.js'
+import { comparePositions } from './comparePositions.js'
 import { PollSchedule } from './PollSchedule.js'
 import type { StoreFailure } from './StoreFailure.js'
 import type { StoreHealth } from './StoreHealth.js'
+import type { StorePosition } from './StorePosition.js'
 
 /** Dependencies of a follower. */
 interface FollowerOptions {
@@ -75,18 +77,22 @@
     const { store, catalog, clock } = this.options
     const page = await store.read(this.table)
     if (page.isErr()) return this.handleFailure(page.error)
+    this.logEra(page.value)
     this.handleSuccess(page.value)
-    const heldVersion = catalog.versionOf(this.table)
-    const isApplied = catalog.apply(this.table, page.value, clock.nowMs(), 'store')
-    if (!isApplied && page.value.version < heldVersion) this.logDroppedRead(page.value, heldVersion)
+    const held = catalog.positionOf(this.table)
+    catalog.apply(this.table, page.value, clock.nowMs(), 'store')
+    if (comparePositions(page.value, held) < 0) this.logDroppedRead(page.value, held)
     this.needsFullRead = false
     return 0
   }
 
   private async follow (): Promise<number> {
     const { store, catalog, clock } = this.options
-    const page = await this.poll(store, catalog.resumeAfter(this.table))
+    const page = await this.poll(store, catalog.resumeAfter(this.table).version)
     if (page.isErr()) return this.handleFailure(page.error)
+    this.logEra(page.value)
+    // Rows of another era are no changes after the copy's version.
+    if (page.value.era !== catalog.positionOf(this.table).era) return this.restartFromFullRead()
     this.handleSuccess(page.value)
     catalog.apply(this.table, page.value, clock.nowMs(), 'store')
     return page.value.rows.length === 0 ? 0 : catalogLimits.batchMs[this.table]
@@ -116,19 +122,28 @@
     return getTableAge(this.table, clock.nowMs()) >= catalogLimits.staleAfterMs[this.table]
   }
 
-  private logDroppedRead ({ era, version }: CatalogPage, heldVersion: number): void {
-    this.options.logger.warn('full-read-dropped', { table: this.table, era, version, heldVersion })
+  private logDroppedRead ({ era, version }: StorePosition, held: StorePosition): void {
+    this.options.logger.warn('full-read-dropped', { table: this.table, era, version, heldEra: held.era, heldVersion: held.version })
+  }
+
+  private logEra ({ era, version }: StorePosition): void {
+    const { catalog, logger } = this.options
+    if (this.era !== undefined && era !== this.era) logger.warn('store-era-changed', { table: this.table, era, before: this.era, version, heldVersion: catalog.versionOf(this.table) })
+    this.era = era
   }
 
-  private handleSuccess ({ era, version, storeTimeMs }: CatalogPage): void {
+  private restartFromFullRead (): number {
+    this.needsFullRead = true
+    return 0
+  }
+
+  private handleSuccess ({ storeTimeMs }: CatalogPage): void {
     this.isConfirming = false
     this.backoffMs = catalogLimits.minBackoffMs
-    const { catalog, health, clock, logger } = this.options
+    const { health, clock, logger } = this.options
     const nowMs = clock.nowMs()
     if (storeTimeMs !== undefined) this.schedule.synchronize(storeTimeMs, nowMs)
     if (health.recordSuccess(this.table, nowMs)) logger.info('store-regained', { table: this.table })
-    if (this.era !== undefined && era !== this.era) logger.warn('store-era-changed', { table: this.table, era, before: this.era, version, heldVersion: catalog.versionOf(this.table) })
-    this.era = era
   }
 
   private handleFailure (failure: StoreFailure): number {
@@ -139,9 +154,8 @@
       return 0
     }
     if (failure.kind === 'historyGone') {
-      logger.info('history-gone', { table: this.table, after: catalog.resumeAfter(this.table) })
-      this.needsFullRead = true
-      return 0
+      logger.info('history-gone', { table: this.table, after: catalog.resumeAfter(this.table).version })
+      return this.restartFromFullRead()
     }
     if (health.recordFailure(this.table)) logger.warn('store-lost', { table: this.table, kind: failure.kind, reason: failure.message })
     const pauseMs = this.backoffMs * (0.5 + random())
--- a/src/host/HostStatus.ts
+++ b/src/host/HostStatus.ts
@@ -31,7 +31,7 @@
   constructor (private readonly options: HostStatusOptions) {}
 
   /** Returns the state for a heartbeat to a host of a region, complete when the receiver's region is unknown. */
-  describe (region: string | undefined): Omit<Heartbeat, 'host' | 'versions' | 'pages'> {
+  describe (region: string | undefined): Omit<Heartbeat, 'host' | 'versions' | 'eras' | 'pages'> {
     const { clock, endpoints, state, requestRate, shares, isReady, isLeaving } = this.options
     const nowMs = clock.nowMs()
     return {
--- a/src/peers/Heartbeat.ts
+++ b/src/peers/Heartbeat.ts
@@ -18,6 +18,8 @@
   readonly isStoreSettled: boolean
   /** Versions of the sender's tables. */
   readonly versions: Readonly<Record<CatalogTable, number>>
+  /** Eras of the store that the versions belong to; absent from hosts of an earlier release. */
+  readonly eras?: Readonly<Record<CatalogTable, number>> | undefined
   /** Requests in flight by endpoint; endpoints without any are left out. */
   readonly loads: ReadonlyArray<readonly [endpoint: string, inFlight: number]>
   /** Consecutive broken attempts by endpoint, for endpoints whose last attempt broke recently. */
--- a/src/peers/PeerMesh.ts
+++ b/src/peers/PeerMesh.ts
@@ -9,6 +9,8 @@
 import type { Message } from '../wire/Message.js'
 import type { Catalog } from '../catalog/Catalog.js'
 import { CatalogTable } from '../catalog/CatalogTable.js'
+import { comparePositions } from '../catalog/comparePositions.js'
+import type { StorePosition } from '../catalog/StorePosition.js'
 import { readHeartbeat } from './readHeartbeat.js'
 import { peerLimits } from './peerLimits.js'
 import type { Heartbeat } from './Heartbeat.js'
@@ -31,14 +33,16 @@
   /** Returns true when a host reads the store itself. */
   readonly isReader: (host: string) => boolean
   /** Returns the state of this host for a heartbeat to a region; `undefined` when the receiver's region is unknown. */
-  readonly describeSelf: (region: string | undefined) => Omit<Heartbeat, 'host' | 'versions' | 'pages'>
+  readonly describeSelf: (region: string | undefined) => Omit<Heartbeat, 'host' | 'versions' | 'eras' | 'pages'>
 }
 
+type TablePositions = Pick<Heartbeat, 'versions' | 'eras'>
+
 const tables = Object.values(CatalogTable)
 
 /**
  * Exchanges heartbeats between hosts. Each host sends one to every other host a few times a second. Request and reply both
- * carry the sender's state and updates for tables of which the receiver has an older version, so a host that the store
+ * carry the sender's state and updates for tables of which the receiver has an older copy, so a host that the store
  * rejects, or that starts while the store is down, gets the tables from its peers.
  */
 export class PeerMesh {
@@ -46,8 +50,8 @@
   private readonly client: FrameClient
   private timer: NodeJS.Timeout | undefined
   private nextSeedContactAtMs = 0
-  /** Table versions of other hosts as of their last heartbeat. */
-  private readonly peerVersions = new Map<string, Heartbeat['versions']>()
+  /** Positions of other hosts' tables as of their last heartbeat. */
+  private readonly peerPositions = new Map<string, TablePositions>()
 
   constructor (private readonly options: PeerMeshOptions) {
     const { self, clusterKey, dial, clock } = options
@@ -136,10 +140,10 @@
   }
 
   private async exchange (address: string, row: PeerRow | undefined): Promise<void> {
-    const receiverVersions = row === undefined ? undefined : this.peerVersions.get(row.record.name)
+    const receiverPositions = row === undefined ? undefined : this.peerPositions.get(row.record.name)
     const sentAtMs = this.options.clock.nowMs()
     const reply = await this.client.request(
-      address, encodeHeartbeat(this.createHeartbeat(receiverVersions, row?.record)), peerLimits.heartbeatTimeoutMs)
+      address, encodeHeartbeat(this.createHeartbeat(receiverPositions, row?.record)), peerLimits.heartbeatTimeoutMs)
     if (reply.isErr()) {
       // The connection may be dead without a reset having arrived.
       this.client.disconnect(address)
@@ -151,7 +155,7 @@
 
   private handleRequest (message: Message): Message | undefined {
     const heartbeat = this.receive(message)
-    return heartbeat === undefined ? undefined : encodeHeartbeat(this.createHeartbeat(heartbeat.versions, heartbeat.host))
+    return heartbeat === undefined ? undefined : encodeHeartbeat(this.createHeartbeat(heartbeat, heartbeat.host))
   }
 
   /** `sentAtMs` is the time of this host's request when the message is its reply. */
@@ -167,40 +171,47 @@
     if (row === undefined) return heartbeat
     if (row.isReportedDown) logger.info('peer-up', { peer: heartbeat.host.name, incarnation: heartbeat.host.incarnation })
     row.isReportedDown = false
-    this.peerVersions.set(heartbeat.host.name, heartbeat.versions)
+    this.peerPositions.set(heartbeat.host.name, { versions: heartbeat.versions, eras: heartbeat.eras })
     for (const [table, page] of heartbeat.pages) catalog.apply(table, page, nowMs, heartbeat.host.name)
     if (sentAtMs !== undefined) this.recordContacts(row, heartbeat, sentAtMs)
     return heartbeat
   }
 
   /** Only a reply bounds how old the peer's state is, since a request may have been under way for any time. */
-  private recordContacts (row: PeerRow, { tableAges, versions }: Heartbeat, sentAtMs: number): void {
+  private recordContacts (row: PeerRow, heartbeat: Heartbeat, sentAtMs: number): void {
+    const { tableAges } = heartbeat
     for (const table of tables) {
       if (tableAges[table] < 0) row.tableContacts.delete(table)
-      else if (versions[table] <= this.options.catalog.resumeAfter(table)) row.tableContacts.set(table, sentAtMs - tableAges[table])
+      else if (comparePositions(this.positionOf(heartbeat, table), this.options.catalog.resumeAfter(table)) <= 0) row.tableContacts.set(table, sentAtMs - tableAges[table])
     }
   }
 
-  private createHeartbeat (receiverVersions: Heartbeat['versions'] | undefined, receiver: HostRecord | undefined): Heartbeat {
+  private createHeartbeat (receiverPositions: TablePositions | undefined, receiver: HostRecord | undefined): Heartbeat {
     const { self, catalog, describeSelf } = this.options
     const versions = { orders: 0, endpoints: 0, hosts: 0 }
-    for (const table of tables) versions[table] = catalog.versionOf(table)
+    const eras = { orders: 0, endpoints: 0, hosts: 0 }
+    for (const table of tables) ({ era: eras[table], version: versions[table] } = catalog.positionOf(table))
     const isReader = receiver === undefined || this.options.isReader(receiver.name)
-    return { host: self, versions, pages: this.listPagesFor(receiverVersions, isReader), ...describeSelf(receiver?.region) }
+    return { host: self, versions, eras, pages: this.listPagesFor(receiverPositions, isReader), ...describeSelf(receiver?.region) }
+  }
+
+  /** Without a known era, versions are compared as if both copies were of the same one. */
+  private positionOf ({ versions, eras }: TablePositions, table: CatalogTable): StorePosition {
+    return { era: eras?.[table] ?? this.options.catalog.positionOf(table).era, version: versions[table] }
   }
 
   /**
    * Lists the table updates for a receiver. A reader gets changes from the store at the same time, so it is sent only tables
    * that it doesn't have at all and versions that it still lacks after `readerPushDelayMs`.
    */
-  private listPagesFor (receiverVersions: Heartbeat['versions'] | undefined, isReader: boolean): Heartbeat['pages'] {
+  private listPagesFor (positions: TablePositions | undefined, isReader: boolean): Heartbeat['pages'] {
     const { catalog, clock } = this.options
-    if (receiverVersions === undefined) return []
+    if (positions === undefined) return []
     const nowMs = clock.nowMs()
     return tables
-      .filter((table) => receiverVersions[table] < catalog.versionOf(table))
-      .filter((table) => !isReader || receiverVersions[table] < 0 || catalog.ageOf(table, nowMs) >= peerLimits.readerPushDelayMs)
-      .map((table) => [table, catalog.exportSince(table, receiverVersions[table])] as const)
+      .filter((table) => comparePositions(this.positionOf(positions, table), catalog.positionOf(table)) < 0)
+      .filter((table) => !isReader || positions.versions[table] < 0 || catalog.ageOf(table, nowMs) >= peerLimits.readerPushDelayMs)
+      .map((table) => [table, catalog.exportSince(table, this.positionOf(positions, table))] as const)
   }
 }
 
--- a/src/peers/readHeartbeat.ts
+++ b/src/peers/readHeartbeat.ts
@@ -9,6 +9,7 @@
 const namedNumbers = z.array(z.tuple([z.string(), z.number()]))
 const tables = z.enum(Object.values(CatalogTable) as [CatalogTable, ...CatalogTable[]])
 
+const tableNumbers = z.object({ orders: z.number(), endpoints: z.number(), hosts: z.number() })
 const unknownAges = { orders: -1, endpoints: -1, hosts: -1 }
 
 const schema = z.object({
@@ -17,9 +18,10 @@
   isLeaving: z.boolean(),
   storeAgeMs: z.number(),
   // Absent from heartbeats of an earlier release during a rolling upgrade.
-  tableAges: z._default(z.object({ orders: z.number(), endpoints: z.number(), hosts: z.number() }), unknownAges),
+  tableAges: z._default(tableNumbers, unknownAges),
   isStoreSettled: z.boolean(),
-  versions: z.object({ orders: z.number(), endpoints: z.number(), hosts: z.number() }),
+  versions: tableNumbers,
+  eras: z.optional(tableNumbers),
   loads: namedNumbers,
   // Absent from heartbeats of an earlier release too.
   breaks: z._default(namedNumbers, []),
@@ -27,6 +29,7 @@
   demands: namedNumbers,
   localShares: namedNumbers,
   pages: z.array(z.tuple([tables, z.object({
+    // A host of an earlier release doesn't tell the era, so its page must not replace one of a known era.
     era: z._default(z.number(), 0),
     version: z.number(),
     after: z.optional(z.number()),
--- a/test/catalog/Catalog.test.ts
+++ b/test/catalog/Catalog.test.ts
@@ -41,7 +41,7 @@
   catalog.apply('orders', { era: 0, version: 1, rows: [] }, 0, 'store')
   catalog.apply('orders', { era: 0, after: 1, version: 9, rows: [] }, 0, 'store')
   expect(catalog.versionOf('orders')).toEqual(1)
-  expect(catalog.resumeAfter('orders')).toEqual(9)
+  expect(catalog.resumeAfter('orders')).toEqual({ era: 0, version: 9 })
 })
 
 // Guards against copies that diverge from the store after any mixture of feeds, reads and pages from peers.
@@ -54,7 +54,7 @@
     const two = new Catalog(() => {})
     for (const catalog of [one, two]) catalog.apply('orders', { era: 0, version: 0, rows: [] }, 0, 'store')
     const feed = (catalog: Catalog): void => {
-      const after = catalog.resumeAfter('orders')
+      const after = catalog.resumeAfter('orders').version
       catalog.apply('orders', { era: 0, after, version: history.length, rows: history.slice(after) }, 0, 'store')
     }
     for (const { key, isPut, via } of changes) {
@@ -63,10 +63,10 @@
       else storeEntries.set(key, entry)
       history.push({ key, version: history.length + 1, entry })
       if (via === 'feed') feed(one)
-      if (via === 'peer') two.apply('orders', one.exportSince('orders', two.versionOf('orders')), 0, 'one')
+      if (via === 'peer') two.apply('orders', one.exportSince('orders', two.positionOf('orders')), 0, 'one')
     }
     feed(two)
-    one.apply('orders', two.exportSince('orders', one.versionOf('orders')), 0, 'two')
+    one.apply('orders', two.exportSince('orders', one.positionOf('orders')), 0, 'two')
     const expected = [...storeEntries.values()].map((entry) => JSON.stringify(entry)).sort()
     return [one, two].every((catalog) =>
       JSON.stringify(catalog.entries('orders').map((entry) => JSON.stringify(entry)).sort()) === JSON.stringify(expected))
@@ -86,7 +86,31 @@
   const catalog = new Catalog(() => {})
   catalog.apply('orders', { era: 0, version: 1, rows: [{ key: 'a', version: 1, entry: createEvacuation('a') }] }, 0, 'store')
   catalog.apply('orders', { era: 0, after: 1, version: 2, rows: [{ key: 'b', version: 2, entry: createEvacuation('b') }] }, 0, 'store')
-  expect(catalog.exportSince('orders', 1)).toEqual({ era: 0, version: 2, after: 1, rows: [{ key: 'b', version: 2, entry: createEvacuation('b') }] })
-  expect(catalog.exportSince('orders', 0).rows.length).toEqual(2)
-  expect(catalog.exportSince('orders', 0).after).toEqual(undefined)
+  expect(catalog.exportSince('orders', { era: 0, version: 1 })).toEqual({ era: 0, version: 2, after: 1, rows: [{ key: 'b', version: 2, entry: createEvacuation('b') }] })
+  expect(catalog.exportSince('orders', { era: 0, version: 0 }).rows.length).toEqual(2)
+  expect(catalog.exportSince('orders', { era: 0, version: 0 }).after).toEqual(undefined)
+})
+
+// Guards against copies that miss all changes after the store came back from an older copy, whose versions are lower.
+test('a table of a later era replaces one with a higher version', () => {
+  const catalog = new Catalog(() => {})
+  catalog.apply('orders', { era: 1, version: 9, rows: [{ key: 'a', version: 9, entry: createEvacuation('old') }] }, 0, 'store')
+  expect(catalog.apply('orders', { era: 2, version: 4, rows: [{ key: 'b', version: 4, entry: createEvacuation('new') }] }, 1, 'store')).toEqual(true)
+  expect([catalog.positionOf('orders'), listZones(catalog)]).toEqual([{ era: 2, version: 4 }, ['new']])
+})
+
+// Guards against a late response, or a peer that hasn't heard of the restore, that brings back what the store has lost.
+test('a page of an earlier era is not applied', () => {
+  const catalog = new Catalog(() => {})
+  catalog.apply('orders', { era: 2, version: 4, rows: [] }, 0, 'store')
+  const rows = [{ key: 'a', version: 9, entry: createEvacuation('lost') }]
+  expect([catalog.apply('orders', { era: 1, version: 9, rows }, 1, 'peer'), catalog.apply('orders', { era: 1, after: 3, version: 9, rows }, 1, 'peer')]).toEqual([false, false])
+})
+
+// Guards against rows that one version names in two eras: changes are no complete update of a copy of another era.
+test('changes of a later era are not merged into a copy of an earlier one', () => {
+  const catalog = new Catalog(() => {})
+  catalog.apply('orders', { era: 1, version: 4, rows: [{ key: 'a', version: 4, entry: createEvacuation('lost') }] }, 0, 'store')
+  expect(catalog.apply('orders', { era: 2, after: 4, version: 6, rows: [{ key: 'b', version: 6, entry: createEvacuation('b') }] }, 1, 'store')).toEqual(false)
+  expect(catalog.exportSince('orders', { era: 2, version: 4 }).after).toEqual(undefined)
 })
--- a/test/platformAdapter/HttpCatalogStore.test.ts
+++ b/test/platformAdapter/HttpCatalogStore.test.ts
@@ -36,7 +36,7 @@
     }
     const catalog = new Catalog(() => {})
     catalog.apply('endpoints', (await client.read('endpoints'))._unsafeUnwrap(), 0, 'store')
-    catalog.apply('endpoints', (await client.check('endpoints', catalog.resumeAfter('endpoints')))._unsafeUnwrap(), 1, 'store')
+    catalog.apply('endpoints', (await client.check('endpoints', catalog.resumeAfter('endpoints').version))._unsafeUnwrap(), 1, 'store')
     const endpoints = catalog.entries('endpoints').flatMap((entry) => entry.kind === 'endpoint' ? [entry.endpoint] : [])
     expect([reads, endpoints.length, endpoints.filter(({ isDraining }) => isDraining).map(({ id }) => id)]).toEqual([3, rowCount, ['e-0000']])
   })
@@ -65,3 +65,27 @@
     expect([(await client.read('endpoints')).isErr(), calls]).toEqual([true, 2])
   })
 })
+
+// Guards against a table put together from two histories of the store: rows of the second page may contradict the first.
+test('a restore of the store between two pages fails the read', async () => {
+  await withLargeTable(async (store, client) => {
+    const copy = store.tables.copy()
+    let reads = 0
+    store.intercept = () => {
+      if (++reads === 2) store.tables.restore(copy)
+      return false
+    }
+    expect((await client.read('endpoints'))._unsafeUnwrapErr().kind).toEqual('historyGone')
+  })
+})
+
+// Guards against rows whose era is not known, which can't be ordered against those of another one.
+test('a response with an invalid era fails the call', async () => {
+  await withLargeTable(async (store, client) => {
+    store.intercept = (_req, res) => {
+      res.setHeader('Store-Era', '2, 3').end(JSON.stringify({ rows: [], ver: 1 }))
+      return true
+    }
+    expect((await client.read('endpoints'))._unsafeUnwrapErr().kind).toEqual('unavailable')
+  })
+})
--- a/test/support/createHeartbeat.ts
+++ b/test/support/createHeartbeat.ts
@@ -10,6 +10,7 @@
     tableAges: { orders: 0, endpoints: 0, hosts: 0 },
     isStoreSettled: true,
     versions: { orders: 1, endpoints: 1, hosts: 1 },
+    eras: { orders: 1, endpoints: 1, hosts: 1 },
     loads: [],
     breaks: [],
     rateLimits: [],
