Pause between full reads that don't lead to a call for changes (CONFIG)

Cause: a 410 led to a full read at once, and the full read to a call for changes at once; where the read changed nothing, nothing ended the loop.

Change: the first full read after a 410 or a response of another era is made at once; when the one before hasn't led to a successful call for changes, the usual backoff of failed calls comes between, which only such a call resets. With the copies ordered by era this state lasts only while the store contradicts itself, so no change comes later by it.

Test: 'full reads that change nothing are made with a pause' failed before (more than five reads in 2 s).

--- a/src/catalog/CatalogFollower.ts
+++ b/src/catalog/CatalogFollower.ts
@@ -34,6 +34,8 @@
   private isStopped = false
   private backoffMs: number = catalogLimits.minBackoffMs
   private needsFullRead = true
+  /** True from a full read that replaces changes until a call for changes after it succeeds. */
+  private isFullReadUnconfirmed = false
   /** True after a call without a response; the next call shows whether the store or only the connection is gone. */
   private isConfirming = false
   /** Era of the store by its last response. */
@@ -94,6 +96,8 @@
     // Rows of another era are no changes after the copy's version.
     if (page.value.era !== catalog.positionOf(this.table).era) return this.restartFromFullRead()
     this.handleSuccess(page.value)
+    this.isFullReadUnconfirmed = false
+    this.backoffMs = catalogLimits.minBackoffMs
     catalog.apply(this.table, page.value, clock.nowMs(), 'store')
     return page.value.rows.length === 0 ? 0 : catalogLimits.batchMs[this.table]
   }
@@ -132,14 +136,22 @@
     this.era = era
   }
 
+  /** A full read follows at once, and after a pause when the one before it has not led to a successful call for changes. */
   private restartFromFullRead (): number {
     this.needsFullRead = true
-    return 0
+    const isRepeated = this.isFullReadUnconfirmed
+    this.isFullReadUnconfirmed = true
+    return isRepeated ? this.nextBackoffMs() : 0
+  }
+
+  private nextBackoffMs (): number {
+    const pauseMs = this.backoffMs * (0.5 + this.options.random())
+    this.backoffMs = Math.min(catalogLimits.maxBackoffMs, this.backoffMs * 2)
+    return pauseMs
   }
 
   private handleSuccess ({ storeTimeMs }: CatalogPage): void {
     this.isConfirming = false
-    this.backoffMs = catalogLimits.minBackoffMs
     const { health, clock, logger } = this.options
     const nowMs = clock.nowMs()
     if (storeTimeMs !== undefined) this.schedule.synchronize(storeTimeMs, nowMs)
@@ -147,7 +159,7 @@
   }
 
   private handleFailure (failure: StoreFailure): number {
-    const { catalog, logger, health, random } = this.options
+    const { catalog, logger, health } = this.options
     if (failure.kind === 'disconnected' && !this.isConfirming && !health.isDown) {
       this.isConfirming = true
       logger.info('store-connection-lost', { table: this.table, reason: failure.message })
@@ -158,8 +170,6 @@
       return this.restartFromFullRead()
     }
     if (health.recordFailure(this.table)) logger.warn('store-lost', { table: this.table, kind: failure.kind, reason: failure.message })
-    const pauseMs = this.backoffMs * (0.5 + random())
-    this.backoffMs = Math.min(catalogLimits.maxBackoffMs, this.backoffMs * 2)
-    return pauseMs
+    return this.nextBackoffMs()
   }
 }
--- a/test/catalog/CatalogFollower.test.ts
+++ b/test/catalog/CatalogFollower.test.ts
@@ -99,3 +99,20 @@
     throw new Error('planted')
   })
 })
+
+// Guards against hundreds of calls a second to a store that has none of the versions it is asked for.
+test('full reads that change nothing are made with a pause', async () => {
+  await withFollower(async (store, catalog) => {
+    await waitUntil(() => catalog.versionOf('orders') >= 0)
+    store.intercept = (req, res) => {
+      if (req.url?.startsWith('/v1/rows-feed') !== true) return false
+      res.writeHead(410).end('{}')
+      return true
+    }
+    store.tables.put('op', 'evacuate/north-a', {})
+    const before = store.calls.get('/v1/rows-get') ?? 0
+    await new Promise((resolve) => setTimeout(resolve, 2_000))
+    // A read at once, then pauses of 150, 300, 600 and 1,000 ms.
+    expect([catalog.entries('orders').length, (store.calls.get('/v1/rows-get') ?? 0) - before <= 5]).toEqual([1, true])
+  })
+})
