Keep what was known before a restore of the store until it is written again (CONFIG)

What callers saw, in tests at with the store's stand-in: after a restore to a copy of some seconds before, 7 to 14 of 30 requests went to an endpoint that was known to leave or to have left (DRAIN), an evacuated zone got requests again (EVAC), and a host that started then answered 404 on a route that all others served.

Cause: a copy adopted from a restored store replaced all that hosts knew, though the store had lost acknowledged changes that are written again only later.

Change: when a table of a later era is adopted, rows that it lacks, removals that it undoes and older states of an endpoint, a host or a configuration are overlaid by what was known (holdsAfterRestore), until the row is written again or a grace time ends; a configuration stays until a newer one. Whole tables from peers bring these rows with the rest of their time, so that hosts that start in between have them and none of them outlives its bound. A row with a higher version than the known one is newer in either history, and counts at once. store-restored, shunt_store_era and shunt_table_retained_rows show it.

More in Catalog and holdsAfterRestore.

--- a/dev/fuzz/HeartbeatFuzzEdge.ts
+++ b/dev/fuzz/HeartbeatFuzzEdge.ts
@@ -65,7 +65,9 @@
 )
 const version = fc.nat(1_000_000)
 const row = fc.record({ key: mostly(fc.constantFrom('a', 'b')), version: mostly(version), entry: mostly(entry) })
-const page = fc.record({ era: mostly(fc.nat(3)), version: mostly(version), after: mostly(version), rows: mostly(fc.array(mostly(row), { maxLength: 3 })) })
+const rows = mostly(fc.array(mostly(row), { maxLength: 3 }))
+const retained = fc.option(fc.record({ remainingMs: mostly(fc.nat(5_000)), rows }), { nil: undefined })
+const page = fc.record({ era: mostly(fc.nat(3)), version: mostly(version), after: mostly(version), rows, retained: mostly(retained) })
 const named = mostly(fc.constantFrom([], [['e-1', 3]], [['e-1', 1e300], ['stock', 0]]))
 const heartbeat = fc.record({
   host: mostly(host),
--- a/dev/fuzz/PageFuzzEdge.ts
+++ b/dev/fuzz/PageFuzzEdge.ts
@@ -69,7 +69,7 @@
     if (changes.isOk()) catalog.apply(table, changes.value, 1, 'store')
     if (!(catalog.versionOf(table) >= before)) throw new Error(`the version fell from ${before} to ${catalog.versionOf(table)}`)
     const forwarded = new Catalog(() => {})
-    forwarded.apply(table, catalog.exportSince(table, noPosition), 2, 'peer')
+    forwarded.apply(table, catalog.exportSince(table, noPosition, 2), 2, 'peer')
     if (forwarded.entries(table).length !== catalog.entries(table).length) throw new Error('a forwarded table has other entries')
   }
 
--- a/src/catalog/Catalog.ts
+++ b/src/catalog/Catalog.ts
@@ -4,6 +4,7 @@
 import type { CatalogRow } from './CatalogRow.js'
 import type { CatalogTable } from './CatalogTable.js'
 import { comparePositions } from './comparePositions.js'
+import { holdsAfterRestore } from './holdsAfterRestore.js'
 import { noPosition } from './noPosition.js'
 import type { StorePosition } from './StorePosition.js'
 
@@ -18,17 +19,25 @@
   /** Monotonic time in ms at which `version` was last set. */
   updatedAtMs: number
   rows: Map<string, CatalogRow>
+  /** Rows of earlier eras that hold in place of those in `rows`; without an entry, the row counts as removed. */
+  retained: Map<string, CatalogRow>
+  /** Monotonic time in ms until which retained rows hold. */
+  retainedUntilMs: number
   /** Latest changes, oldest first. Holds every change after version `historyFrom`. */
   history: CatalogRow[]
   historyFrom: number
 }
 
-/** Called after a table has changed; `source` is the store or the name of a peer. */
+/** Source of the change when retained rows are given up. */
+const releaseSource = 'grace-ended'
+
+/** Called after a table has changed; `source` is the store, the name of a peer, or `releaseSource`. */
 type ChangeListener = (table: CatalogTable, source: string) => void
 
 /**
  * Holds local copies of the shared tables. Positions only increase, so a late response or a slow peer can't revert a table. The
- * era comes first, since a restored store gives out versions again.
+ * era comes first, since a restored store gives out versions again. What was known before a restore and is missing after it holds
+ * for a grace time, in which operators and endpoints write it again.
  */
 export class Catalog {
   private readonly copies = new Map<CatalogTable, TableCopy>()
@@ -58,15 +67,32 @@
   }
 
   entries (table: CatalogTable): CatalogEntry[] {
-    return [...this.copies.get(table)?.rows.values() ?? []].flatMap((row) => row.entry ?? [])
+    const copy = this.copies.get(table)
+    if (copy === undefined) return []
+    return [...new Map([...copy.rows, ...copy.retained]).values()].flatMap((row) => row.entry ?? [])
+  }
+
+  /** Returns the number of rows that hold although the store has lost them by a restore. */
+  countRetained (table: CatalogTable): number {
+    return this.copies.get(table)?.retained.size ?? 0
+  }
+
+  /** Gives up retained rows that were not written again in time. A configuration stays until a newer one is written. */
+  releaseRetained (nowMs: number): void {
+    for (const [table, { retained, retainedUntilMs }] of this.copies) {
+      if (retained.size === 0 || nowMs < retainedUntilMs) continue
+      const released = [...retained.values()].filter((row) => row.entry?.kind !== 'routing')
+      for (const row of released) retained.delete(row.key)
+      if (released.length > 0) this.onChange(table, releaseSource)
+    }
   }
 
   /** Returns the changes after a position, or the whole table when the history no longer reaches back that far. */
-  exportSince (table: CatalogTable, after: StorePosition): CatalogPage {
+  exportSince (table: CatalogTable, after: StorePosition, nowMs: number): CatalogPage {
     const copy = this.copies.get(table)
     if (copy === undefined) return { ...noPosition, rows: [] }
     const { era, version, history, historyFrom, rows } = copy
-    if (after.era !== era || after.version < historyFrom) return { era, version, rows: [...rows.values()] }
+    if (after.era !== era || after.version < historyFrom) return { era, version, rows: [...rows.values()], ...exportRetained(copy, nowMs) }
     return { era, version, after: after.version, rows: history.filter((row) => row.version > after.version) }
   }
 
@@ -81,10 +107,28 @@
     if (comparePositions(page, this.positionOf(table)) <= 0) return false
     const rows = new Map(page.rows.filter((row) => row.entry !== undefined).map((row) => [row.key, row]))
     const { era, version } = page
-    this.copies.set(table, { era, version, syncedVersion: version, updatedAtMs: nowMs, rows, history: [], historyFrom: version })
+    const retained = new Map([...this.listEarlier(table, page)].filter(([key, row]) => holdsAfterRestore(row, rows.get(key))))
+    const retainedUntilMs = this.computeRetentionEnd(table, page, nowMs)
+    this.copies.set(table, { era, version, syncedVersion: version, updatedAtMs: nowMs, rows, retained, retainedUntilMs, history: [], historyFrom: version })
     return true
   }
 
+  /** Lists what may hold beside a new copy of a table: after a restore all that was known before it, by this host or the peer. */
+  private listEarlier (table: CatalogTable, { era, retained }: CatalogPage): Map<string, CatalogRow> {
+    const copy = this.copies.get(table)
+    if (copy?.era === era) return copy.retained
+    const earlier = new Map(copy === undefined ? [] : listKnownRows(copy))
+    for (const row of retained?.rows ?? []) if ((earlier.get(row.key)?.version ?? -1) <= row.version) earlier.set(row.key, row)
+    return earlier
+  }
+
+  private computeRetentionEnd (table: CatalogTable, { era, retained }: CatalogPage, nowMs: number): number {
+    const copy = this.copies.get(table)
+    if (copy?.era === era) return copy.retainedUntilMs
+    const graceMs = catalogLimits.restoreGraceMs[table]
+    return nowMs + Math.min(graceMs, retained?.remainingMs ?? graceMs)
+  }
+
   private mergeChanges (table: CatalogTable, page: CatalogPage, after: number, nowMs: number): boolean {
     const copy = this.copies.get(table)
     // Changes within a gap between the copy and the page would be lost.
@@ -95,6 +139,7 @@
     for (const row of newerRows) {
       if (row.entry === undefined) copy.rows.delete(row.key)
       else copy.rows.set(row.key, row)
+      if (isWrittenAgain(copy.retained.get(row.key), row)) copy.retained.delete(row.key)
     }
     copy.version = page.version
     copy.updatedAtMs = nowMs
@@ -110,3 +155,20 @@
     copy.history = copy.history.slice(surplus)
   }
 }
+
+/** A change after a restore ends what was retained, unless its writer has not come to the newest state yet. */
+function isWrittenAgain (retained: CatalogRow | undefined, row: CatalogRow): boolean {
+  if (retained === undefined) return false
+  return retained.entry === undefined || row.entry === undefined || !holdsAfterRestore(retained, row)
+}
+
+/** Lists the latest row by key of a copy, also of removed rows as far as the history reaches. */
+function listKnownRows ({ rows, retained, history }: TableCopy): Map<string, CatalogRow> {
+  const removed = history.filter((row) => row.entry === undefined).map((row) => [row.key, row] as const)
+  return new Map([...removed, ...rows, ...retained])
+}
+
+function exportRetained ({ retained, retainedUntilMs }: TableCopy, nowMs: number): Pick<CatalogPage, 'retained'> {
+  if (retained.size === 0) return {}
+  return { retained: { remainingMs: Math.max(0, retainedUntilMs - nowMs), rows: [...retained.values()] } }
+}
--- a/src/catalog/catalogLimits.ts
+++ b/src/catalog/catalogLimits.ts
@@ -26,6 +26,11 @@
    * within the drain time. Changes of hosts may wait longer because hosts also discover each other by heartbeats.
    */
   batchMs: { orders: 100, endpoints: 250, hosts: 1_000 },
+  /**
+   * Time in ms after a restore of the store from an older copy for which rows that it has lost hold, unless they are written again.
+   * Endpoints write theirs within about two seconds, operators at a time of their own.
+   */
+  restoreGraceMs: { orders: 5_000, endpoints: 3_000, hosts: 10_000 },
   /** Shortest and longest backoff in ms between failed calls to the store. */
   minBackoffMs: 150,
   maxBackoffMs: 1_000
--- a/src/host/ClusterState.ts
+++ b/src/host/ClusterState.ts
@@ -37,6 +37,8 @@
   readonly evacuatedZones = new Set<string>()
 
   private readonly gate: StartupGate
+  /** Era of each table as last applied. */
+  private readonly eras = new Map<CatalogTable, number>()
 
   constructor (private readonly options: ClusterStateOptions) {
     const { clock, health } = options
@@ -53,7 +55,13 @@
     this.options.endpoints.removeExpired({ nowMs, mayHaveLapsed: this.mayHaveLapsed(nowMs) })
   }
 
+  /** Gives up rows that were lost by a restore of the store and not written again. */
+  releaseRetained (nowMs: number): void {
+    this.catalog.releaseRetained(nowMs)
+  }
+
   private apply (table: CatalogTable, source: string): void {
+    this.logRestore(table, source)
     match(table)
       .with(CatalogTable.orders, () => this.applyOrders(source))
       .with(CatalogTable.endpoints, () => this.applyEndpoints(source))
@@ -62,6 +70,13 @@
     if (source === storeSource) this.options.onStoreChange()
   }
 
+  private logRestore (table: CatalogTable, source: string): void {
+    const { era, version } = this.catalog.positionOf(table)
+    const before = this.eras.get(table)
+    this.eras.set(table, era)
+    if (before !== undefined && era !== before) this.options.logger.warn('store-restored', { table, era, before, version, retained: this.catalog.countRetained(table), source })
+  }
+
   private applyOrders (source: string): void {
     const { routing, logger, onConfigApplied } = this.options
     const entries = this.catalog.entries(CatalogTable.orders)
--- a/src/host/HostMetrics.ts
+++ b/src/host/HostMetrics.ts
@@ -16,6 +16,10 @@
   readonly isStoreDown: () => boolean
   /** Returns for how long in ms the local copy of a table may miss changes. */
   readonly getTableAge: (table: CatalogTable) => number
+  /** Returns the era of the store that the configuration in force was read in. */
+  readonly getStoreEra: () => number
+  /** Returns how many rows of a table hold although the store has lost them by a restore. */
+  readonly countRetainedRows: (table: CatalogTable) => number
   readonly countLimitedEndpoints: () => number
   readonly listRetryBudgets: () => readonly RetryBudgetState[]
 }
@@ -72,7 +76,9 @@
     this.addGauge('shunt_config_version', 'Version of the configuration in force', gauges.configVersion)
     this.addGauge('shunt_store_down', '1 while the store cannot be reached', () => gauges.isStoreDown() ? 1 : 0)
     this.addGauge('shunt_endpoints_limited', 'Endpoints that name a rate limit in their responses', gauges.countLimitedEndpoints)
-    this.addTableAges(gauges.getTableAge)
+    this.addGauge('shunt_store_era', 'Era of the store that the local copy of the orders belongs to; it rises when the store is restored', gauges.getStoreEra)
+    this.addTableGauge('shunt_table_unconfirmed_ms', 'Time since the latest call to the store by any host that shows that the local copy of a table is complete', gauges.getTableAge)
+    this.addTableGauge('shunt_table_retained_rows', 'Rows that hold although the store has lost them by a restore', gauges.countRetainedRows)
     this.addRetryBudgets(gauges.listRetryBudgets)
   }
 
@@ -97,13 +103,13 @@
     this.suppressed.inc()
   }
 
-  private addTableAges (getTableAge: HostGauges['getTableAge']): void {
+  private addTableGauge (name: string, help: string, read: (table: CatalogTable) => number): void {
     const gauge: Gauge = new Gauge({
-      name: 'shunt_table_unconfirmed_ms',
-      help: 'Time since the latest call to the store by any host that shows that the local copy of a table is complete',
+      name,
+      help,
       labelNames: ['table'],
       registers: [this.registry],
-      collect: () => { for (const table of Object.values(CatalogTable)) gauge.set({ table }, getTableAge(table)) }
+      collect: () => { for (const table of Object.values(CatalogTable)) gauge.set({ table }, read(table)) }
     })
   }
 
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -194,6 +194,8 @@
       configVersion: () => this.routing.config?.version ?? 0,
       isStoreDown: () => this.health.isDown,
       getTableAge: (table) => this.readers.getTableAge(table, clock.nowMs()),
+      getStoreEra: () => this.state.catalog.positionOf(CatalogTable.orders).era,
+      countRetainedRows: (table) => this.state.catalog.countRetained(table),
       countLimitedEndpoints: () => [...this.endpoints].filter((row) => row.rateLimit?.perSecond !== undefined).length,
       listRetryBudgets: () => this.retries.list(clock.nowMs())
     })
--- a/src/host/MaintenanceSystem.ts
+++ b/src/host/MaintenanceSystem.ts
@@ -26,6 +26,7 @@
 
   override run (nowMs: number): void {
     const { state, endpoints, endpointSelector } = this.options
+    state.releaseRetained(nowMs)
     state.expireMissingEndpoints(nowMs)
     endpointSelector.retain((endpoint) => endpoints.get(endpoint) !== undefined)
     this.applyLoads(nowMs)
--- a/src/peers/PeerMesh.ts
+++ b/src/peers/PeerMesh.ts
@@ -211,7 +211,7 @@
     return tables
       .filter((table) => comparePositions(this.positionOf(positions, table), catalog.positionOf(table)) < 0)
       .filter((table) => !isReader || positions.versions[table] < 0 || catalog.ageOf(table, nowMs) >= peerLimits.readerPushDelayMs)
-      .map((table) => [table, catalog.exportSince(table, this.positionOf(positions, table))] as const)
+      .map((table) => [table, catalog.exportSince(table, this.positionOf(positions, table), nowMs)] as const)
   }
 }
 
--- a/src/peers/readHeartbeat.ts
+++ b/src/peers/readHeartbeat.ts
@@ -9,6 +9,7 @@
 const namedNumbers = z.array(z.tuple([z.string(), z.number()]))
 const tables = z.enum(Object.values(CatalogTable) as [CatalogTable, ...CatalogTable[]])
 
+const rows = z.array(z.object({ key: z.string(), version: z.number(), entry: z.optional(z.unknown()) }))
 const tableNumbers = z.object({ orders: z.number(), endpoints: z.number(), hosts: z.number() })
 const unknownAges = { orders: -1, endpoints: -1, hosts: -1 }
 
@@ -33,7 +34,8 @@
     era: z._default(z.number(), 0),
     version: z.number(),
     after: z.optional(z.number()),
-    rows: z.array(z.object({ key: z.string(), version: z.number(), entry: z.optional(z.unknown()) }))
+    rows,
+    retained: z.optional(z.object({ remainingMs: z.number().check(z.gte(0)), rows }))
   })]))
 })
 
@@ -59,12 +61,27 @@
  * complete, and reads the orders from the store. An unusable entry of another table names no endpoint or host; the others hold.
  */
 function readPage (table: CatalogTable, page: ForwardedPage, onRejected: RejectionHandler): CatalogPage | undefined {
+  const { era, version, after, retained } = page
+  const rows = readRows(table, page.rows, onRejected)
+  const retainedRows = retained === undefined ? undefined : readRows(table, retained.rows, onRejected)
+  if (rows === undefined || (retained !== undefined && retainedRows === undefined)) return undefined
+  return {
+    era,
+    version,
+    ...(after === undefined ? {} : { after }),
+    rows,
+    ...(retained === undefined ? {} : { retained: { remainingMs: retained.remainingMs, rows: retainedRows! } })
+  }
+}
+
+/** Returns undefined when one of the rows is an order that can't be used. */
+function readRows (table: CatalogTable, forwarded: ForwardedPage['rows'], onRejected: RejectionHandler): CatalogRow[] | undefined {
   const rows: CatalogRow[] = []
-  for (const { key, version, entry } of page.rows) {
+  for (const { key, version, entry } of forwarded) {
     const parsed = entry === undefined ? undefined : catalogEntrySchema.safeParse(entry)
     if (parsed?.success === false) onRejected('forwarded-entry-unusable', { table, key, version })
     if (parsed?.success === false && table === CatalogTable.orders) return undefined
     rows.push({ key, version, entry: parsed?.data })
   }
-  return { era: page.era, version: page.version, ...(page.after === undefined ? {} : { after: page.after }), rows }
+  return rows
 }
--- a/test/catalog/Catalog.test.ts
+++ b/test/catalog/Catalog.test.ts
@@ -2,6 +2,9 @@
 import { expect } from 'earl'
 import fc from 'fast-check'
 import { Catalog } from '../../src/catalog/Catalog.js'
+import { catalogLimits } from '../../src/catalog/catalogLimits.js'
+import { noPosition } from '../../src/catalog/noPosition.js'
+import { createRoutingConfig } from '../support/createRoutingConfig.js'
 import type { CatalogRow } from '../../src/catalog/CatalogRow.js'
 import type { CatalogEntry } from '../../src/catalog/CatalogEntry.js'
 
@@ -63,10 +66,10 @@
       else storeEntries.set(key, entry)
       history.push({ key, version: history.length + 1, entry })
       if (via === 'feed') feed(one)
-      if (via === 'peer') two.apply('orders', one.exportSince('orders', two.positionOf('orders')), 0, 'one')
+      if (via === 'peer') two.apply('orders', one.exportSince('orders', two.positionOf('orders'), 0), 0, 'one')
     }
     feed(two)
-    one.apply('orders', two.exportSince('orders', one.positionOf('orders')), 0, 'two')
+    one.apply('orders', two.exportSince('orders', one.positionOf('orders'), 0), 0, 'two')
     const expected = [...storeEntries.values()].map((entry) => JSON.stringify(entry)).sort()
     return [one, two].every((catalog) =>
       JSON.stringify(catalog.entries('orders').map((entry) => JSON.stringify(entry)).sort()) === JSON.stringify(expected))
@@ -86,9 +89,9 @@
   const catalog = new Catalog(() => {})
   catalog.apply('orders', { era: 0, version: 1, rows: [{ key: 'a', version: 1, entry: createEvacuation('a') }] }, 0, 'store')
   catalog.apply('orders', { era: 0, after: 1, version: 2, rows: [{ key: 'b', version: 2, entry: createEvacuation('b') }] }, 0, 'store')
-  expect(catalog.exportSince('orders', { era: 0, version: 1 })).toEqual({ era: 0, version: 2, after: 1, rows: [{ key: 'b', version: 2, entry: createEvacuation('b') }] })
-  expect(catalog.exportSince('orders', { era: 0, version: 0 }).rows.length).toEqual(2)
-  expect(catalog.exportSince('orders', { era: 0, version: 0 }).after).toEqual(undefined)
+  expect(catalog.exportSince('orders', { era: 0, version: 1 }, 0)).toEqual({ era: 0, version: 2, after: 1, rows: [{ key: 'b', version: 2, entry: createEvacuation('b') }] })
+  expect(catalog.exportSince('orders', { era: 0, version: 0 }, 0).rows.length).toEqual(2)
+  expect(catalog.exportSince('orders', { era: 0, version: 0 }, 0).after).toEqual(undefined)
 })
 
 // Guards against copies that miss all changes after the store came back from an older copy, whose versions are lower.
@@ -96,9 +99,66 @@
   const catalog = new Catalog(() => {})
   catalog.apply('orders', { era: 1, version: 9, rows: [{ key: 'a', version: 9, entry: createEvacuation('old') }] }, 0, 'store')
   expect(catalog.apply('orders', { era: 2, version: 4, rows: [{ key: 'b', version: 4, entry: createEvacuation('new') }] }, 1, 'store')).toEqual(true)
+  catalog.releaseRetained(Infinity)
   expect([catalog.positionOf('orders'), listZones(catalog)]).toEqual([{ era: 2, version: 4 }, ['new']])
 })
 
+// Guards against orders in force that end because the store has lost them, and against orders that never end.
+test('rows that a restored store has lost hold until they are written again or the grace time ends', () => {
+  const graceMs = catalogLimits.restoreGraceMs.orders
+  const rows = ['a', 'b'].map((key) => ({ key, version: 9, entry: createEvacuation(key) }))
+  const catalog = new Catalog(() => {})
+  catalog.apply('orders', { era: 1, version: 9, rows }, 0, 'store')
+  catalog.apply('orders', { era: 2, version: 4, rows: [] }, 1_000, 'store')
+  expect(listZones(catalog)).toEqual(['a', 'b'])
+  // Order a is written again and taken back.
+  catalog.apply('orders', { era: 2, after: 4, version: 5, rows: [{ key: 'a', version: 5, entry: createEvacuation('a') }] }, 1_100, 'store')
+  catalog.apply('orders', { era: 2, after: 5, version: 6, rows: [{ key: 'a', version: 6, entry: undefined }] }, 1_200, 'store')
+  catalog.releaseRetained(1_000 + graceMs - 1)
+  expect(listZones(catalog)).toEqual(['b'])
+  catalog.releaseRetained(1_000 + graceMs)
+  expect(listZones(catalog)).toEqual([])
+})
+
+// Guards against an order that was taken back and is in force again because the store has lost its removal.
+test('a row that was removed before a restore stays removed until it is written again', () => {
+  const catalog = new Catalog(() => {})
+  const row = { key: 'a', version: 3, entry: createEvacuation('a') }
+  catalog.apply('orders', { era: 1, version: 3, rows: [row] }, 0, 'store')
+  catalog.apply('orders', { era: 1, after: 3, version: 4, rows: [{ key: 'a', version: 4, entry: undefined }] }, 0, 'store')
+  catalog.apply('orders', { era: 2, version: 3, rows: [row] }, 0, 'store')
+  expect(listZones(catalog)).toEqual([])
+  catalog.apply('orders', { era: 2, after: 3, version: 4, rows: [{ ...row, version: 4 }] }, 0, 'store')
+  expect(listZones(catalog)).toEqual(['a'])
+})
+
+// Guards against rows that hosts which start one after the other keep alive for each other without end.
+test('a peer forwards lost rows with the rest of their grace time', () => {
+  const [one, two] = [new Catalog(() => {}), new Catalog(() => {})]
+  one.apply('orders', { era: 1, version: 9, rows: [{ key: 'a', version: 9, entry: createEvacuation('a') }] }, 0, 'store')
+  one.apply('orders', { era: 2, version: 4, rows: [] }, 0, 'store')
+  two.apply('orders', one.exportSince('orders', noPosition, 2_000), 2_000, 'one')
+  expect(listZones(two)).toEqual(['a'])
+  two.releaseRetained(catalogLimits.restoreGraceMs.orders)
+  expect(listZones(two)).toEqual([])
+})
+
+// Guards against a configuration that comes back older when the store is restored twice, or after the grace time.
+test('the newest configuration stays through a second restore and after the grace time', () => {
+  const catalog = new Catalog(() => {})
+  const put = (era: number, version: number, config: number): void => {
+    catalog.apply('orders', { era, version, rows: [{ key: 'config', version, entry: { kind: 'routing', config: createRoutingConfig({ version: config }) } }] }, 0, 'store')
+  }
+  const readConfigs = (): number[] => catalog.entries('orders').flatMap((entry) => entry.kind === 'routing' ? [entry.config.version] : [])
+  put(1, 9, 12)
+  put(2, 4, 7)
+  put(3, 2, 5)
+  catalog.releaseRetained(Infinity)
+  expect(readConfigs()).toEqual([12])
+  put(3, 3, 14)
+  expect(readConfigs()).toEqual([14])
+})
+
 // Guards against a late response, or a peer that hasn't heard of the restore, that brings back what the store has lost.
 test('a page of an earlier era is not applied', () => {
   const catalog = new Catalog(() => {})
@@ -112,5 +172,5 @@
   const catalog = new Catalog(() => {})
   catalog.apply('orders', { era: 1, version: 4, rows: [{ key: 'a', version: 4, entry: createEvacuation('lost') }] }, 0, 'store')
   expect(catalog.apply('orders', { era: 2, after: 4, version: 6, rows: [{ key: 'b', version: 6, entry: createEvacuation('b') }] }, 1, 'store')).toEqual(false)
-  expect(catalog.exportSince('orders', { era: 2, version: 4 }).after).toEqual(undefined)
+  expect(catalog.exportSince('orders', { era: 2, version: 4 }, 0).after).toEqual(undefined)
 })
