Register a host again when the store has lost its registration (CONFIG)

What was seen, in a test: a host that had registered in the time that a restored store has lost was never in the store's table again. A host that starts later and reaches no seed doesn't find it, and hosts that count the known ones to divide a bound count one less.

Cause: the registration was a single write at start, and its success was taken for lasting. Related paths: what this host writes to the store is only this row; blobs and conditional writes belong to the agents of the other deployment, which refuse an older head (configRolledBack) and are unchanged.

Change: the registration keeps the position that the store acknowledged. When a later copy of the table has no row of this process, it registers again, at most once in 5 s. That is judged by the row and not by the era, so it also mends a row that was removed.

Test: 'a host whose registration a restore has lost registers again' fails when the check is left out (host-3 is missing).

--- a/src/catalog/Catalog.ts
+++ b/src/catalog/Catalog.ts
@@ -72,6 +72,11 @@
     return [...new Map([...copy.rows, ...copy.retained]).values()].flatMap((row) => row.entry ?? [])
   }
 
+  /** Returns a row as the store has it, as far as the local copy tells. */
+  findStored (table: CatalogTable, key: string): CatalogRow | undefined {
+    return this.copies.get(table)?.rows.get(key)
+  }
+
   /** Returns the number of rows that hold although the store has lost them by a restore. */
   countRetained (table: CatalogTable): number {
     return this.copies.get(table)?.retained.size ?? 0
--- a/src/catalog/CatalogStore.ts
+++ b/src/catalog/CatalogStore.ts
@@ -3,6 +3,7 @@
 import type { CatalogTable } from './CatalogTable.js'
 import type { HostRecord } from '../peers/HostRecord.js'
 import type { StoreFailure } from './StoreFailure.js'
+import type { StorePosition } from './StorePosition.js'
 
 /** The operations of the platform's store that hosts use. Every call completes within a bounded time. */
 export abstract class CatalogStore {
@@ -21,6 +22,6 @@
   /** Aborts pending calls. No call may be made afterwards. */
   abstract close (): void
 
-  /** Registers a host, replacing its earlier registration. */
-  abstract registerHost (host: HostRecord): Promise<Result<void, StoreFailure>>
+  /** Registers a host, replacing its earlier registration; returns the position at which it did. */
+  abstract registerHost (host: HostRecord): Promise<Result<StorePosition, StoreFailure>>
 }
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -178,11 +178,11 @@
       listServing: () => this.knownHosts.listServing()
     })
     this.followers = this.createFollowers()
-    this.registration = new HostRegistration({ store: options.store, self: this.self, logger: this.log, isLeaving: () => this.isLeaving })
+    this.registration = new HostRegistration({ store: options.store, catalog: this.state.catalog, self: this.self, logger: this.log, isLeaving: () => this.isLeaving })
     const checker = new HealthChecker({ endpoints: this.endpoints, dial, routing: this.routing, httpBinding, clock, logger: createLog('endpoints') })
     this.scheduler = new Scheduler(
       clock,
-      [checker, this.createMaintenanceSystem(), this.createShareSystem(), this.createFreshnessSystem(), this.createRetryBudgetLogSystem(), new RateLimitLogSystem(this.endpoints, createLog('endpoints'))],
+      [checker, this.registration, this.createMaintenanceSystem(), this.createShareSystem(), this.createFreshnessSystem(), this.createRetryBudgetLogSystem(), new RateLimitLogSystem(this.endpoints, createLog('endpoints'))],
       (system, error) => {
         this.log.error('tick-failed', { system: system.name, error: formatException(error) })
       }
@@ -208,7 +208,7 @@
   async start (): Promise<void> {
     const { host, port } = parseDestination(this.options.settings.listen.callers)
     for (const follower of this.followers) this.runInBackground('follow', follower.run())
-    this.runInBackground('register', this.registration.run())
+    this.registration.start()
     await this.mesh.start()
     await this.auxiliaryPorts.listen()
     await this.front.listen(host, port)
@@ -222,7 +222,7 @@
     this.settings = settings
     if (!isLinkChanged) return
     this.self.linkMbps = settings.linkMbps
-    this.runInBackground('register', this.registration.run())
+    this.registration.start()
   }
 
   /** Shuts down gracefully: announces the departure, then waits for requests in flight until the grace time is nearly over. */
--- a/src/host/hostLimits.ts
+++ b/src/host/hostLimits.ts
@@ -24,6 +24,8 @@
   lookupTtlMs: 2_000,
   /** Time in ms between checks of health, lapsed entries and loads. */
   tickMs: 100,
+  /** Shortest time in ms between two registrations because the store has lost the earlier one; calls to it are billed. */
+  registrationPauseMs: 5_000,
   /** Time in ms between checks whether the settings file has been written. */
   settingsCheckMs: 1_000,
   /** Maximum number of log lines a second about single requests; further lines are only counted. */
--- a/test/host/restoredStore.test.ts
+++ b/test/host/restoredStore.test.ts
@@ -104,3 +104,17 @@
     expect(await listStatuses(group, '/added/1')).toEqual([200, 200, 200, 200])
   })
 })
+
+// Guards against hosts that later ones don't find, since a host wrote its registration once and the store has lost it.
+test('a host whose registration a restore has lost registers again', async () => {
+  await withGroup(async (group) => {
+    const copy = group.store.tables.copy()
+    await group.addHost('host-3')
+    await group.waitUntil(() => group.store.tables.get('hosts', 'host-3') !== undefined)
+    await sleep(500)
+    await restore(group, copy)
+    await sleep(2_000)
+    expect(group.store.tables.list('hosts', '').map(({ key }) => key)).toEqual(['host-0', 'host-1', 'host-2', 'host-3'])
+    expect(group.logger.lines.filter((line) => line.startsWith('info registered')).length).toEqual(5)
+  })
+})
--- a/test/support/CuttableStore.ts
+++ b/test/support/CuttableStore.ts
@@ -4,6 +4,7 @@
 import { CatalogStore } from '../../src/catalog/CatalogStore.js'
 import type { CatalogTable } from '../../src/catalog/CatalogTable.js'
 import type { StoreFailure } from '../../src/catalog/StoreFailure.js'
+import type { StorePosition } from '../../src/catalog/StorePosition.js'
 import type { HostRecord } from '../../src/peers/HostRecord.js'
 
 /** The store as one host reaches it: its calls can be cut off, or delayed, for this host alone. */
@@ -28,7 +29,7 @@
     return await this.pass(table, async () => await this.inner.check(table, after))
   }
 
-  override async registerHost (host: HostRecord): Promise<Result<void, StoreFailure>> {
+  override async registerHost (host: HostRecord): Promise<Result<StorePosition, StoreFailure>> {
     return await this.pass('hosts', async () => await this.inner.registerHost(host))
   }
 
