Know removals also from whole tables, for the case of a restore (CONFIG)

What was seen: 'an endpoint known to leave gets no requests after a restore that lists it as ready' failed once, 4 of 30 requests at an endpoint that had left.

Cause: what a host knows to be removed was taken from its history of changes, which begins anew with each whole table. A host that learned of the removal from a whole table, as hosts do that lag behind a peer's history, knew nothing of it when the store was restored.

Change: a copy keeps the latest removals by key (500 at most), from changes and from rows that a whole table no longer has.

Test: 'a row that a full read no longer has stays removed after a restore' failed before. The failed one passed four times in a row since; that its failure had this cause is concluded from the source.

--- a/src/catalog/Catalog.ts
+++ b/src/catalog/Catalog.ts
@@ -19,6 +19,8 @@
   /** Monotonic time in ms at which `version` was last set. */
   updatedAtMs: number
   rows: Map<string, CatalogRow>
+  /** Latest removals by key, oldest first. */
+  removals: Map<string, CatalogRow>
   /** Rows of earlier eras that hold in place of those in `rows`; without an entry, the row counts as removed. */
   retained: Map<string, CatalogRow>
   /** Monotonic time in ms until which retained rows hold. */
@@ -114,10 +116,19 @@
     const { era, version } = page
     const retained = new Map([...this.listEarlier(table, page)].filter(([key, row]) => holdsAfterRestore(row, rows.get(key))))
     const retainedUntilMs = this.computeRetentionEnd(table, page, nowMs)
-    this.copies.set(table, { era, version, syncedVersion: version, updatedAtMs: nowMs, rows, retained, retainedUntilMs, history: [], historyFrom: version })
+    const removals = this.listRemovals(table, page, rows)
+    this.copies.set(table, { era, version, syncedVersion: version, updatedAtMs: nowMs, rows, removals, retained, retainedUntilMs, history: [], historyFrom: version })
     return true
   }
 
+  /** Lists the removals that are known beside a new copy of a table; one of a later era begins without any. */
+  private listRemovals (table: CatalogTable, { era, version }: CatalogPage, rows: ReadonlyMap<string, CatalogRow>): Map<string, CatalogRow> {
+    const copy = this.copies.get(table)
+    if (copy?.era !== era) return new Map()
+    const removed = [...copy.rows.keys()].map((key) => [key, { key, version, entry: undefined }] as const)
+    return new Map([...copy.removals, ...removed].filter(([key]) => !rows.has(key)).slice(-catalogLimits.maxHistory))
+  }
+
   /** Lists what may hold beside a new copy of a table: after a restore all that was known before it, by this host or the peer. */
   private listEarlier (table: CatalogTable, { era, retained }: CatalogPage): Map<string, CatalogRow> {
     const copy = this.copies.get(table)
@@ -142,8 +153,7 @@
     copy.syncedVersion = Math.max(copy.syncedVersion, page.version)
     if (newerRows.length === 0) return false
     for (const row of newerRows) {
-      if (row.entry === undefined) copy.rows.delete(row.key)
-      else copy.rows.set(row.key, row)
+      putRow(copy, row)
       if (isWrittenAgain(copy.retained.get(row.key), row)) copy.retained.delete(row.key)
     }
     copy.version = page.version
@@ -167,10 +177,20 @@
   return retained.entry === undefined || row.entry === undefined || !holdsAfterRestore(retained, row)
 }
 
-/** Lists the latest row by key of a copy, also of removed rows as far as the history reaches. */
-function listKnownRows ({ rows, retained, history }: TableCopy): Map<string, CatalogRow> {
-  const removed = history.filter((row) => row.entry === undefined).map((row) => [row.key, row] as const)
-  return new Map([...removed, ...rows, ...retained])
+/** Lists the latest row by key of a copy, also of removed rows as far as they are known. */
+function listKnownRows ({ rows, removals, retained }: TableCopy): Map<string, CatalogRow> {
+  return new Map([...removals, ...rows, ...retained])
+}
+
+function putRow ({ rows, removals }: TableCopy, row: CatalogRow): void {
+  removals.delete(row.key)
+  if (row.entry !== undefined) {
+    rows.set(row.key, row)
+    return
+  }
+  rows.delete(row.key)
+  removals.set(row.key, row)
+  if (removals.size > catalogLimits.maxHistory) removals.delete(removals.keys().next().value!)
 }
 
 function exportRetained ({ retained, retainedUntilMs }: TableCopy, nowMs: number): Pick<CatalogPage, 'retained'> {
--- a/src/catalog/catalogLimits.ts
+++ b/src/catalog/catalogLimits.ts
@@ -7,7 +7,7 @@
    * and endpoints must arrive within seconds after connections fell silent; hosts also discover each other by heartbeats.
    */
   pollSpacingMs: { orders: 1_500, endpoints: 1_500, hosts: 10_000 },
-  /** Changes kept per table to bring peers with an older version up to date. */
+  /** Changes kept per table to bring peers with an older version up to date, and removals kept for the case of a restore. */
   maxHistory: 500,
   /** Hosts per region that read the store; the others receive the tables from them. */
   readersPerRegion: 2,
--- a/test/catalog/Catalog.test.ts
+++ b/test/catalog/Catalog.test.ts
@@ -132,6 +132,16 @@
   expect(listZones(catalog)).toEqual(['a'])
 })
 
+// Guards against the same where a host learned of the removal from a whole table.
+test('a row that a full read no longer has stays removed after a restore', () => {
+  const catalog = new Catalog(() => {})
+  const row = { key: 'a', version: 3, entry: createEvacuation('a') }
+  catalog.apply('orders', { era: 1, version: 3, rows: [row] }, 0, 'store')
+  for (const version of [5, 6]) catalog.apply('orders', { era: 1, version, rows: [] }, 0, 'peer')
+  catalog.apply('orders', { era: 2, version: 3, rows: [row] }, 0, 'store')
+  expect(listZones(catalog)).toEqual([])
+})
+
 // Guards against rows that hosts which start one after the other keep alive for each other without end.
 test('a peer forwards lost rows with the rest of their grace time', () => {
   const [one, two] = [new Catalog(() => {}), new Catalog(() => {})]
