Give a head that is not valid one verdict on every parser

Where responses were still due, the parser's refusal sent no 400 at all: the last of them announced a close, so the caller counted the odd request as not read and could send it again to every host.

Cause: two places refuse heads, and each decided by itself what becomes of the connection.

Change: both go through refuseHead. The responses due are sent, then 400 (431 for a head that is too long) with Connection: close; what follows is not read, as a head that isn't valid may be framed otherwise than it seems. Bytes that go on arriving are discarded until the connection ends, since a reset could take the refusal from the caller. A connection that no longer is tracked is destroyed.

--- a/src/entry/DrainableHttpServer.ts
+++ b/src/entry/DrainableHttpServer.ts
@@ -186,6 +186,11 @@
       connection.isRefusingRequests = true
       return
     }
+    const syntax = checkRequestSyntax(req)
+    if (syntax.isErr()) {
+      req.resume()
+      return this.refuseHead(connection, syntax.error)
+    }
     connection.openResponses.add(res)
     this.openRequests += 1
     res.settleKeepAlive = (wantsKeepAlive) => connection.settleKeepAlive(res, wantsKeepAlive && !this.options.closesConnections())
@@ -194,11 +199,10 @@
       connection.openResponses.delete(res)
       connection.idleSinceMs = this.options.clock.nowMs()
       if (connection.openResponses.size > 0) return
-      if (connection.isRefusingRequests) connection.socket.end()
+      if (connection.finalRefusal !== undefined) this.endWithRefusal(connection.socket, connection.finalRefusal)
+      else if (connection.isRefusingRequests) connection.socket.end()
       else if (this.isClosingIdle) this.endIdle(connection)
     })
-    const syntax = checkRequestSyntax(req)
-    if (syntax.isErr()) return this.refuse(req, res, syntax.error)
     guardCallback(this.options.onRequest, (error) => {
       this.options.onException(error)
       this.refuse(req, res, createFailure('internal', { outcome: Outcome.unknown }))
@@ -246,18 +250,26 @@
 
   private refuseUnparsed (error: Error & { code?: string }, socket: Socket): void {
     const connection = this.tracked.get(socket)
-    if (!socket.writable || error.code === 'ECONNRESET' || connection?.isReadingBody === true) {
+    // What arrives behind a refused head is discarded, since a reset could take the refusal from the caller.
+    if (connection?.finalRefusal !== undefined && error.code !== 'ECONNRESET') return
+    if (connection === undefined || !socket.writable || error.code === 'ECONNRESET' || connection.isReadingBody) {
       socket.destroy()
       return
     }
-    // The requests before the bytes that could not be read are answered first.
-    if (connection !== undefined && connection.openResponses.size > 0) {
-      connection.isRefusingRequests = true
-      return
-    }
-    const failure = createFailure(getResultName(error.code), { message: describe(error.code) })
+    // The connection already ends after its open responses.
+    if (connection.isRefusingRequests) return
+    this.refuseHead(connection, createFailure(getResultName(error.code), { message: describe(error.code) }))
+  }
+
+  /**
+   * Answers a head that the parser or this server refuses, after the responses to the requests before it, and closes the
+   * connection: what follows such a head may be framed otherwise than it seems.
+   */
+  private refuseHead (connection: TrackedConnection, failure: Failure): void {
     this.options.onRefused(failure.name)
-    this.endWithRefusal(socket, failure)
+    connection.isRefusingRequests = true
+    connection.finalRefusal = failure
+    if (connection.openResponses.size === 0) this.endWithRefusal(connection.socket, failure)
   }
 
   private endWithRefusal (socket: Socket, failure: Failure): void {
--- a/src/entry/TrackedConnection.ts
+++ b/src/entry/TrackedConnection.ts
@@ -1,4 +1,5 @@
 import type { Socket } from 'node:net'
+import type { Failure } from '../common/Failure.js'
 import { hasUnreadBody } from './hasUnreadBody.js'
 import type { PipelinedResponse } from './PipelinedResponse.js'
 
@@ -7,6 +8,8 @@
   readonly openResponses = new Set<PipelinedResponse>()
   /** True once requests that arrive are neither read nor run, since the connection ends after its open responses. */
   isRefusingRequests = false
+  /** Refusal of a head that could not be read; it ends the connection after the open responses. */
+  finalRefusal: Failure | undefined
   /** True once a response was to close the connection but left that to the pipelined responses behind it. */
   private mustClose = false
 
@@ -28,11 +31,13 @@
 
   /**
    * Decides whether the connection stays open after a response. Callers treat requests behind a response that closes the
-   * connection as not read, so only the response to the newest request may close it.
+   * connection as not read, so only the response to the newest request may close it, unless a refusal follows it.
    */
   settleKeepAlive (res: PipelinedResponse, wantsKeepAlive: boolean): boolean {
     this.mustClose ||= !wantsKeepAlive
     if (res !== this.newest) return true
+    if (this.mustClose) this.finalRefusal = undefined
+    if (this.finalRefusal !== undefined) return true
     this.isRefusingRequests ||= this.mustClose
     return !this.isRefusingRequests
   }
--- a/test/host/pipelining.test.ts
+++ b/test/host/pipelining.test.ts
@@ -142,6 +142,6 @@
     caller.send('a', '/read/100', { object: '1' })
     caller.sendBytes('\0\0\0 no request\r\n\r\n')
     await caller.ended
-    expect([caller.responses.map(({ id, status }) => [id, status]), listRunIds(group)]).toEqual([[['a', 200]], ['a']])
+    expect([caller.responses.map(({ id, status, closes }) => [id, status, closes]), listRunIds(group)]).toEqual([[['a', 200, false], ['', 400, true]], ['a']])
   })
 })
