Read what an endpoint says of itself into one value, and hold it in one place

Cleanup before the work on leaving endpoints and back-off: load and rate limit were read into separate fields of the answer's metadata, and the limit was held in two fields of the endpoint's row. EndpointNotice is what a response says, NoticeReading one matter of it, AnnouncedState what holds because of it. No behaviour changes; tests of endpoints, placing, the adapter and the limits pass, changed only in the names.

--- /dev/null
+++ b/src/endpoints/AnnouncedState.ts
@@ -0,0 +1,9 @@
+import type { EndpointRateLimit } from './EndpointRateLimit.js'
+
+/** What holds of an endpoint because its responses said so; times are monotonic ms. */
+export interface AnnouncedState {
+  /** Rate limit by the latest response to any host; undefined while no host has reported one. */
+  rateLimit: EndpointRateLimit | undefined
+  /** Rate limit by the latest response to this host. */
+  ownRateLimit: EndpointRateLimit | undefined
+}
--- /dev/null
+++ b/src/endpoints/EndpointNotice.ts
@@ -0,0 +1,10 @@
+import type { LoadReport } from './LoadReport.js'
+import type { NoticeReading } from './NoticeReading.js'
+
+/** What an endpoint says of itself in one response. */
+export interface EndpointNotice {
+  /** Load after the response; undefined when not reported. */
+  readonly load: LoadReport | undefined
+  /** Requests a second that the endpoint takes from all hosts together. */
+  readonly rateLimit: NoticeReading<number>
+}
--- a/src/endpoints/EndpointRow.ts
+++ b/src/endpoints/EndpointRow.ts
@@ -1,4 +1,4 @@
-import type { EndpointRateLimit } from './EndpointRateLimit.js'
+import type { AnnouncedState } from './AnnouncedState.js'
 import type { EndpointRecord } from './EndpointRecord.js'
 
 /** State of an endpoint as seen by this host; times are monotonic ms. */
@@ -16,10 +16,7 @@
   peerInFlight: number
   /** The endpoint is cold until this time, and its request rate is limited. */
   coldUntilMs: number
-  /** Rate limit by the latest response to any host; undefined while no host has reported one. */
-  rateLimit: EndpointRateLimit | undefined
-  /** Rate limit by the latest response to this host. */
-  ownRateLimit: EndpointRateLimit | undefined
+  readonly announced: AnnouncedState
   /** The endpoint is avoided until a health check succeeds. */
   isSuspect: boolean
   nextProbeAtMs: number
--- a/src/endpoints/RateLimitLogSystem.ts
+++ b/src/endpoints/RateLimitLogSystem.ts
@@ -23,11 +23,11 @@
   }
 
   override run (nowMs: number): void {
-    for (const row of this.endpoints) if (row.rateLimit !== undefined) this.logChange(row, nowMs)
+    for (const row of this.endpoints) if (row.announced.rateLimit !== undefined) this.logChange(row, nowMs)
     this.logged.deleteWhere((_limit, endpoint) => this.endpoints.get(endpoint) === undefined)
   }
 
-  private logChange ({ record, rateLimit }: EndpointRow, nowMs: number): void {
+  private logChange ({ record, announced: { rateLimit } }: EndpointRow, nowMs: number): void {
     const logged = this.logged.ensure(record.id, () => ({ perSecond: undefined, nextLogAtMs: nowMs }))
     const perSecond = rateLimit?.perSecond
     if (logged.perSecond === perSecond || nowMs < logged.nextLogAtMs) return
--- a/src/endpoints/listRateLimits.ts
+++ b/src/endpoints/listRateLimits.ts
@@ -10,7 +10,7 @@
  */
 export function listRateLimits (rows: Iterable<EndpointRow>, nowMs: number): Array<readonly [endpoint: string, perSecond: number, ageMs: number]> {
   const limits: Array<readonly [string, number, number]> = []
-  for (const { record, rateLimit, ownRateLimit } of rows) {
+  for (const { record, announced: { rateLimit, ownRateLimit } } of rows) {
     if (rateLimit === undefined || ownRateLimit === undefined || rateLimit.perSecond !== ownRateLimit.perSecond) continue
     const ageMs = nowMs - ownRateLimit.heardAtMs
     if (ownRateLimit.perSecond === undefined && ageMs > endpointLimits.reportWithdrawalMs) continue
--- a/src/endpoints/recordLoadReport.ts
+++ b/src/endpoints/recordLoadReport.ts
@@ -1,10 +1,5 @@
 import type { EndpointRow } from './EndpointRow.js'
-
-/** Load that an endpoint reports with a response. */
-interface LoadReport {
-  readonly running: number
-  readonly waiting: number
-}
+import type { LoadReport } from './LoadReport.js'
 
 /**
  * Updates the number of requests at an endpoint that this host didn't send from the endpoint's load report. The report counts
--- a/src/endpoints/recordRateLimit.ts
+++ b/src/endpoints/recordRateLimit.ts
@@ -3,7 +3,8 @@
 
 /** Takes over news of an endpoint's rate limit unless newer ones are known. */
 export function recordRateLimit (row: EndpointRow, limit: EndpointRateLimit): void {
-  const isAlwaysUnlimited = row.rateLimit === undefined && limit.perSecond === undefined
-  if (isAlwaysUnlimited || (row.rateLimit !== undefined && row.rateLimit.heardAtMs > limit.heardAtMs)) return
-  row.rateLimit = limit
+  const known = row.announced.rateLimit
+  const isAlwaysUnlimited = known === undefined && limit.perSecond === undefined
+  if (isAlwaysUnlimited || (known !== undefined && known.heardAtMs > limit.heardAtMs)) return
+  row.announced.rateLimit = limit
 }
--- a/src/host/EndpointAttempt.ts
+++ b/src/host/EndpointAttempt.ts
@@ -1,3 +1,4 @@
+import type { EndpointNotice } from '../endpoints/EndpointNotice.js'
 import type { EndpointRow } from '../endpoints/EndpointRow.js'
 import { estimateLoad } from '../endpoints/estimateLoad.js'
 import { recordAttempt } from '../endpoints/recordAttempt.js'
@@ -12,7 +13,6 @@
 import { AttemptResult } from '../steer/AttemptResult.js'
 import { RequestKind } from '../routing/RequestKind.js'
 import type { HostContext } from './HostContext.js'
-import type { RateLimitReading } from './RateLimitReading.js'
 import type { ServedRequest } from './ServedRequest.js'
 
 /** Result of an attempt. */
@@ -100,7 +100,7 @@
   private inspect (answer: UpstreamResponse): AttemptEnd {
     const { context, row } = this
     const metadata = context.httpBinding.readAnswerMetadata(answer.status, answer.headers)
-    if (!metadata.isMisdirected) this.recordRateLimit(metadata.rateLimit)
+    if (!metadata.isMisdirected) this.recordRateLimit(metadata.notice.rateLimit)
     if (metadata.isNotExecuted) {
       this.release(AttemptResult.shed)
       if (answer.stream !== undefined) this.call.cancel('cancelled')
@@ -108,20 +108,20 @@
       return { kind: 'failure', name: 'upstreamShed', outcome: Outcome.notRun }
     }
     const result = answer.status >= firstErrorStatus ? AttemptResult.broken : AttemptResult.ok
-    if (metadata.load !== undefined) recordLoadReport(row, metadata.load, context.clock.nowMs())
+    if (metadata.notice.load !== undefined) recordLoadReport(row, metadata.notice.load, context.clock.nowMs())
     if (answer.stream === undefined) this.release(result)
     return { kind: 'answer', open: this.open(answer) }
   }
 
   /** An invalid limit says neither that there is none nor what it is, so the one before stays in force. */
-  private recordRateLimit (reading: RateLimitReading): void {
+  private recordRateLimit (reading: EndpointNotice['rateLimit']): void {
     const { context, row } = this
     if (reading.kind === 'invalid') {
       context.rejected.record(InputEdge.endpoint, 'response-limit-invalid', { endpoint: row.record.id, text: reading.text })
       return
     }
-    const limit = { perSecond: reading.kind === 'limit' ? reading.perSecond : undefined, heardAtMs: context.clock.nowMs() }
-    row.ownRateLimit = limit
+    const limit = { perSecond: reading.kind === 'value' ? reading.value : undefined, heardAtMs: context.clock.nowMs() }
+    row.announced.ownRateLimit = limit
     recordRateLimit(row, limit)
   }
 
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -196,7 +196,7 @@
       getTableAge: (table) => this.readers.getTableAge(table, clock.nowMs()),
       getStoreEra: () => this.state.catalog.positionOf(CatalogTable.orders).era,
       countRetainedRows: (table) => this.state.catalog.countRetained(table),
-      countLimitedEndpoints: () => [...this.endpoints].filter((row) => row.rateLimit?.perSecond !== undefined).length,
+      countLimitedEndpoints: () => [...this.endpoints].filter((row) => row.announced.rateLimit?.perSecond !== undefined).length,
       listRetryBudgets: () => this.retries.list(clock.nowMs())
     })
   }
--- a/src/host/HttpBinding.ts
+++ b/src/host/HttpBinding.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage } from 'node:http'
-import type { RateLimitReading } from './RateLimitReading.js'
+import type { EndpointNotice } from '../endpoints/EndpointNotice.js'
 
 /** Metadata of an endpoint's answer besides status and body. */
 interface AnswerMetadata {
@@ -7,9 +7,7 @@
   readonly isNotExecuted: boolean
   /** True when the address now belongs to another endpoint. */
   readonly isMisdirected: boolean
-  /** Load after the answer; undefined when not reported. */
-  readonly load: { readonly running: number, readonly waiting: number } | undefined
-  readonly rateLimit: RateLimitReading
+  readonly notice: EndpointNotice
 }
 
 /** Result of a health check of an endpoint. */
--- a/src/placing/EndpointSelector.ts
+++ b/src/placing/EndpointSelector.ts
@@ -170,7 +170,8 @@
     const { routing, coldStartLimiter, namedRateLimiter } = this.options
     const rates: Array<readonly [SharedRateLimiter, number]> = []
     if (row.coldUntilMs > nowMs) rates.push([coldStartLimiter, routing.findService(row.record.service)?.coldPerSecond ?? 0])
-    if (row.rateLimit?.perSecond !== undefined) rates.push([namedRateLimiter, row.rateLimit.perSecond])
+    const limit = row.announced.rateLimit?.perSecond
+    if (limit !== undefined) rates.push([namedRateLimiter, limit])
     return rates
   }
 }
--- a/test/endpoints/listRateLimits.test.ts
+++ b/test/endpoints/listRateLimits.test.ts
@@ -13,8 +13,8 @@
 }
 
 function hearOwn (row: EndpointRow, perSecond: number | undefined, heardAtMs: number): void {
-  row.ownRateLimit = { perSecond, heardAtMs }
-  recordRateLimit(row, row.ownRateLimit)
+  row.announced.ownRateLimit = { perSecond, heardAtMs }
+  recordRateLimit(row, row.announced.ownRateLimit)
 }
 
 // Guards against a limit that has ended and comes back from the older news of another host.
@@ -23,7 +23,7 @@
   hearOwn(row, 5, 100)
   hearOwn(row, undefined, 300)
   recordRateLimit(row, { perSecond: 5, heardAtMs: 200 })
-  expect(row.rateLimit).toEqual({ perSecond: undefined, heardAtMs: 300 })
+  expect(row.announced.rateLimit).toEqual({ perSecond: undefined, heardAtMs: 300 })
 })
 
 // Guards against news that becomes younger as it goes round, and against reports of endpoints that never named a limit.
--- a/test/placing/EndpointSelector.test.ts
+++ b/test/placing/EndpointSelector.test.ts
@@ -230,7 +230,7 @@
 test('an endpoint that has used up its named limit is left out', () => {
   const fixture = new SelectorFixture(six)
   const first = fixture.choose('object-7')!
-  fixture.endpoints.get(first)!.rateLimit = { perSecond: 1, heardAtMs: 0 }
+  fixture.endpoints.get(first)!.announced.rateLimit = { perSecond: 1, heardAtMs: 0 }
   expect(fixture.choose('object-7')).toEqual(first)
   expect([first, undefined].includes(fixture.choose('object-7'))).toEqual(false)
 })
@@ -241,6 +241,6 @@
   const fixture = new SelectorFixture([record!])
   const row = fixture.endpoints.get(record!.id)!
   row.coldUntilMs = 1_000
-  row.rateLimit = { perSecond: 0, heardAtMs: 0 }
+  row.announced.rateLimit = { perSecond: 0, heardAtMs: 0 }
   expect([fixture.choose('object-7'), fixture.choose('object-7')]).toEqual([record!.id, undefined])
 })
--- a/test/platformAdapter/PlatformHttpBinding.test.ts
+++ b/test/platformAdapter/PlatformHttpBinding.test.ts
@@ -25,15 +25,15 @@
   expect(binding.readAnswerMetadata(503, []).isNotExecuted).toEqual(false)
   expect(binding.readAnswerMetadata(503, ['X-Not-Executed', '1']).isNotExecuted).toEqual(true)
   expect(binding.readAnswerMetadata(421, []).isMisdirected).toEqual(true)
-  expect(binding.readAnswerMetadata(200, ['X-Server-Load', '3,1,8']).load).toEqual({ running: 3, waiting: 1 })
-  expect(binding.readAnswerMetadata(200, ['X-Server-Load', 'much']).load).toEqual(undefined)
+  expect(binding.readAnswerMetadata(200, ['X-Server-Load', '3,1,8']).notice.load).toEqual({ running: 3, waiting: 1 })
+  expect(binding.readAnswerMetadata(200, ['X-Server-Load', 'much']).notice.load).toEqual(undefined)
 })
 
 // Guards against a limit that is not seen, and against text that becomes a limit by chance.
 test('a response tells the rate limit of its endpoint', () => {
-  const read = (...values: string[]): unknown => binding.readAnswerMetadata(200, values.flatMap((value) => ['Server-Limit', value])).rateLimit
+  const read = (...values: string[]): unknown => binding.readAnswerMetadata(200, values.flatMap((value) => ['Server-Limit', value])).notice.rateLimit
   expect(read()).toEqual({ kind: 'none' })
-  expect([read('6.6'), read('0'), read('40', ' 2.5 ')]).toEqual([6.6, 0, 2.5].map((perSecond) => ({ kind: 'limit', perSecond })))
+  expect([read('6.6'), read('0'), read('40', ' 2.5 ')]).toEqual([6.6, 0, 2.5].map((value) => ({ kind: 'value', value })))
   for (const text of ['', '-1', '1e9', 'NaN', 'Infinity', '0x10', '1.', '3, 4', '9'.repeat(10)]) expect(read(text)).toEqual({ kind: 'invalid', text })
   expect(read('3', 'many')).toEqual({ kind: 'invalid', text: '3,many' })
 })
