Leave out an endpoint that says in its responses that it is leaving (DRAIN)

What was seen, in tests: an endpoint whose responses say Server-Leaving went on to get 18 of 30 requests while the store was down, as its registry entry was ready.

Cause: nothing read the header; the registry was the only source, which may be down, slow, or restored from an older copy.

Change: the adapter reads it from every response of the endpoint, rejections and health checks included, and the endpoint leaves the lists from which requests, retries and shares of regions are taken. It comes back with a new incarnation, or when a health check under its id succeeds without saying so, first after 5 s. Requests without another endpoint are refused at once. A value other than 1 changes nothing and is counted.

--- a/dev/store/PlatformEndpoint.ts
+++ b/dev/store/PlatformEndpoint.ts
@@ -48,6 +48,10 @@
   private readonly bornAtMs = Date.now()
   /** Requests a second that responses name as the limit for all hosts together. */
   rateLimit: string | undefined
+  /** Value of `Server-Leaving` in all responses. */
+  leaving: string | undefined
+  /** Value of `Retry-After` in all responses. */
+  retryAfter: string | undefined
   /** Called for each request besides health checks, also when it does not run. */
   onArrival: (requestId: string) => void = () => {}
   /** Called for each request when it gets a slot. */
@@ -99,7 +103,7 @@
     const body = await readBody(req)
     if (req.url === '/health') {
       this.healthChecks += 1
-      res.writeHead(200, { 'X-Instance-Id': this.id, 'X-Cold-Start-Ms': String(this.coldMs) }).end()
+      res.writeHead(200, { 'X-Instance-Id': this.id, 'X-Cold-Start-Ms': String(this.coldMs), ...this.createNoticeHeaders() }).end()
       return
     }
     this.onArrival(String(req.headers['x-request-id']))
@@ -109,7 +113,7 @@
       return
     }
     if (this.behaviour === 'shed' || this.slotQueue.length >= maxQueuedRequests) {
-      res.writeHead(503, { 'X-Not-Executed': '1', ...this.createLimitHeader() }).end()
+      res.writeHead(503, { 'X-Not-Executed': '1', ...this.createNoticeHeaders() }).end()
       return
     }
     await this.run(req, res, body)
@@ -131,11 +135,12 @@
     const load = `${this.running},${this.slotQueue.length},${this.slots}`
     this.releaseSlot()
     this.idleSinceMs.set(req.socket, performance.now())
-    this.sendResponse(req, res, { 'X-Request-Id': id, 'X-Server-Signature': `sig-${this.id}`, 'X-Server-Load': load, ...this.createLimitHeader() })
+    this.sendResponse(req, res, { 'X-Request-Id': id, 'X-Server-Signature': `sig-${this.id}`, 'X-Server-Load': load, ...this.createNoticeHeaders() })
   }
 
-  private createLimitHeader (): Record<string, string> {
-    return this.rateLimit === undefined ? {} : { 'Server-Limit': this.rateLimit }
+  private createNoticeHeaders (): Record<string, string> {
+    const headers = { 'Server-Limit': this.rateLimit, 'Server-Leaving': this.leaving, 'Retry-After': this.retryAfter }
+    return Object.fromEntries(Object.entries(headers).filter((header): header is [string, string] => header[1] !== undefined))
   }
 
   private async acquireSlot (): Promise<void> {
--- a/src/endpoints/AnnouncedState.ts
+++ b/src/endpoints/AnnouncedState.ts
@@ -6,4 +6,6 @@
   rateLimit: EndpointRateLimit | undefined
   /** Rate limit by the latest response to this host. */
   ownRateLimit: EndpointRateLimit | undefined
+  /** When a response first said that the endpoint is leaving; undefined while none has, or once a health check denied it. */
+  leavingSinceMs: number | undefined
 }
--- a/src/endpoints/EndpointNotice.ts
+++ b/src/endpoints/EndpointNotice.ts
@@ -7,4 +7,6 @@
   readonly load: LoadReport | undefined
   /** Requests a second that the endpoint takes from all hosts together. */
   readonly rateLimit: NoticeReading<number>
+  /** Present when the endpoint is about to end. */
+  readonly leaving: NoticeReading<true>
 }
--- a/src/endpoints/EndpointTable.ts
+++ b/src/endpoints/EndpointTable.ts
@@ -37,7 +37,7 @@
     return this.rows.get(id)
   }
 
-  /** Lists the endpoints of a service, without draining and removed ones. */
+  /** Lists the endpoints of a service, without leaving and removed ones. */
   listService (service: string): readonly EndpointRow[] {
     return this.byService.get(service) ?? []
   }
@@ -66,6 +66,12 @@
     ]
   }
 
+  /** Records that an endpoint said it is leaving, whatever its entry says, or (`undefined`) that it no longer does. */
+  setLeaving (row: EndpointRow, sinceMs: number | undefined): void {
+    row.announced.leavingSinceMs = sinceMs
+    this.rebuild()
+  }
+
   /** Removes endpoints without an entry after their grace period, unless their entries may have lapsed in a store outage. */
   removeExpired (context: UpdateContext): void {
     if (this.deleteMissing(context) > 0) this.rebuild()
@@ -106,7 +112,7 @@
     this.changes += 1
     this.byService = new Map()
     for (const row of this.rows) {
-      if (row.record.isDraining) continue
+      if (row.record.isDraining || row.announced.leavingSinceMs !== undefined) continue
       const group = this.byService.get(row.record.service) ?? []
       group.push(row)
       this.byService.set(row.record.service, group)
@@ -124,7 +130,7 @@
     reportedAtMs: -endpointLimits.loadReportValidMs,
     peerInFlight: 0,
     coldUntilMs: nowMs + record.coldMs,
-    announced: { rateLimit: undefined, ownRateLimit: undefined },
+    announced: { rateLimit: undefined, ownRateLimit: undefined, leavingSinceMs: undefined },
     isSuspect: false,
     nextProbeAtMs: 0,
     isProbing: false,
--- a/src/endpoints/endpointLimits.ts
+++ b/src/endpoints/endpointLimits.ts
@@ -29,6 +29,11 @@
   dedicatedConnectionMs: 10_000,
   /** Time in ms for which an endpoint counts as full after shedding a request. */
   shedBackoffMs: 150,
+  /**
+   * Time in ms from a response that says that the endpoint is leaving until a health check, and between further ones, while the
+   * registry lists it as ready.
+   */
+  leavingCheckMs: 5_000,
   /** Age in ms up to which an endpoint's load report is used. */
   loadReportValidMs: 300,
   /** Minimum number of entries, and share of all, that must disappear together to be treated as lapsed. */
--- a/src/host/EndpointAttempt.ts
+++ b/src/host/EndpointAttempt.ts
@@ -1,10 +1,7 @@
-import type { EndpointNotice } from '../endpoints/EndpointNotice.js'
 import type { EndpointRow } from '../endpoints/EndpointRow.js'
 import { estimateLoad } from '../endpoints/estimateLoad.js'
 import { recordAttempt } from '../endpoints/recordAttempt.js'
-import { recordRateLimit } from '../endpoints/recordRateLimit.js'
 import { recordLoadReport } from '../endpoints/recordLoadReport.js'
-import { InputEdge } from '../common/InputEdge.js'
 import { Outcome } from '../common/Outcome.js'
 import type { ResultName } from '../common/ResultName.js'
 import type { OpenResponse } from '../entry/OpenResponse.js'
@@ -100,7 +97,7 @@
   private inspect (answer: UpstreamResponse): AttemptEnd {
     const { context, row } = this
     const metadata = context.httpBinding.readAnswerMetadata(answer.status, answer.headers)
-    if (!metadata.isMisdirected) this.recordRateLimit(metadata.notice.rateLimit)
+    if (!metadata.isMisdirected) context.notices.record(row, metadata.notice)
     if (metadata.isNotExecuted) {
       this.release(AttemptResult.shed)
       if (answer.stream !== undefined) this.call.cancel('cancelled')
@@ -113,18 +110,6 @@
     return { kind: 'answer', open: this.open(answer) }
   }
 
-  /** An invalid limit says neither that there is none nor what it is, so the one before stays in force. */
-  private recordRateLimit (reading: EndpointNotice['rateLimit']): void {
-    const { context, row } = this
-    if (reading.kind === 'invalid') {
-      context.rejected.record(InputEdge.endpoint, 'response-limit-invalid', { endpoint: row.record.id, text: reading.text })
-      return
-    }
-    const limit = { perSecond: reading.kind === 'value' ? reading.value : undefined, heardAtMs: context.clock.nowMs() }
-    row.announced.ownRateLimit = limit
-    recordRateLimit(row, limit)
-  }
-
   private open (answer: UpstreamResponse): OpenResponse {
     return {
       response: answer,
--- a/src/host/HealthChecker.ts
+++ b/src/host/HealthChecker.ts
@@ -13,6 +13,7 @@
 import { System } from '../common/System.js'
 import type { RoutingTable } from '../routing/RoutingTable.js'
 import type { HttpBinding } from './HttpBinding.js'
+import type { NoticeRecorder } from './NoticeRecorder.js'
 
 /** Dependencies of the health checks. */
 interface HealthCheckerOptions {
@@ -20,13 +21,17 @@
   readonly dial: DialMap
   readonly routing: RoutingTable
   readonly httpBinding: HttpBinding
+  readonly notices: NoticeRecorder
   readonly clock: Clock
   readonly logger: Logger
 }
 
 const okStatus = 200
 
-/** Probes suspect endpoints until they answer under their own id. Healthy endpoints need no probes: their answers show that they are up. */
+/**
+ * Probes suspect endpoints until they answer under their own id, and those that say that they are leaving although the registry
+ * lists them as ready. Healthy endpoints need no probes: their answers show that they are up.
+ */
 export class HealthChecker extends System {
   override readonly name = 'health'
   /** Ids of endpoints that have been logged as suspect or ejected. */
@@ -39,8 +44,7 @@
   override run (nowMs: number): void {
     for (const row of this.options.endpoints) {
       this.logAvoided(row, nowMs)
-      if (!row.isSuspect || row.isProbing || nowMs < row.nextProbeAtMs || row.record.isDraining) continue
-      this.startProbe(row)
+      if (needsProbe(row) && !row.isProbing && nowMs >= row.nextProbeAtMs) this.startProbe(row)
     }
   }
 
@@ -72,7 +76,8 @@
 
   private endProbe (row: EndpointRow): void {
     row.isProbing = false
-    row.nextProbeAtMs = this.options.clock.nowMs() + endpointLimits.probeIntervalMs
+    const isLeaving = row.announced.leavingSinceMs !== undefined
+    row.nextProbeAtMs = this.options.clock.nowMs() + (isLeaving ? endpointLimits.leavingCheckMs : endpointLimits.probeIntervalMs)
   }
 
   private probe (row: EndpointRow): void {
@@ -103,7 +108,9 @@
     res.on('error', () => {})
     res.on('end', () => {
       const health = this.options.httpBinding.readHealth(res.rawHeaders)
-      if (res.statusCode === okStatus && health.endpoint === row.record.id) this.markHealthy(row, health.coldMs)
+      if (health.endpoint !== row.record.id) return
+      this.options.notices.recordLeaving(row, health.leaving)
+      if (res.statusCode === okStatus && health.leaving.kind !== 'value') this.markHealthy(row, health.coldMs)
     })
   }
 
@@ -112,6 +119,11 @@
     row.isSuspect = false
     row.failures = 0
     row.coldUntilMs = Math.max(row.coldUntilMs, nowMs + coldMs)
+    this.options.notices.endLeaving(row)
     this.options.logger.info('endpoint-up', { endpoint: row.record.id, coldMs })
   }
 }
+
+function needsProbe ({ isSuspect, record, announced }: EndpointRow): boolean {
+  return !record.isDraining && (isSuspect || announced.leavingSinceMs !== undefined)
+}
--- a/src/host/HostContext.ts
+++ b/src/host/HostContext.ts
@@ -8,6 +8,7 @@
 import type { RejectedInput } from '../metrics/RejectedInput.js'
 import type { HttpBinding } from './HttpBinding.js'
 import type { HostMetrics } from './HostMetrics.js'
+import type { NoticeRecorder } from './NoticeRecorder.js'
 import type { RequestLog } from './RequestLog.js'
 
 /** Components that serve requests. */
@@ -23,6 +24,7 @@
   readonly retries: ServiceRetryBudget
   readonly client: UpstreamClient
   readonly metrics: HostMetrics
+  readonly notices: NoticeRecorder
   readonly rejected: RejectedInput
   readonly log: RequestLog
   /** Returns true once the host has tables on which it may rely. */
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -42,6 +42,7 @@
 import { HostStatus } from './HostStatus.js'
 import { KnownHosts } from './KnownHosts.js'
 import { MaintenanceSystem } from './MaintenanceSystem.js'
+import { NoticeRecorder } from './NoticeRecorder.js'
 import { RequestHandler } from './RequestHandler.js'
 import { RequestLog } from './RequestLog.js'
 import { AuxiliaryPorts } from './AuxiliaryPorts.js'
@@ -69,6 +70,7 @@
   private readonly routing = new RoutingTable()
   private readonly health = new StoreHealth()
   private readonly endpoints: EndpointTable
+  private readonly notices: NoticeRecorder
   private readonly peers: PeerTable
   private readonly knownHosts: KnownHosts
   private readonly state: ClusterState
@@ -105,6 +107,7 @@
       incarnation: clock.wallMs()
     }
     this.endpoints = new EndpointTable((zone) => this.settings.regionOfZone[zone] ?? '', () => this.settings.bounds.drainMs)
+    this.notices = new NoticeRecorder({ endpoints: this.endpoints, clock, logger: createLog('endpoints'), rejected: options.rejected })
     this.peers = new PeerTable(settings.name)
     this.requestRate = new ServiceRequestRate(clock.nowMs())
     this.state = new ClusterState({
@@ -179,7 +182,7 @@
     })
     this.followers = this.createFollowers()
     this.registration = new HostRegistration({ store: options.store, catalog: this.state.catalog, self: this.self, logger: this.log, isLeaving: () => this.isLeaving })
-    const checker = new HealthChecker({ endpoints: this.endpoints, dial, routing: this.routing, httpBinding, clock, logger: createLog('endpoints') })
+    const checker = new HealthChecker({ endpoints: this.endpoints, dial, routing: this.routing, httpBinding, notices: this.notices, clock, logger: createLog('endpoints') })
     this.scheduler = new Scheduler(
       clock,
       [checker, this.registration, this.createMaintenanceSystem(), this.createShareSystem(), this.createFreshnessSystem(), this.createRetryBudgetLogSystem(), new RateLimitLogSystem(this.endpoints, createLog('endpoints'))],
@@ -197,6 +200,7 @@
       getStoreEra: () => this.state.catalog.positionOf(CatalogTable.orders).era,
       countRetainedRows: (table) => this.state.catalog.countRetained(table),
       countLimitedEndpoints: () => [...this.endpoints].filter((row) => row.announced.rateLimit?.perSecond !== undefined).length,
+      countLeavingEndpoints: () => [...this.endpoints].filter((row) => row.announced.leavingSinceMs !== undefined).length,
       listRetryBudgets: () => this.retries.list(clock.nowMs())
     })
   }
@@ -275,6 +279,7 @@
       retries,
       client: this.client,
       rejected: this.options.rejected,
+      notices: this.notices,
       metrics,
       isSynced: () => this.state.isSynced,
       mayPassOn: (leftMs) => this.graceTime.mayPassOn(leftMs),
--- a/src/host/HttpBinding.ts
+++ b/src/host/HttpBinding.ts
@@ -16,6 +16,7 @@
   readonly endpoint: string | undefined
   /** Remaining cold time in ms. */
   readonly coldMs: number
+  readonly leaving: EndpointNotice['leaving']
 }
 
 /** Location of a caller that looks up hosts. */
--- /dev/null
+++ b/src/host/NoticeRecorder.ts
@@ -0,0 +1,59 @@
+import type { Clock } from '../common/Clock.js'
+import { InputEdge } from '../common/InputEdge.js'
+import type { Logger } from '../common/Logger.js'
+import { endpointLimits } from '../endpoints/endpointLimits.js'
+import type { EndpointNotice } from '../endpoints/EndpointNotice.js'
+import type { EndpointRow } from '../endpoints/EndpointRow.js'
+import type { EndpointTable } from '../endpoints/EndpointTable.js'
+import { recordRateLimit } from '../endpoints/recordRateLimit.js'
+import type { RejectedInput } from '../metrics/RejectedInput.js'
+
+/** Dependencies of the recorder. */
+interface NoticeRecorderOptions {
+  readonly endpoints: EndpointTable
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly rejected: RejectedInput
+}
+
+/** Applies what endpoints say of themselves in responses. What can't be read changes nothing and is counted. */
+export class NoticeRecorder {
+  constructor (private readonly options: NoticeRecorderOptions) {}
+
+  record (row: EndpointRow, notice: EndpointNotice): void {
+    this.recordRateLimit(row, notice.rateLimit)
+    this.recordLeaving(row, notice.leaving)
+  }
+
+  /** The endpoint is left out until its registry entry goes, a new incarnation registers, or a health check denies it. */
+  recordLeaving (row: EndpointRow, reading: EndpointNotice['leaving']): void {
+    if (reading.kind === 'invalid') this.reject('response-leaving-invalid', row, reading.text)
+    if (reading.kind !== 'value' || row.announced.leavingSinceMs !== undefined) return
+    const { endpoints, clock, logger } = this.options
+    const nowMs = clock.nowMs()
+    row.nextProbeAtMs = nowMs + endpointLimits.leavingCheckMs
+    endpoints.setLeaving(row, nowMs)
+    logger.info('endpoint-leaving', { endpoint: row.record.id, service: row.record.service, draining: row.record.isDraining, source: 'response' })
+  }
+
+  /** Records that an endpoint passed a health check whose response doesn't say that it is leaving. */
+  endLeaving (row: EndpointRow): void {
+    const { endpoints, clock, logger } = this.options
+    const { leavingSinceMs } = row.announced
+    if (leavingSinceMs === undefined) return
+    endpoints.setLeaving(row, undefined)
+    logger.info('endpoint-stays', { endpoint: row.record.id, leftOutMs: Math.round(clock.nowMs() - leavingSinceMs) })
+  }
+
+  /** An invalid limit says neither that there is none nor what it is, so the one before stays in force. */
+  private recordRateLimit (row: EndpointRow, reading: EndpointNotice['rateLimit']): void {
+    if (reading.kind === 'invalid') return this.reject('response-limit-invalid', row, reading.text)
+    const limit = { perSecond: reading.kind === 'value' ? reading.value : undefined, heardAtMs: this.options.clock.nowMs() }
+    row.announced.ownRateLimit = limit
+    recordRateLimit(row, limit)
+  }
+
+  private reject (reason: string, row: EndpointRow, text: string): void {
+    this.options.rejected.record(InputEdge.endpoint, reason, { endpoint: row.record.id, text })
+  }
+}
--- a/test/host/HealthChecker.test.ts
+++ b/test/host/HealthChecker.test.ts
@@ -6,7 +6,9 @@
 import type { EndpointRow } from '../../src/endpoints/EndpointRow.js'
 import { EndpointTable } from '../../src/endpoints/EndpointTable.js'
 import { HealthChecker } from '../../src/host/HealthChecker.js'
+import { NoticeRecorder } from '../../src/host/NoticeRecorder.js'
 import { RoutingTable } from '../../src/routing/RoutingTable.js'
+import { createRejectedInput } from '../support/createRejectedInput.js'
 import { MemoryLogger } from '../support/MemoryLogger.js'
 import { RawEndpoint } from '../support/RawEndpoint.js'
 import { waitUntil } from '../support/waitUntil.js'
@@ -26,7 +28,9 @@
   endpoints.update([{ id: 'e-0', address, service: 'stock', zone: 'north-a', slots: 1, isDraining: false, coldMs: 0, bornAtMs: 1 }], { nowMs: clock.nowMs(), mayHaveLapsed: false })
   const row = endpoints.get('e-0')!
   row.isSuspect = true
-  new HealthChecker({ endpoints, dial: new DialMap(), routing: new RoutingTable(), httpBinding: new PlatformHttpBinding(), clock, logger: new MemoryLogger() }).run(clock.nowMs())
+  const logger = new MemoryLogger()
+  const notices = new NoticeRecorder({ endpoints, clock, logger, rejected: createRejectedInput(logger) })
+  new HealthChecker({ endpoints, dial: new DialMap(), routing: new RoutingTable(), httpBinding: new PlatformHttpBinding(), notices, clock, logger }).run(clock.nowMs())
   await waitUntil(() => endpoint.closedConnections === 1 && !row.isProbing)
   endpoint.close()
   return { row, sentBytes }
--- /dev/null
+++ b/test/host/endpointNotices.test.ts
@@ -0,0 +1,96 @@
+import { test } from 'node:test'
+import { expect } from 'earl'
+import type { PlatformEndpoint } from '../../dev/store/PlatformEndpoint.js'
+import { endpointLimits } from '../../src/endpoints/endpointLimits.js'
+import { HostGroup } from '../support/HostGroup.js'
+
+async function sleep (ms: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, ms))
+}
+
+async function withGroup (run: (group: HostGroup, first: PlatformEndpoint, second: PlatformEndpoint) => Promise<void>): Promise<void> {
+  const group = await HostGroup.start(1, 2)
+  try {
+    await run(group, group.endpoints[0]!, group.endpoints[1]!)
+  } finally {
+    await group.stop()
+  }
+}
+
+/** Sends requests for many objects, one after the other, until all endpoints have had their share; returns the statuses. */
+async function sendMany (group: HostGroup, count = 30): Promise<number[]> {
+  const statuses: number[] = []
+  for (let index = 0; index < count; index++) statuses.push((await group.send({ object: String(index) })).status)
+  return statuses
+}
+
+// Guards against requests to an endpoint that leaves, for as long as its registry entry doesn't say so (DRAIN).
+test('an endpoint that says in a response that it is leaving gets no further requests', async () => {
+  await withGroup(async (group, first, second) => {
+    group.store.faults.down = 'silence'
+    first.leaving = '1'
+    const statuses = await sendMany(group)
+    expect([first.runs.length, second.runs.length, new Set(statuses)]).toEqual([1, 29, new Set([200])])
+  })
+})
+
+// Guards against the same where the endpoint rejects the request that it says so with.
+test('a leaving endpoint that sheds gets no further requests', async () => {
+  await withGroup(async (group, first) => {
+    first.leaving = '1'
+    first.behaviour = 'shed'
+    let arrivals = 0
+    first.onArrival = () => { arrivals += 1 }
+    await sendMany(group)
+    await sleep(endpointLimits.shedBackoffMs + 100)
+    await sendMany(group)
+    expect(arrivals).toEqual(1)
+  })
+})
+
+// Guards against requests that wait for their deadline at the only endpoint of a service, which is leaving.
+test('a request whose endpoints are all leaving is refused at once', async () => {
+  await withGroup(async (group, first, second) => {
+    first.leaving = second.leaving = '1'
+    await sendMany(group)
+    const startMs = performance.now()
+    const { status, headers } = await group.send()
+    expect([status, headers['retry-after'] !== undefined, performance.now() - startMs < 200]).toEqual([503, true, true])
+  })
+})
+
+// Guards against an endpoint that one wrong byte shuts out for good.
+test('an endpoint whose health check no longer says that it is leaving is used again', async () => {
+  await withGroup(async (group, first) => {
+    first.leaving = '1'
+    await sendMany(group)
+    first.leaving = undefined
+    await sendMany(group)
+    const before = first.runs.length
+    await sleep(endpointLimits.leavingCheckMs + 1_000)
+    await sendMany(group)
+    expect([before, first.runs.length > before]).toEqual([1, true])
+  })
+})
+
+// Guards against an endpoint that starts anew under its id and gets nothing because its earlier incarnation left.
+test('a new incarnation of a leaving endpoint is used', async () => {
+  await withGroup(async (group, first) => {
+    first.leaving = '1'
+    await sendMany(group)
+    first.leaving = undefined
+    group.store.tables.put('servers', first.id, { ...first.describe('stock', 'north-a'), born: Date.now() + 1_000 })
+    await sleep(1_000)
+    await sendMany(group)
+    expect(first.runs.length > 1).toEqual(true)
+  })
+})
+
+// Guards against text that shuts an endpoint out by chance, and against text that leaves no trace.
+test('a leaving that can not be read changes nothing and is recorded', async () => {
+  await withGroup(async (group, first) => {
+    first.leaving = 'yes'
+    await sendMany(group)
+    expect([first.runs.length > 1, group.logger.lines.some((line) => line.includes('response-leaving-invalid') && line.includes('yes'))]).toEqual([true, true])
+  })
+})
--- a/test/platformAdapter/PlatformHttpBinding.test.ts
+++ b/test/platformAdapter/PlatformHttpBinding.test.ts
@@ -42,3 +42,11 @@
 test('Retry-After has fractions of seconds', () => {
   expect(binding.formatRetryAfter(150)).toEqual('0.150')
 })
+
+// Guards against a leaving that is not seen among others, and against text that counts as one by chance.
+test('a response tells that its endpoint is leaving', () => {
+  const read = (...values: string[]): unknown => binding.readAnswerMetadata(503, values.flatMap((value) => ['Server-Leaving', value])).notice.leaving
+  expect(read()).toEqual({ kind: 'none' })
+  for (const values of [['1'], ['1', '1'], ['0', ' 1 ']]) expect(read(...values)).toEqual({ kind: 'value', value: true })
+  for (const text of ['', '0', '11', 'true', '1, 1']) expect(read(text)).toEqual({ kind: 'invalid', text })
+})
