--- a/dev/store/PlatformEndpoint.ts
+++ b/dev/store/PlatformEndpoint.ts
@@ -106,14 +106,15 @@
       res.writeHead(200, { 'X-Instance-Id': this.id, 'X-Cold-Start-Ms': String(this.coldMs), ...this.createNoticeHeaders() }).end()
       return
     }
-    this.onArrival(String(req.headers['x-request-id']))
+    const requestId = String(req.headers['x-request-id'])
+    this.onArrival(requestId)
     const expected = req.headers['x-expect-instance']
     if (expected !== undefined && expected !== this.id) {
-      res.writeHead(421, { 'X-Instance-Id': this.id }).end()
+      res.writeHead(421, { 'X-Request-Id': requestId, 'X-Instance-Id': this.id }).end()
       return
     }
     if (this.behaviour === 'shed' || this.slotQueue.length >= maxQueuedRequests) {
-      res.writeHead(503, { 'X-Not-Executed': '1', ...this.createNoticeHeaders() }).end()
+      res.writeHead(503, { 'X-Request-Id': requestId, 'X-Not-Executed': '1', ...this.createNoticeHeaders() }).end()
       return
     }
     await this.run(req, res, body)
--- a/src/endpoints/AnnouncedState.ts
+++ b/src/endpoints/AnnouncedState.ts
@@ -8,4 +8,6 @@
   ownRateLimit: EndpointRateLimit | undefined
   /** When a response first said that the endpoint is leaving; undefined while none has, or once a health check denied it. */
   leavingSinceMs: number | undefined
+  /** Until when the endpoint wants nothing from this host, by the response that asked for longest. */
+  backoffUntilMs: number
 }
--- a/src/endpoints/EndpointNotice.ts
+++ b/src/endpoints/EndpointNotice.ts
@@ -9,4 +9,6 @@
   readonly rateLimit: NoticeReading<number>
   /** Present when the endpoint is about to end. */
   readonly leaving: NoticeReading<true>
+  /** Time in ms for which the endpoint wants nothing from this host. */
+  readonly backoffMs: NoticeReading<number>
 }
--- a/src/endpoints/EndpointTable.ts
+++ b/src/endpoints/EndpointTable.ts
@@ -130,7 +130,7 @@
     reportedAtMs: -endpointLimits.loadReportValidMs,
     peerInFlight: 0,
     coldUntilMs: nowMs + record.coldMs,
-    announced: { rateLimit: undefined, ownRateLimit: undefined, leavingSinceMs: undefined },
+    announced: { rateLimit: undefined, ownRateLimit: undefined, leavingSinceMs: undefined, backoffUntilMs: -Infinity },
     isSuspect: false,
     nextProbeAtMs: 0,
     isProbing: false,
--- a/src/endpoints/endpointLimits.ts
+++ b/src/endpoints/endpointLimits.ts
@@ -29,6 +29,8 @@
   dedicatedConnectionMs: 10_000,
   /** Time in ms for which an endpoint counts as full after shedding a request. */
   shedBackoffMs: 150,
+  /** Longest time in ms for which an endpoint gets nothing because it asked for that; then it must pass a health check. */
+  maxBackoffMs: 60_000,
   /**
    * Time in ms from a response that says that the endpoint is leaving until a health check, and between further ones, while the
    * registry lists it as ready.
--- a/src/host/AttemptSeries.ts
+++ b/src/host/AttemptSeries.ts
@@ -151,9 +151,11 @@
     return createFailure(name, { retryAfterMs: name === 'hostLeaving' ? hostLimits.leavingRetryMs : this.chooseRetryAfterMs() })
   }
 
-  /** Adds jitter, so that callers that were refused together don't retry together. */
+  /** Adds jitter, so that callers that were refused together don't retry together. Nothing is gained by a retry while all endpoints back off. */
   private chooseRetryAfterMs (): number {
     const { minRetryAfterShare: min, maxRetryAfterShare: max } = hostLimits
-    return Math.round(this.request.route.objectiveMs * (min + (max - min) * this.context.random()))
+    const { endpointSelector, clock, random } = this.context
+    const backoffMs = endpointSelector.getBackoffMs(this.createSelectionRequest(), clock.nowMs())
+    return Math.round(backoffMs + this.request.route.objectiveMs * (min + (max - min) * random()))
   }
 }
--- a/src/host/HealthChecker.ts
+++ b/src/host/HealthChecker.ts
@@ -30,7 +30,8 @@
 
 /**
  * Probes suspect endpoints until they answer under their own id, and those that say that they are leaving although the registry
- * lists them as ready. Healthy endpoints need no probes: their answers show that they are up.
+ * lists them as ready. Healthy endpoints need no probes: their answers show that they are up. An endpoint that wants nothing for
+ * a time gets no probes either.
  */
 export class HealthChecker extends System {
   override readonly name = 'health'
@@ -44,7 +45,7 @@
   override run (nowMs: number): void {
     for (const row of this.options.endpoints) {
       this.logAvoided(row, nowMs)
-      if (needsProbe(row) && !row.isProbing && nowMs >= row.nextProbeAtMs) this.startProbe(row)
+      if (needsProbe(row) && !row.isProbing && nowMs >= Math.max(row.nextProbeAtMs, row.announced.backoffUntilMs)) this.startProbe(row)
     }
   }
 
--- a/src/host/HostMetrics.ts
+++ b/src/host/HostMetrics.ts
@@ -22,6 +22,7 @@
   readonly countRetainedRows: (table: CatalogTable) => number
   readonly countLimitedEndpoints: () => number
   readonly countLeavingEndpoints: () => number
+  readonly countBackingOffEndpoints: () => number
   readonly listRetryBudgets: () => readonly RetryBudgetState[]
 }
 
@@ -78,6 +79,7 @@
     this.addGauge('shunt_store_down', '1 while the store cannot be reached', () => gauges.isStoreDown() ? 1 : 0)
     this.addGauge('shunt_endpoints_limited', 'Endpoints that name a rate limit in their responses', gauges.countLimitedEndpoints)
     this.addGauge('shunt_endpoints_leaving', 'Endpoints that are left out because they say in their responses that they are leaving', gauges.countLeavingEndpoints)
+    this.addGauge('shunt_endpoints_backing_off', 'Endpoints that are left out because they asked in a response for a time without requests', gauges.countBackingOffEndpoints)
     this.addGauge('shunt_store_era', 'Era of the store that the local copy of the orders belongs to; it rises when the store is restored', gauges.getStoreEra)
     this.addTableGauge('shunt_table_unconfirmed_ms', 'Time since the latest call to the store by any host that shows that the local copy of a table is complete', gauges.getTableAge)
     this.addTableGauge('shunt_table_retained_rows', 'Rows that hold although the store has lost them by a restore', gauges.countRetainedRows)
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -20,7 +20,7 @@
 import { InputEdge } from '../common/InputEdge.js'
 import type { Logger } from '../common/Logger.js'
 import { Scheduler } from '../common/Scheduler.js'
-import { RateLimitLogSystem } from '../endpoints/RateLimitLogSystem.js'
+import { AnnouncementLogSystem } from '../endpoints/AnnouncementLogSystem.js'
 import { EndpointTable } from '../endpoints/EndpointTable.js'
 import { DrainableHttpServer } from '../entry/DrainableHttpServer.js'
 import { HttpUpstreamClient } from '../entry/HttpUpstreamClient.js'
@@ -185,7 +185,7 @@
     const checker = new HealthChecker({ endpoints: this.endpoints, dial, routing: this.routing, httpBinding, notices: this.notices, clock, logger: createLog('endpoints') })
     this.scheduler = new Scheduler(
       clock,
-      [checker, this.registration, this.createMaintenanceSystem(), this.createShareSystem(), this.createFreshnessSystem(), this.createRetryBudgetLogSystem(), new RateLimitLogSystem(this.endpoints, createLog('endpoints'))],
+      [checker, this.registration, this.createMaintenanceSystem(), this.createShareSystem(), this.createFreshnessSystem(), this.createRetryBudgetLogSystem(), new AnnouncementLogSystem(this.endpoints, createLog('endpoints'))],
       (system, error) => {
         this.log.error('tick-failed', { system: system.name, error: formatException(error) })
       }
@@ -201,6 +201,7 @@
       countRetainedRows: (table) => this.state.catalog.countRetained(table),
       countLimitedEndpoints: () => [...this.endpoints].filter((row) => row.announced.rateLimit?.perSecond !== undefined).length,
       countLeavingEndpoints: () => [...this.endpoints].filter((row) => row.announced.leavingSinceMs !== undefined).length,
+      countBackingOffEndpoints: () => [...this.endpoints].filter((row) => row.announced.backoffUntilMs > clock.nowMs()).length,
       listRetryBudgets: () => this.retries.list(clock.nowMs())
     })
   }
--- a/src/host/NoticeRecorder.ts
+++ b/src/host/NoticeRecorder.ts
@@ -23,6 +23,7 @@
   record (row: EndpointRow, notice: EndpointNotice): void {
     this.recordRateLimit(row, notice.rateLimit)
     this.recordLeaving(row, notice.leaving)
+    this.recordBackoff(row, notice.backoffMs)
   }
 
   /** The endpoint is left out until its registry entry goes, a new incarnation registers, or a health check denies it. */
@@ -53,6 +54,16 @@
     recordRateLimit(row, limit)
   }
 
+  /** The longest time asked for holds. One beyond the bound ends with a health check, so that no response shuts an endpoint out for good. */
+  private recordBackoff (row: EndpointRow, reading: EndpointNotice['backoffMs']): void {
+    if (reading.kind === 'invalid') this.reject('response-backoff-invalid', row, reading.text)
+    if (reading.kind !== 'value') return
+    const { maxBackoffMs } = endpointLimits
+    const untilMs = this.options.clock.nowMs() + Math.min(reading.value, maxBackoffMs)
+    row.announced.backoffUntilMs = Math.max(row.announced.backoffUntilMs, untilMs)
+    if (reading.value > maxBackoffMs) row.isSuspect = true
+  }
+
   private reject (reason: string, row: EndpointRow, text: string): void {
     this.options.rejected.record(InputEdge.endpoint, reason, { endpoint: row.record.id, text })
   }
--- a/src/placing/EndpointSelector.ts
+++ b/src/placing/EndpointSelector.ts
@@ -59,7 +59,7 @@
 
   /** Returns the selected endpoint; undefined when no eligible endpoint has capacity. */
   choose (request: SelectionRequest, nowMs: number): EndpointRow | undefined {
-    const eligible = this.rankEndpoints(request).filter((row) => this.isEligible(row, request))
+    const eligible = this.rankEndpoints(request).filter((row) => this.isEligible(row, request) && row.announced.backoffUntilMs <= nowMs)
     const healthy = selectHealthy(eligible, nowMs)
     const ranked = healthy.length > 0 ? healthy : eligible.slice(0, placementLimits.fallbackEndpoints)
     const objectKey = createObjectKey(request)
@@ -98,6 +98,13 @@
     return this.options.endpoints.listService(request.service).some((row) => this.isEligible(row, request))
   }
 
+  /** Returns the time in ms until one of the endpoints takes requests again, also of those tried; 0 when one does now, or there is none. */
+  getBackoffMs (request: SelectionRequest, nowMs: number): number {
+    const first = { ...request, excluded: new Set<string>() }
+    const eligible = this.options.endpoints.listService(request.service).filter((row) => this.isEligible(row, first))
+    return eligible.length === 0 ? 0 : Math.max(0, Math.min(...eligible.map((row) => row.announced.backoffUntilMs)) - nowMs)
+  }
+
   /** Drops the state of endpoints that are no longer registered. */
   retain (isRegistered: (endpoint: string) => boolean): void {
     this.recentObjects.retain(isRegistered)
--- a/test/host/endpointNotices.test.ts
+++ b/test/host/endpointNotices.test.ts
@@ -17,10 +17,12 @@
   }
 }
 
-/** Sends requests for many objects, one after the other, until all endpoints have had their share; returns the statuses. */
+let objects = 0
+
+/** Sends requests one after the other, each for an object of its own, so that all endpoints get their share; returns the statuses. */
 async function sendMany (group: HostGroup, count = 30): Promise<number[]> {
   const statuses: number[] = []
-  for (let index = 0; index < count; index++) statuses.push((await group.send({ object: String(index) })).status)
+  for (let index = 0; index < count; index++) statuses.push((await group.send({ object: String(objects++) })).status)
   return statuses
 }
 
@@ -94,3 +96,72 @@
     expect([first.runs.length > 1, group.logger.lines.some((line) => line.includes('response-leaving-invalid') && line.includes('yes'))]).toEqual([true, true])
   })
 })
+
+/** Records the times of arrivals at an endpoint. */
+function recordArrivals (endpoint: PlatformEndpoint): number[] {
+  const times: number[] = []
+  endpoint.onArrival = () => times.push(performance.now())
+  return times
+}
+
+// Guards against requests to an endpoint in the time in which it wants none (BUDGET).
+test('an endpoint that sheds with a back-off gets nothing until it ends', async () => {
+  await withGroup(async (group, first) => {
+    const times = recordArrivals(first)
+    Object.assign(first, { behaviour: 'shed', retryAfter: '1.5' })
+    await sendMany(group, 10)
+    Object.assign(first, { behaviour: 'good', retryAfter: undefined })
+    const endMs = times[0]! + 1_500
+    while (performance.now() < endMs + 500) await sendMany(group, 5)
+    expect([times.filter((ms) => ms > times[0]! && ms < endMs).length, times.some((ms) => ms > endMs)]).toEqual([0, true])
+  })
+})
+
+// Guards against requests that wait although every endpoint wants none, and against callers that return too early.
+test('a request whose endpoints all back off is refused at once until one of them ends', async () => {
+  await withGroup(async (group, first, second) => {
+    for (const endpoint of [first, second]) Object.assign(endpoint, { behaviour: 'shed', retryAfter: '2' })
+    await sendMany(group, 10)
+    expect(group.logger.lines.some((line) => line.includes('endpoint-leaving'))).toEqual(false)
+    const startMs = performance.now()
+    const { status, headers } = await group.send()
+    const retryAfter = Number(headers['retry-after'])
+    expect([status, performance.now() - startMs < 200, retryAfter >= 1, retryAfter <= 3]).toEqual([503, true, true, true])
+  })
+})
+
+// Guards against a back-off that a response shortens although an earlier one asked for longer.
+test('the longest back-off holds', async () => {
+  await withGroup(async (group, first, second) => {
+    second.behaviour = 'shed'
+    const times = recordArrivals(first)
+    Object.assign(first, { behaviour: 'shed', serviceMs: 0, retryAfter: '1.5' })
+    await group.send()
+    first.retryAfter = '0.1'
+    await sleep(600)
+    const before = times.length
+    await sendMany(group, 10)
+    expect([before, times.length]).toEqual([1, 1])
+  })
+})
+
+// Guards against an endpoint that shuts itself out for a year, and against text that becomes a back-off by chance.
+test('a back-off that can not be read changes nothing, and a long one is bounded by a health check', async () => {
+  await withGroup(async (group, first) => {
+    const times = recordArrivals(first)
+    for (const text of ['-1', 'soon', 'Wed, 21 Oct 2037 07:28:00 GMT', '']) {
+      Object.assign(first, { behaviour: 'shed', retryAfter: text })
+      const before = times.length
+      for (let round = 0; round < 2; round++) {
+        await sendMany(group, 10)
+        await sleep(endpointLimits.shedBackoffMs + 20)
+      }
+      expect([text, times.length - before > 1]).toEqual([text, true])
+    }
+    expect(group.logger.lines.filter((line) => line.includes('response-backoff-invalid')).length > 0).toEqual(true)
+    Object.assign(first, { behaviour: 'good', retryAfter: '30' })
+    const before = times.length
+    await sendMany(group)
+    expect(times.length > before + 1).toEqual(true)
+  })
+})
--- a/test/platformAdapter/PlatformHttpBinding.test.ts
+++ b/test/platformAdapter/PlatformHttpBinding.test.ts
@@ -50,3 +50,11 @@
   for (const values of [['1'], ['1', '1'], ['0', ' 1 ']]) expect(read(...values)).toEqual({ kind: 'value', value: true })
   for (const text of ['', '0', '11', 'true', '1, 1']) expect(read(text)).toEqual({ kind: 'invalid', text })
 })
+
+// Guards against a back-off that is not seen, and against one taken from a response that says it of something else.
+test('only a 503 tells the back-off of its endpoint', () => {
+  const read = (status: number, ...values: string[]): unknown => binding.readAnswerMetadata(status, values.flatMap((value) => ['Retry-After', value])).notice.backoffMs
+  expect([read(503), read(200, '3'), read(429, '3')]).toEqual(Array(3).fill({ kind: 'none' }))
+  expect([read(503, '0.5'), read(503, '20'), read(503, '2', '1.5')]).toEqual([500, 20_000, 2_000].map((value) => ({ kind: 'value', value })))
+  for (const text of ['', '-1', '1e9', 'Infinity', 'Wed, 21 Oct 2037 07:28:00 GMT']) expect(read(503, text)).toEqual({ kind: 'invalid', text })
+})
