--- a/test/host/malformedRequests.test.ts
+++ b/test/host/malformedRequests.test.ts
@@ -45,26 +45,29 @@
 })
 
 // Guards against the same by a header.
-test('a header name with a character that is not allowed gets status 400', async () => {
-  for (const line of ['X Odd: 1', 'X-Odd : 1', ': 1']) {
+test('a header with a character that is not allowed gets status 400', async () => {
+  for (const line of ['X Odd: 1', 'X-Odd : 1', ': 1', 'X-Odd: \0']) {
     expect(await sendBeside(`POST /order/ HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 0\r\n${line}`)).toEqual(refused)
   }
 })
 
 // Guards against a refusal that is lost in a reset because the caller goes on sending.
 test('a refusal of an odd head arrives although the caller sends more', async () => {
-  const group = await HostGroup.start(1, 1)
-  const caller = new RawCaller(group.connect())
-  try {
-    caller.sendBytes('POST /order/a\tb HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 0\r\n\r\n')
-    for (let index = 0; index < 10; index++) {
-      caller.send(`behind-${index}`, '/read/1')
-      await new Promise((resolve) => setTimeout(resolve, 10))
+  // Every parser refuses the second head.
+  for (const line of ['POST /order/a\tb HTTP/1.1', 'POST /order/a HTTP/1.1\r\nX-Odd: \0']) {
+    const group = await HostGroup.start(1, 1)
+    const caller = new RawCaller(group.connect())
+    try {
+      caller.sendBytes(`${line}\r\nHost: shop.example\r\nContent-Length: 0\r\n\r\n`)
+      for (let index = 0; index < 10; index++) {
+        caller.send(`behind-${index}`, '/read/1')
+        await new Promise((resolve) => setTimeout(resolve, 10))
+      }
+      await caller.ended
+      expect([caller.responses.map(({ status }) => status), group.endpoints[0]!.runs.length]).toEqual([[400], 0])
+    } finally {
+      caller.close()
+      await group.stop()
     }
-    await caller.ended
-    expect([caller.responses.map(({ status }) => status), group.endpoints[0]!.runs.length]).toEqual([[400], 0])
-  } finally {
-    caller.close()
-    await group.stop()
   }
 })
