--- a/src/host/HostMetrics.ts
+++ b/src/host/HostMetrics.ts
@@ -16,7 +16,7 @@
   readonly isStoreDown: () => boolean
   /** Returns for how long in ms the local copy of a table may miss changes. */
   readonly getTableAge: (table: CatalogTable) => number
-  /** Returns the era of the store that the configuration in force was read in. */
+  /** Returns the era of the store that the local copy of the orders belongs to. */
   readonly getStoreEra: () => number
   /** Returns how many rows of a table hold although the store has lost them by a restore. */
   readonly countRetainedRows: (table: CatalogTable) => number
--- a/test/host/endpointNotices.test.ts
+++ b/test/host/endpointNotices.test.ts
@@ -145,8 +145,8 @@
   })
 })
 
-// Guards against an endpoint that shuts itself out for a year, and against text that becomes a back-off by chance.
-test('a back-off that can not be read changes nothing, and a long one is bounded by a health check', async () => {
+// Guards against text that becomes a back-off by chance, and against one taken from a success.
+test('a back-off that can not be read, or in a success, changes nothing', async () => {
   await withGroup(async (group, first) => {
     const times = recordArrivals(first)
     for (const text of ['-1', 'soon', 'Wed, 21 Oct 2037 07:28:00 GMT', '']) {
