--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -11,6 +11,8 @@
 import type { HostRecord } from '../peers/HostRecord.js'
 import { PeerMesh } from '../peers/PeerMesh.js'
 import { PeerTable } from '../peers/PeerTable.js'
+import { PeerTraffic } from '../peers/PeerTraffic.js'
+import { PeerTrafficLogSystem } from '../peers/PeerTrafficLogSystem.js'
 import { StoreReaders } from '../peers/StoreReaders.js'
 import { StoreHealth } from '../catalog/StoreHealth.js'
 import type { Clock } from '../common/Clock.js'
@@ -141,6 +143,7 @@
       isLeaving: () => this.isLeaving
     })
     this.readers = new StoreReaders({ self: this.self, peers: this.peers, health: this.health, clock })
+    const traffic = new PeerTraffic(options.registry, clock)
     this.mesh = new PeerMesh({
       self: this.self,
       clusterKey: settings.clusterKey,
@@ -151,6 +154,7 @@
       clock,
       logger: createLog('peers'),
       rejected: options.rejected,
+      traffic,
       isReader: (host) => this.readers.isReader(host),
       describeSelf: (region) => status.describe(region)
     })
@@ -185,7 +189,7 @@
     const checker = new HealthChecker({ endpoints: this.endpoints, dial, routing: this.routing, httpBinding, notices: this.notices, clock, logger: createLog('endpoints') })
     this.scheduler = new Scheduler(
       clock,
-      [checker, this.registration, this.createMaintenanceSystem(), this.createShareSystem(), this.createFreshnessSystem(), this.createRetryBudgetLogSystem(), new AnnouncementLogSystem(this.endpoints, createLog('endpoints'))],
+      [checker, this.registration, this.createMaintenanceSystem(), this.createShareSystem(), this.createFreshnessSystem(), this.createRetryBudgetLogSystem(), new AnnouncementLogSystem(this.endpoints, createLog('endpoints')), new PeerTrafficLogSystem(traffic, createLog('peers'))],
       (system, error) => {
         this.log.error('tick-failed', { system: system.name, error: formatException(error) })
       }
--- a/src/peers/PeerMesh.ts
+++ b/src/peers/PeerMesh.ts
@@ -8,6 +8,7 @@
 import { FrameServer } from '../wire/FrameServer.js'
 import type { Message } from '../wire/Message.js'
 import type { Catalog } from '../catalog/Catalog.js'
+import type { CatalogPage } from '../catalog/CatalogPage.js'
 import { CatalogTable } from '../catalog/CatalogTable.js'
 import { comparePositions } from '../catalog/comparePositions.js'
 import type { StorePosition } from '../catalog/StorePosition.js'
@@ -17,6 +18,7 @@
 import type { HostRecord } from './HostRecord.js'
 import type { PeerRow } from './PeerRow.js'
 import type { PeerTable } from './PeerTable.js'
+import type { PeerTraffic } from './PeerTraffic.js'
 
 /** Dependencies of the links to other hosts. */
 interface PeerMeshOptions {
@@ -30,6 +32,7 @@
   readonly clock: Clock
   readonly logger: Logger
   readonly rejected: RejectedInput
+  readonly traffic: PeerTraffic
   /** Returns true when a host reads the store itself. */
   readonly isReader: (host: string) => boolean
   /** Returns the state of this host for a heartbeat to a region; `undefined` when the receiver's region is unknown. */
@@ -40,6 +43,9 @@
 
 const tables = Object.values(CatalogTable)
 
+/** Type of the message that holds a heartbeat. */
+const heartbeatType = 'beat'
+
 /**
  * Exchanges heartbeats between hosts. Each host sends one to every other host a few times a second. Request and reply both
  * carry the sender's state and updates for tables of which the receiver has an older copy, so a host that the store
@@ -54,14 +60,16 @@
   private readonly peerPositions = new Map<string, TablePositions>()
 
   constructor (private readonly options: PeerMeshOptions) {
-    const { self, clusterKey, dial, clock } = options
+    const { self, clusterKey, dial, clock, traffic } = options
     const identity = { name: self.name, role: 'entry', incarnation: self.incarnation } as const
-    this.server = new FrameServer({ self: identity, clusterKey, idleTimeoutMs: peerLimits.idleTimeoutMs, onMessage: (message) => this.handleRequest(message) })
+    const onSent = (type: string, bytes: number): void => traffic.recordSent(type, bytes)
+    this.server = new FrameServer({ self: identity, clusterKey, idleTimeoutMs: peerLimits.idleTimeoutMs, onSent, onMessage: (message) => this.handleRequest(message) })
     this.client = new FrameClient({
       self: identity,
       clusterKey,
       dial,
       clock,
+      onSent,
       onMessage: () => undefined,
       onClose: (address, failure) => {
         if (failure !== undefined) options.rejected.record(InputEdge.peer, 'peer-connection-failed', { address, code: failure.name, reason: failure.message })
@@ -145,10 +153,12 @@
     const reply = await this.client.request(
       address, encodeHeartbeat(this.createHeartbeat(receiverPositions, row?.record)), peerLimits.heartbeatTimeoutMs)
     if (reply.isErr()) {
+      this.options.traffic.recordFailure(heartbeatType, reply.error.name)
       // The connection may be dead without a reset having arrived.
       this.client.disconnect(address)
       return
     }
+    this.options.traffic.recordReply(heartbeatType, this.options.clock.nowMs() - sentAtMs)
     if (row !== undefined) row.roundTripMs = smoothRoundTrip(row.roundTripMs, this.options.clock.nowMs() - sentAtMs)
     this.receive(reply.value, sentAtMs)
   }
@@ -161,7 +171,7 @@
   /** `sentAtMs` is the time of this host's request when the message is its reply. */
   private receive (message: Message, sentAtMs?: number): Heartbeat | undefined {
     const { catalog, clock, peers, logger, rejected } = this.options
-    const heartbeat = message.t === 'beat' ? readHeartbeat(message.beat, (reason, fields) => rejected.record(InputEdge.peer, reason, fields)) : undefined
+    const heartbeat = message.t === heartbeatType ? readHeartbeat(message.beat, (reason, fields) => rejected.record(InputEdge.peer, reason, fields)) : undefined
     if (heartbeat === undefined) {
       rejected.record(InputEdge.peer, 'heartbeat-refused', { type: String(message.t) })
       return undefined
@@ -211,7 +221,13 @@
     return tables
       .filter((table) => comparePositions(this.positionOf(positions, table), catalog.positionOf(table)) < 0)
       .filter((table) => !isReader || positions.versions[table] < 0 || catalog.ageOf(table, nowMs) >= peerLimits.readerPushDelayMs)
-      .map((table) => [table, catalog.exportSince(table, this.positionOf(positions, table), nowMs)] as const)
+      .map((table) => [table, this.exportPage(table, this.positionOf(positions, table), nowMs)] as const)
+  }
+
+  private exportPage (table: CatalogTable, after: StorePosition, nowMs: number): CatalogPage {
+    const page = this.options.catalog.exportSince(table, after, nowMs)
+    this.options.traffic.recordPage(table, page.after === undefined ? 'whole' : 'changes', page.rows.length)
+    return page
   }
 }
 
@@ -221,5 +237,5 @@
 }
 
 function encodeHeartbeat (beat: Heartbeat): Message {
-  return { t: 'beat', beat }
+  return { t: heartbeatType, beat }
 }
--- a/src/wire/FrameClient.ts
+++ b/src/wire/FrameClient.ts
@@ -18,6 +18,8 @@
   readonly clock: Clock
   /** Handles messages that the peer sends without a request. */
   readonly onMessage: (message: Message, peer: PeerIdentity) => Promise<Message | undefined> | Message | undefined
+  /** Called for each message with the size of its frame in bytes. */
+  readonly onSent?: (type: string, bytes: number) => void
   readonly onReady?: (address: string, peer: PeerIdentity) => void
   readonly onClose?: (address: string, failure: Failure | undefined) => void
 }
--- a/src/wire/FrameConnection.ts
+++ b/src/wire/FrameConnection.ts
@@ -22,6 +22,8 @@
   readonly onMessage: MessageHandler
   /** Time in ms without any bytes after which the connection is closed; none when it is not set. */
   readonly idleTimeoutMs?: number | undefined
+  /** Called for each message with the size of its frame in bytes. */
+  readonly onSent?: ((type: string, bytes: number) => void) | undefined
 }
 
 /** A request that awaits its response. */
@@ -105,7 +107,9 @@
 
   private send (message: Message): void {
     if (this.closed) return
-    this.socket.write(encodeFrame(message))
+    const frame = encodeFrame(message)
+    this.socket.write(frame)
+    this.options.onSent?.(message.t, frame.length)
     if (this.socket.writableLength > frameLimits.maxBacklogBytes) {
       this.close(createFailure('peerTimeout', { message: 'the peer does not read fast enough; the send buffer is full' }))
     }
--- a/src/wire/FrameServer.ts
+++ b/src/wire/FrameServer.ts
@@ -16,6 +16,8 @@
   readonly onClose?: (peer: PeerIdentity | undefined, failure: Failure | undefined, connection: FrameConnection) => void
   /** Time in ms without any bytes after which a connection is closed; a connection that fell silent has no other end. */
   readonly idleTimeoutMs?: number
+  /** Called for each message with the size of its frame in bytes. */
+  readonly onSent?: (type: string, bytes: number) => void
   /** Largest number of concurrent connections. */
   readonly maxConnections?: number
 }
@@ -63,6 +65,7 @@
       self: this.options.self,
       clusterKey: this.options.clusterKey,
       idleTimeoutMs: this.options.idleTimeoutMs,
+      onSent: this.options.onSent,
       onMessage: (message, peer) => this.options.onMessage(message, peer, connection)
     })
     return connection
--- a/test/peers/PeerMesh.test.ts
+++ b/test/peers/PeerMesh.test.ts
@@ -1,10 +1,12 @@
 import { test } from 'node:test'
 import { expect } from 'earl'
+import { Registry } from 'prom-client'
 import { Catalog } from '../../src/catalog/Catalog.js'
 import { DialMap } from '../../src/common/DialMap.js'
 import { SystemClock } from '../../src/common/SystemClock.js'
 import { PeerMesh } from '../../src/peers/PeerMesh.js'
 import { PeerTable } from '../../src/peers/PeerTable.js'
+import { PeerTraffic } from '../../src/peers/PeerTraffic.js'
 import { FrameServer } from '../../src/wire/FrameServer.js'
 import { createHeartbeat } from '../support/createHeartbeat.js'
 import { createRejectedInput } from '../support/createRejectedInput.js'
@@ -22,6 +24,7 @@
     catalog: new Catalog(() => {}),
     clock: new SystemClock(),
     rejected: createRejectedInput(options.logger),
+    traffic: new PeerTraffic(new Registry(), new SystemClock()),
     isReader: () => true,
     ...options
   })
