--- a/test/support/HostGroup.ts
+++ b/test/support/HostGroup.ts
@@ -13,6 +13,7 @@
 import { CuttableStore } from './CuttableStore.js'
 import { createHostSettings } from './createHostSettings.js'
 import { findFreePorts } from './findFreePorts.js'
+import type { LimitedLinks } from './LimitedLinks.js'
 import { MemoryLogger } from './MemoryLogger.js'
 import type { RawEndpoint } from './RawEndpoint.js'
 import { waitUntil } from './waitUntil.js'
@@ -55,11 +56,11 @@
   private version = 0
 
   /** Hosts are placed in the regions in turn; all endpoints are in `north`. */
-  constructor (private readonly regions: readonly string[]) {}
+  constructor (private readonly regions: readonly string[], private readonly links: LimitedLinks | undefined) {}
 
   /** Starts a store with a configuration, endpoints of service `stock`, and hosts, and waits until all hosts are ready. */
-  static async start (hostCount = 1, endpointCount = 2, regions: readonly string[] = ['north']): Promise<HostGroup> {
-    const group = new HostGroup(regions)
+  static async start (hostCount = 1, endpointCount = 2, regions: readonly string[] = ['north'], links?: LimitedLinks): Promise<HostGroup> {
+    const group = new HostGroup(regions, links)
     group.storeAddress = await group.store.listen()
     group.putConfig({})
     for (let index = 0; index < endpointCount; index++) await group.addEndpoint(`e-${index}`)
@@ -100,6 +101,7 @@
   /** Starts a host; `name` is that of an earlier one when it is a restart, and `storeDelaysMs` delays its calls to the store. */
   async addHost (name = `host-${this.hosts.length}`, storeDelaysMs: CuttableStore['delaysMs'] = {}): Promise<HostProcess> {
     const settings = await this.createSettings(name)
+    for (const other of this.settings) await this.links?.connect(settings, other)
     const registry = new Registry()
     const clock = new SystemClock()
     const rejected = new RejectedInput({ registry, clock, logger: this.logger })
@@ -150,6 +152,7 @@
     this.store.close()
     for (const endpoint of [...this.endpoints, ...this.rawEndpoints]) endpoint.close()
     await Promise.all(this.hosts.map(async (host) => { await host.stop() }))
+    await this.links?.close()
   }
 
   private async createSettings (name: string): Promise<HostSettings> {
