Keep the history of a table across a full read of the same era (DRAIN)

Requests reached leaving endpoints on a large deployment, whose links were full of copies of tables. One cause: a full read began the history of a table anew, so after one every other host counted as behind it and was sent the whole table, by each host that had read in full, as all do after the store has dropped its history. Now a full read is compared with the copy; what changed is added to the history, and one that finds nothing changed moves only the version up to which the copy is complete. The era decides as before, and a table whose rows contradict the copy begins anew. Tests that failed before: 'a full read leaves what other hosts lack known as changes', 'a full read that finds nothing changed moves only the synced version'; the property test of copies now mixes full reads in as well.

--- a/src/catalog/Catalog.ts
+++ b/src/catalog/Catalog.ts
@@ -12,7 +12,7 @@
 interface TableCopy {
   /** Era of the store that the versions belong to. */
   era: number
-  /** Store version at which the rows last changed or were read in full. */
+  /** Store version at which the rows last changed, or of the full read that found them changed. */
   version: number
   /** Store version up to which all changes have been received. */
   syncedVersion: number
@@ -114,10 +114,17 @@
     if (comparePositions(page, this.positionOf(table)) <= 0) return false
     const rows = new Map(page.rows.filter((row) => row.entry !== undefined).map((row) => [row.key, row]))
     const { era, version } = page
+    const copy = this.copies.get(table)
+    const changes = copy?.era === era ? listChanges(copy, rows, version) : undefined
+    if (copy !== undefined && changes?.length === 0) {
+      copy.syncedVersion = Math.max(copy.syncedVersion, version)
+      return false
+    }
     const retained = new Map([...this.listEarlier(table, page)].filter(([key, row]) => holdsAfterRestore(row, rows.get(key))))
     const retainedUntilMs = this.computeRetentionEnd(table, page, nowMs)
     const removals = this.listRemovals(table, page, rows)
-    this.copies.set(table, { era, version, syncedVersion: version, updatedAtMs: nowMs, rows, removals, retained, retainedUntilMs, history: [], historyFrom: version })
+    const history = copy === undefined || changes === undefined ? { history: [], historyFrom: version } : extendHistory(copy, changes)
+    this.copies.set(table, { era, version, syncedVersion: version, updatedAtMs: nowMs, rows, removals, retained, retainedUntilMs, ...history })
     return true
   }
 
@@ -158,17 +165,28 @@
     }
     copy.version = page.version
     copy.updatedAtMs = nowMs
-    copy.history.push(...newerRows)
-    this.trimHistory(copy)
+    Object.assign(copy, extendHistory(copy, newerRows))
     return true
   }
+}
 
-  private trimHistory (copy: TableCopy): void {
-    const surplus = copy.history.length - catalogLimits.maxHistory
-    if (surplus <= 0) return
-    copy.historyFrom = copy.history[surplus - 1]!.version
-    copy.history = copy.history.slice(surplus)
-  }
+/**
+ * Lists the rows that changed between a copy and a whole table of the same era, in the order of their versions. A row that is gone
+ * counts as removed at the table's version, since that of its removal is not known. Returns undefined when the history can't go on:
+ * a row changed that the copy should have had.
+ */
+function listChanges (copy: TableCopy, rows: ReadonlyMap<string, CatalogRow>, version: number): CatalogRow[] | undefined {
+  const written = [...rows.values()].filter((row) => row.version !== copy.rows.get(row.key)?.version)
+  if (written.some((row) => row.version <= copy.version)) return undefined
+  const removed = [...copy.rows.keys()].filter((key) => !rows.has(key)).map((key) => ({ key, version, entry: undefined }))
+  return [...written, ...removed].sort((a, b) => a.version - b.version)
+}
+
+/** Adds changes to a history and drops the oldest ones beyond `maxHistory`. */
+function extendHistory ({ history, historyFrom }: TableCopy, changes: readonly CatalogRow[]): Pick<TableCopy, 'history' | 'historyFrom'> {
+  const all = [...history, ...changes]
+  const surplus = all.length - catalogLimits.maxHistory
+  return surplus <= 0 ? { history: all, historyFrom } : { history: all.slice(surplus), historyFrom: all[surplus - 1]!.version }
 }
 
 /** A change after a restore ends what was retained, unless its writer has not come to the newest state yet. */
--- a/test/catalog/Catalog.test.ts
+++ b/test/catalog/Catalog.test.ts
@@ -47,9 +47,14 @@
   expect(catalog.resumeAfter('orders')).toEqual({ era: 0, version: 9 })
 })
 
+/** Lists the rows that a full read returns after some changes. */
+function listLatest (history: readonly CatalogRow[]): CatalogRow[] {
+  return [...new Map(history.map((row) => [row.key, row])).values()].filter((row) => row.entry !== undefined)
+}
+
 // Guards against copies that diverge from the store after any mixture of feeds, reads and pages from peers.
 test('copies equal the store once they have its latest version', () => {
-  const change = fc.record({ key: fc.constantFrom('a', 'b', 'c'), isPut: fc.boolean(), via: fc.constantFrom('feed', 'peer', 'none') })
+  const change = fc.record({ key: fc.constantFrom('a', 'b', 'c'), isPut: fc.boolean(), via: fc.constantFrom('feed', 'read', 'peer', 'none') })
   fc.assert(fc.property(fc.array(change, { minLength: 1, maxLength: 30 }), (changes) => {
     const storeEntries = new Map<string, CatalogEntry>()
     const history: CatalogRow[] = []
@@ -66,6 +71,7 @@
       else storeEntries.set(key, entry)
       history.push({ key, version: history.length + 1, entry })
       if (via === 'feed') feed(one)
+      if (via === 'read') one.apply('orders', { era: 0, version: history.length, rows: listLatest(history) }, 0, 'store')
       if (via === 'peer') two.apply('orders', one.exportSince('orders', two.positionOf('orders'), 0), 0, 'one')
     }
     feed(two)
@@ -184,3 +190,26 @@
   expect(catalog.apply('orders', { era: 2, after: 4, version: 6, rows: [{ key: 'b', version: 6, entry: createEvacuation('b') }] }, 1, 'store')).toEqual(false)
   expect(catalog.exportSince('orders', { era: 2, version: 4 }, 0).after).toEqual(undefined)
 })
+
+// Guards against a full read, as after lost history of the store, after which each host is sent the whole table by each other one (issue 41).
+test('a full read leaves what other hosts lack known as changes', () => {
+  const rows = ['a', 'b', 'c'].map((key) => ({ key, version: 3, entry: createEvacuation(key) }))
+  const catalog = new Catalog(() => {})
+  const peer = new Catalog(() => {})
+  for (const each of [catalog, peer]) each.apply('orders', { era: 1, version: 3, rows }, 0, 'store')
+  const read = [rows[0]!, { key: 'b', version: 6, entry: createEvacuation('b2') }]
+  expect(catalog.apply('orders', { era: 1, version: 9, rows: read }, 1, 'store')).toEqual(true)
+  const page = catalog.exportSince('orders', peer.positionOf('orders'), 1)
+  expect([page.after, page.rows.map(({ key, version }) => [key, version])]).toEqual([3, [['b', 6], ['c', 9]]])
+  expect([peer.apply('orders', page, 1, 'peer'), listZones(peer)]).toEqual([true, ['a', 'b2']])
+})
+
+// Guards against hosts that count as behind, and are sent tables, because another host has read an unchanged table in full.
+test('a full read that finds nothing changed moves only the synced version', () => {
+  let changes = 0
+  const catalog = new Catalog(() => { changes += 1 })
+  const rows = [{ key: 'a', version: 3, entry: createEvacuation('a') }]
+  catalog.apply('orders', { era: 1, version: 3, rows }, 0, 'store')
+  expect(catalog.apply('orders', { era: 1, version: 9, rows }, 1, 'store')).toEqual(false)
+  expect([catalog.positionOf('orders'), catalog.resumeAfter('orders'), changes]).toEqual([{ era: 1, version: 3 }, { era: 1, version: 9 }, 1])
+})
