--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -155,6 +155,7 @@
       logger: createLog('peers'),
       rejected: options.rejected,
       traffic,
+      random: options.random,
       isReader: (host) => this.readers.isReader(host),
       describeSelf: (region) => status.describe(region)
     })
--- a/src/peers/Heartbeat.ts
+++ b/src/peers/Heartbeat.ts
@@ -33,6 +33,6 @@
   readonly demands: ReadonlyArray<readonly [service: string, perSecond: number]>
   /** Share of the sender's requests that stay in its region, by service. */
   readonly localShares: ReadonlyArray<readonly [service: string, share: number]>
-  /** Updates for tables of which the receiver has an older version. */
+  /** Updates for tables of which the receiver has an older version; only hosts of earlier releases send any. */
   readonly pages: ReadonlyArray<readonly [table: CatalogTable, page: CatalogPage]>
 }
--- a/src/peers/PeerMesh.ts
+++ b/src/peers/PeerMesh.ts
@@ -8,11 +8,13 @@
 import { FrameServer } from '../wire/FrameServer.js'
 import type { Message } from '../wire/Message.js'
 import type { Catalog } from '../catalog/Catalog.js'
-import type { CatalogPage } from '../catalog/CatalogPage.js'
 import { CatalogTable } from '../catalog/CatalogTable.js'
 import { comparePositions } from '../catalog/comparePositions.js'
-import type { StorePosition } from '../catalog/StorePosition.js'
+import { PageServer } from './PageServer.js'
+import { PeerMessage } from './PeerMessage.js'
+import { positionOf } from './positionOf.js'
 import { readHeartbeat } from './readHeartbeat.js'
+import { TableFetcher } from './TableFetcher.js'
 import { peerLimits } from './peerLimits.js'
 import type { Heartbeat } from './Heartbeat.js'
 import type { HostRecord } from './HostRecord.js'
@@ -35,29 +37,25 @@
   readonly traffic: PeerTraffic
   /** Returns true when a host reads the store itself. */
   readonly isReader: (host: string) => boolean
+  readonly random: () => number
   /** Returns the state of this host for a heartbeat to a region; `undefined` when the receiver's region is unknown. */
   readonly describeSelf: (region: string | undefined) => Omit<Heartbeat, 'host' | 'versions' | 'eras' | 'pages'>
 }
 
-type TablePositions = Pick<Heartbeat, 'versions' | 'eras'>
-
 const tables = Object.values(CatalogTable)
 
-/** Type of the message that holds a heartbeat. */
-const heartbeatType = 'beat'
-
 /**
  * Exchanges heartbeats between hosts. Each host sends one to every other host a few times a second. Request and reply both
- * carry the sender's state and updates for tables of which the receiver has an older copy, so a host that the store
- * rejects, or that starts while the store is down, gets the tables from its peers.
+ * carry the sender's state and the positions of its tables. A host with older ones fetches what it lacks, so a host that the
+ * store rejects, or that starts while the store is down, gets the tables from its peers.
  */
 export class PeerMesh {
   private readonly server: FrameServer
   private readonly client: FrameClient
   private timer: NodeJS.Timeout | undefined
   private nextSeedContactAtMs = 0
-  /** Positions of other hosts' tables as of their last heartbeat. */
-  private readonly peerPositions = new Map<string, TablePositions>()
+  private readonly pages: PageServer
+  private readonly fetcher: TableFetcher
 
   constructor (private readonly options: PeerMeshOptions) {
     const { self, clusterKey, dial, clock, traffic } = options
@@ -75,6 +73,8 @@
         if (failure !== undefined) options.rejected.record(InputEdge.peer, 'peer-connection-failed', { address, code: failure.name, reason: failure.message })
       }
     })
+    this.pages = new PageServer({ catalog: options.catalog, clock, traffic, getLinkMbps: () => self.linkMbps })
+    this.fetcher = this.createFetcher()
   }
 
   async start (): Promise<void> {
@@ -114,6 +114,31 @@
         this.options.logger.error('heartbeat-failed', { peer: row.record.name, error: String(error) }))
     }
     this.contactSeeds(nowMs)
+    this.fetcher.run(nowMs)
+  }
+
+  private createFetcher (): TableFetcher {
+    const { self, catalog, peers, clock, logger, traffic, random, isReader, rejected } = this.options
+    return new TableFetcher({
+      region: self.region,
+      catalog,
+      peers,
+      clock,
+      logger,
+      traffic,
+      random,
+      isReader: () => isReader(self.name),
+      request: async (address, message, timeoutMs) => await this.client.request(address, message, timeoutMs),
+      onRejected: (reason, fields) => rejected.record(InputEdge.peer, reason, fields),
+      onFetched: (table) => this.handleFetched(table)
+    })
+  }
+
+  /** What peers reported may now show that the copy is complete. A reader passes on what it got from another region. */
+  private handleFetched (table: CatalogTable): void {
+    const { peers, self, isReader } = this.options
+    for (const row of peers) this.updateContact(row, table)
+    if (isReader(self.name)) this.relay()
   }
 
   private logSilence (row: PeerRow, nowMs: number): void {
@@ -148,30 +173,29 @@
   }
 
   private async exchange (address: string, row: PeerRow | undefined): Promise<void> {
-    const receiverPositions = row === undefined ? undefined : this.peerPositions.get(row.record.name)
     const sentAtMs = this.options.clock.nowMs()
-    const reply = await this.client.request(
-      address, encodeHeartbeat(this.createHeartbeat(receiverPositions, row?.record)), peerLimits.heartbeatTimeoutMs)
+    const reply = await this.client.request(address, this.createHeartbeat(row?.record.region), peerLimits.heartbeatTimeoutMs)
     if (reply.isErr()) {
-      this.options.traffic.recordFailure(heartbeatType, reply.error.name)
+      this.options.traffic.recordFailure(PeerMessage.heartbeat, reply.error.name)
       // The connection may be dead without a reset having arrived.
       this.client.disconnect(address)
       return
     }
-    this.options.traffic.recordReply(heartbeatType, this.options.clock.nowMs() - sentAtMs)
+    this.options.traffic.recordReply(PeerMessage.heartbeat, this.options.clock.nowMs() - sentAtMs)
     if (row !== undefined) row.roundTripMs = smoothRoundTrip(row.roundTripMs, this.options.clock.nowMs() - sentAtMs)
     this.receive(reply.value, sentAtMs)
   }
 
   private handleRequest (message: Message): Message | undefined {
+    if (message.t === PeerMessage.fetch) return this.pages.serve(message)
     const heartbeat = this.receive(message)
-    return heartbeat === undefined ? undefined : encodeHeartbeat(this.createHeartbeat(heartbeat, heartbeat.host))
+    return heartbeat === undefined ? undefined : this.createHeartbeat(heartbeat.host.region)
   }
 
   /** `sentAtMs` is the time of this host's request when the message is its reply. */
   private receive (message: Message, sentAtMs?: number): Heartbeat | undefined {
     const { catalog, clock, peers, logger, rejected } = this.options
-    const heartbeat = message.t === heartbeatType ? readHeartbeat(message.beat, (reason, fields) => rejected.record(InputEdge.peer, reason, fields)) : undefined
+    const heartbeat = message.t === PeerMessage.heartbeat ? readHeartbeat(message.beat, (reason, fields) => rejected.record(InputEdge.peer, reason, fields)) : undefined
     if (heartbeat === undefined) {
       rejected.record(InputEdge.peer, 'heartbeat-refused', { type: String(message.t) })
       return undefined
@@ -181,53 +205,34 @@
     if (row === undefined) return heartbeat
     if (row.isReportedDown) logger.info('peer-up', { peer: heartbeat.host.name, incarnation: heartbeat.host.incarnation })
     row.isReportedDown = false
-    this.peerPositions.set(heartbeat.host.name, { versions: heartbeat.versions, eras: heartbeat.eras })
+    // Hosts of an earlier release send pages in heartbeats.
     for (const [table, page] of heartbeat.pages) catalog.apply(table, page, nowMs, heartbeat.host.name)
-    if (sentAtMs !== undefined) this.recordContacts(row, heartbeat, sentAtMs)
+    if (sentAtMs !== undefined) this.recordReport(row, heartbeat, sentAtMs)
+    this.fetcher.run(nowMs)
     return heartbeat
   }
 
   /** Only a reply bounds how old the peer's state is, since a request may have been under way for any time. */
-  private recordContacts (row: PeerRow, heartbeat: Heartbeat, sentAtMs: number): void {
-    const { tableAges } = heartbeat
-    for (const table of tables) {
-      if (tableAges[table] < 0) row.tableContacts.delete(table)
-      else if (comparePositions(this.positionOf(heartbeat, table), this.options.catalog.resumeAfter(table)) <= 0) row.tableContacts.set(table, sentAtMs - tableAges[table])
-    }
+  private recordReport (row: PeerRow, { versions, eras, tableAges }: Heartbeat, sentAtMs: number): void {
+    row.report = { versions, eras, tableAges, sentAtMs }
+    for (const table of tables) this.updateContact(row, table)
   }
 
-  private createHeartbeat (receiverPositions: TablePositions | undefined, receiver: HostRecord | undefined): Heartbeat {
+  private updateContact ({ report, tableContacts }: PeerRow, table: CatalogTable): void {
+    if (report === undefined) return
+    const ageMs = report.tableAges[table]
+    const own = this.options.catalog.resumeAfter(table)
+    if (ageMs < 0) tableContacts.delete(table)
+    else if (comparePositions(positionOf(report, table, own.era), own) <= 0) tableContacts.set(table, report.sentAtMs - ageMs)
+  }
+
+  private createHeartbeat (region: string | undefined): Message {
     const { self, catalog, describeSelf } = this.options
     const versions = { orders: 0, endpoints: 0, hosts: 0 }
     const eras = { orders: 0, endpoints: 0, hosts: 0 }
     for (const table of tables) ({ era: eras[table], version: versions[table] } = catalog.positionOf(table))
-    const isReader = receiver === undefined || this.options.isReader(receiver.name)
-    return { host: self, versions, eras, pages: this.listPagesFor(receiverPositions, isReader), ...describeSelf(receiver?.region) }
-  }
-
-  /** Without a known era, versions are compared as if both copies were of the same one. */
-  private positionOf ({ versions, eras }: TablePositions, table: CatalogTable): StorePosition {
-    return { era: eras?.[table] ?? this.options.catalog.positionOf(table).era, version: versions[table] }
-  }
-
-  /**
-   * Lists the table updates for a receiver. A reader gets changes from the store at the same time, so it is sent only tables
-   * that it doesn't have at all and versions that it still lacks after `readerPushDelayMs`.
-   */
-  private listPagesFor (positions: TablePositions | undefined, isReader: boolean): Heartbeat['pages'] {
-    const { catalog, clock } = this.options
-    if (positions === undefined) return []
-    const nowMs = clock.nowMs()
-    return tables
-      .filter((table) => comparePositions(this.positionOf(positions, table), catalog.positionOf(table)) < 0)
-      .filter((table) => !isReader || positions.versions[table] < 0 || catalog.ageOf(table, nowMs) >= peerLimits.readerPushDelayMs)
-      .map((table) => [table, this.exportPage(table, this.positionOf(positions, table), nowMs)] as const)
-  }
-
-  private exportPage (table: CatalogTable, after: StorePosition, nowMs: number): CatalogPage {
-    const page = this.options.catalog.exportSince(table, after, nowMs)
-    this.options.traffic.recordPage(table, page.after === undefined ? 'whole' : 'changes', page.rows.length)
-    return page
+    const beat: Heartbeat = { host: self, versions, eras, pages: [], ...describeSelf(region) }
+    return { t: PeerMessage.heartbeat, beat }
   }
 }
 
@@ -235,7 +240,3 @@
 function smoothRoundTrip (previousMs: number | undefined, measuredMs: number): number {
   return previousMs === undefined || measuredMs < previousMs ? measuredMs : previousMs + peerLimits.roundTripWeight * (measuredMs - previousMs)
 }
-
-function encodeHeartbeat (beat: Heartbeat): Message {
-  return { t: heartbeatType, beat }
-}
--- a/src/peers/PeerRow.ts
+++ b/src/peers/PeerRow.ts
@@ -1,6 +1,8 @@
 import type { CatalogTable } from '../catalog/CatalogTable.js'
 import type { Heartbeat } from './Heartbeat.js'
 import type { HostRecord } from './HostRecord.js'
+import type { TablePositions } from './TablePositions.js'
+import type { TableReport } from './TableReport.js'
 
 /** State of another host as this host sees it. Times are monotonic ms. */
 export interface PeerRow {
@@ -19,6 +21,10 @@
   incarnation: number
   /** True when the peer treats entries that are missing from the store as removed. */
   isStoreSettled: boolean
+  /** Positions of the peer's tables as of its last heartbeat; undefined before the first one. */
+  positions: TablePositions | undefined
+  /** What the peer's last reply told about its tables; undefined before the first one. */
+  report: TableReport | undefined
   /**
    * Time of the peer's latest call to the store by table, as far as this host has all changes that the call returned; tables
    * whose calls fail are left out.
--- a/src/peers/PeerTable.ts
+++ b/src/peers/PeerTable.ts
@@ -37,6 +37,7 @@
     row.record = heartbeat.host
     row.incarnation = heartbeat.host.incarnation
     row.lastHeartbeatAtMs = nowMs
+    row.positions = { versions: heartbeat.versions, eras: heartbeat.eras }
     row.isReady = heartbeat.isReady
     row.isLeaving = heartbeat.isLeaving
     row.loads = new Map(heartbeat.loads)
@@ -103,6 +104,8 @@
     incarnation: record.incarnation,
     loads: new Map(),
     isStoreSettled: true,
+    positions: undefined,
+    report: undefined,
     tableContacts: new Map(),
     demands: [],
     localShares: [],
--- a/src/peers/PeerTraffic.ts
+++ b/src/peers/PeerTraffic.ts
@@ -4,6 +4,7 @@
 import type { Clock } from '../common/Clock.js'
 import type { ResultName } from '../common/ResultName.js'
 import { QuantileGauge } from '../metrics/QuantileGauge.js'
+import type { PeerMessage } from './PeerMessage.js'
 import type { PeerTrafficSums } from './PeerTrafficSums.js'
 
 /** Whether a page held a whole table or only changes. */
@@ -36,13 +37,13 @@
     this.sums.sentRows += rows
   }
 
-  recordReply (type: string, elapsedMs: number): void {
+  recordReply (type: PeerMessage, elapsedMs: number): void {
     this.durations.record(type, elapsedMs)
     this.sums.replies += 1
     this.sums.longestMs = Math.max(this.sums.longestMs, elapsedMs)
   }
 
-  recordFailure (type: string, name: ResultName): void {
+  recordFailure (type: PeerMessage, name: ResultName): void {
     this.failures.inc({ type, name })
     this.sums.failures.set(name, (this.sums.failures.get(name) ?? 0) + 1)
   }
--- /dev/null
+++ b/src/peers/TableFetcher.ts
@@ -0,0 +1,175 @@
+import { match, P } from 'ts-pattern'
+import * as z from 'zod/mini'
+import type { Result } from 'neverthrow'
+import type { Catalog } from '../catalog/Catalog.js'
+import { CatalogTable } from '../catalog/CatalogTable.js'
+import { comparePositions } from '../catalog/comparePositions.js'
+import type { Clock } from '../common/Clock.js'
+import type { Failure } from '../common/Failure.js'
+import { formatException } from '../common/formatException.js'
+import type { Logger } from '../common/Logger.js'
+import type { Message } from '../wire/Message.js'
+import { forwardedPageSchema } from './forwardedPageSchema.js'
+import { pageCodec } from './pageCodec.js'
+import { peerLimits } from './peerLimits.js'
+import { PeerMessage } from './PeerMessage.js'
+import type { PeerRow } from './PeerRow.js'
+import type { PeerTable } from './PeerTable.js'
+import type { PeerTraffic } from './PeerTraffic.js'
+import { positionOf } from './positionOf.js'
+import { readForwardedPage } from './readForwardedPage.js'
+import type { RejectionHandler } from './RejectionHandler.js'
+
+/** Dependencies of the fetches. */
+interface TableFetcherOptions {
+  readonly region: string
+  readonly catalog: Catalog
+  readonly peers: PeerTable
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly traffic: PeerTraffic
+  readonly random: () => number
+  /** Returns true while this host reads the store itself. */
+  readonly isReader: () => boolean
+  readonly request: (address: string, message: Message, timeoutMs: number) => Promise<Result<Message, Failure>>
+  readonly onRejected: RejectionHandler
+  /** Called after the local copy of a table has changed. */
+  readonly onFetched: (table: CatalogTable) => void
+}
+
+/** State of the fetches of one table. Times are monotonic ms. */
+interface FetchState {
+  isInFlight: boolean
+  /** Since when another host is known to have a newer copy. */
+  behindSinceMs: number | undefined
+  nextAtMs: number
+  backoffMs: number
+  /** Host that failed to serve the last fetch; another one is asked next, if there is one. */
+  failedSource: string | undefined
+}
+
+/** Outcome of a fetch that brought nothing, with the time in ms after which the source can serve one, if it told any. */
+interface FetchFailure {
+  readonly waitMs: number | undefined
+}
+
+const replySchema = z.object({ waitMs: z.optional(z.number().check(z.gte(0))), page: z.optional(z.instanceof(Uint8Array)) })
+
+/**
+ * Fetches what this host lacks of the shared tables from hosts that have it, as their heartbeats tell. One fetch of a table is under
+ * way at a time, from one host, so a table crosses each link once however many hosts have it, and a fetch that fails is repeated
+ * with a backoff.
+ */
+export class TableFetcher {
+  private readonly states = new Map<CatalogTable, FetchState>(Object.values(CatalogTable).map((table) => [table, createState()]))
+
+  constructor (private readonly options: TableFetcherOptions) {}
+
+  /** Begins the fetches that are due. */
+  run (nowMs: number): void {
+    for (const [table, state] of this.states) {
+      if (!state.isInFlight && nowMs >= state.nextAtMs) this.check(table, state, nowMs)
+    }
+  }
+
+  private check (table: CatalogTable, state: FetchState, nowMs: number): void {
+    const sources = this.listSources(table, nowMs)
+    state.behindSinceMs = sources.length === 0 ? undefined : state.behindSinceMs ?? nowMs
+    if (state.behindSinceMs === undefined || nowMs - state.behindSinceMs < this.readDelayMs(table)) return
+    state.isInFlight = true
+    this.fetch(table, state, this.chooseSource(sources, state)).catch((error: unknown) =>
+      this.options.logger.error('fetch-failed', { table, error: formatException(error) }))
+  }
+
+  /** A host that reads the store gets changes from there at the same time. */
+  private readDelayMs (table: CatalogTable): number {
+    const { catalog, isReader } = this.options
+    return isReader() && catalog.versionOf(table) >= 0 ? peerLimits.readerFetchDelayMs : 0
+  }
+
+  private listSources (table: CatalogTable, nowMs: number): PeerRow[] {
+    const { catalog, peers } = this.options
+    const own = catalog.resumeAfter(table)
+    return peers.listAlive(nowMs).filter(({ positions }) =>
+      positions !== undefined && positions.versions[table] >= 0 && comparePositions(positionOf(positions, table, own.era), own) > 0)
+  }
+
+  /** Hosts of the region come first. The choice among them is random, so that they share the work. */
+  private chooseSource (sources: readonly PeerRow[], { failedSource }: FetchState): PeerRow {
+    const others = sources.filter((row) => row.record.name !== failedSource)
+    const usable = others.length > 0 ? others : sources
+    const near = usable.filter((row) => row.record.region === this.options.region)
+    const preferred = near.length > 0 ? near : usable
+    return preferred[Math.floor(this.options.random() * preferred.length)]!
+  }
+
+  private async fetch (table: CatalogTable, state: FetchState, source: PeerRow): Promise<void> {
+    let failure: FetchFailure | undefined = { waitMs: undefined }
+    try {
+      failure = await this.transfer(table, source)
+    } finally {
+      state.isInFlight = false
+      this.finish(state, source, failure)
+    }
+    if (failure === undefined) this.options.onFetched(table)
+  }
+
+  private finish (state: FetchState, source: PeerRow, failure: FetchFailure | undefined): void {
+    const { clock, random } = this.options
+    if (failure === undefined) {
+      Object.assign(state, createState())
+      return
+    }
+    state.failedSource = source.record.name
+    state.nextAtMs = clock.nowMs() + Math.max(failure.waitMs ?? 0, state.backoffMs) * (0.5 + random())
+    state.backoffMs = Math.min(peerLimits.maxFetchBackoffMs, state.backoffMs * 2)
+  }
+
+  /** Returns undefined when this host has what the source had. */
+  private async transfer (table: CatalogTable, source: PeerRow): Promise<FetchFailure | undefined> {
+    const { catalog, clock, traffic, request } = this.options
+    const startMs = clock.nowMs()
+    const reply = await request(source.record.peerAddress, { t: PeerMessage.fetch, table, ...catalog.resumeAfter(table) }, peerLimits.fetchTimeoutMs)
+    if (reply.isErr()) {
+      traffic.recordFailure(PeerMessage.fetch, reply.error.name)
+      return { waitMs: undefined }
+    }
+    traffic.recordReply(PeerMessage.fetch, clock.nowMs() - startMs)
+    return match(replySchema.safeParse(reply.value))
+      .with({ success: true, data: { page: P.nonNullable } }, ({ data }) => this.apply(table, data.page, source) ? undefined : { waitMs: undefined })
+      .with({ success: true }, ({ data }) => ({ waitMs: data.waitMs }))
+      .with({ success: false }, () => this.reject(table, source))
+      .exhaustive()
+  }
+
+  /** Returns true when the local copy has all that the page has. */
+  private apply (table: CatalogTable, bytes: Uint8Array, source: PeerRow): boolean {
+    const { catalog, clock, onRejected } = this.options
+    const parsed = forwardedPageSchema.safeParse(decodeSafely(bytes))
+    if (!parsed.success) {
+      this.reject(table, source)
+      return false
+    }
+    const page = readForwardedPage(table, parsed.data, onRejected)
+    if (page === undefined) return false
+    catalog.apply(table, page, clock.nowMs(), source.record.name)
+    return comparePositions(page, catalog.resumeAfter(table)) <= 0
+  }
+
+  private reject (table: CatalogTable, source: PeerRow): FetchFailure {
+    this.options.onRejected('page-unreadable', { table, peer: source.record.name })
+    return { waitMs: undefined }
+  }
+}
+
+function decodeSafely (bytes: Uint8Array): unknown {
+  try {
+    return pageCodec.decode(bytes)
+  } catch {
+    return undefined
+  }
+}
+
+function createState (): FetchState {
+  return { isInFlight: false, behindSinceMs: undefined, nextAtMs: 0, backoffMs: peerLimits.minFetchBackoffMs, failedSource: undefined }
+}
--- a/src/peers/peerLimits.ts
+++ b/src/peers/peerLimits.ts
@@ -14,8 +14,20 @@
   deadAfterMs: 2_000,
   /** Time in ms without a heartbeat for which a host that hasn't announced its leaving may still send requests, as it may only be cut off. */
   recentMs: 30_000,
-  /** Age in ms of a table version from which it is also sent to readers that lack it. */
-  readerPushDelayMs: 250,
+  /** Time in ms for which a host that reads the store waits for a change from there before it fetches it from another host. */
+  readerFetchDelayMs: 250,
+  /** Time in ms to wait for a page of a table. */
+  fetchTimeoutMs: 2_000,
+  /** Shortest and longest backoff in ms between failed fetches of a table. */
+  minFetchBackoffMs: 50,
+  maxFetchBackoffMs: 1_000,
+  /** Share of a host's link that pages may take, and the time in ms for which an unused share is kept. */
+  pageLinkShare: 0.5,
+  pageBurstMs: 1_000,
+  /** Largest size in bytes of a page without compression. */
+  maxPageBytes: 67_108_864,
+  /** Number of encoded pages kept per table. */
+  maxCachedPages: 8,
   /** Weight of a measured round trip that is longer than the smoothed one. */
   roundTripWeight: 0.1,
   /** Time in ms between checks for heartbeats that are due. */
--- /dev/null
+++ b/test/peers/PageServer.test.ts
@@ -0,0 +1,57 @@
+import { test } from 'node:test'
+import { expect } from 'earl'
+import { Registry } from 'prom-client'
+import { Catalog } from '../../src/catalog/Catalog.js'
+import { ManualClock } from '../../src/common/ManualClock.js'
+import { pageCodec } from '../../src/peers/pageCodec.js'
+import { PageServer } from '../../src/peers/PageServer.js'
+import { PeerTraffic } from '../../src/peers/PeerTraffic.js'
+import { createRoutingConfig } from '../support/createRoutingConfig.js'
+
+/** A host on a link of 1 Mbit/s with a configuration of many routes, whose names don't compress well. */
+function createServer (clock: ManualClock): PageServer {
+  const catalog = new Catalog(() => {})
+  const { routes, ...config } = createRoutingConfig()
+  const names = Array.from({ length: 2_000 }, (_value, index) => Math.sin(index + 1).toString(36))
+  catalog.apply('orders', { era: 1, version: 4, rows: [{ key: 'config', version: 4, entry: { kind: 'routing', config: { ...config, routes: names.map((name) => ({ ...routes[0]!, name })) } } }] }, 0, 'store')
+  return new PageServer({ catalog, clock, traffic: new PeerTraffic(new Registry(), clock), getLinkMbps: () => 1 })
+}
+
+const request = { t: 'fetch', table: 'orders', era: 0, version: -1 }
+
+// Guards against a large configuration that takes the whole link from requests and heartbeats (issue 41).
+test('pages take at most half of the link', () => {
+  const clock = new ManualClock()
+  const server = createServer(clock)
+  let bytes = 0
+  for (let ms = 0; ms < 10_000; ms += 10) {
+    const reply = server.serve(request)!
+    if (reply.page instanceof Uint8Array) bytes += reply.page.length
+    else expect(typeof reply.waitMs).toEqual('number')
+    clock.advance(10)
+  }
+  const halfLinkBytes = 62_500 * 10
+  const largestPage = 62_500
+  expect([bytes > halfLinkBytes * 0.8, bytes < halfLinkBytes + largestPage * 2]).toEqual([true, true])
+})
+
+// Guards against a reply that lacks rows because it was made for an earlier version or for another position.
+test('a page is made anew when the table or the position of the receiver is another one', () => {
+  const clock = new ManualClock()
+  const catalog = new Catalog(() => {})
+  const server = new PageServer({ catalog, clock, traffic: new PeerTraffic(new Registry(), clock), getLinkMbps: () => 0 })
+  const put = (version: number): void => {
+    catalog.apply('orders', { era: 1, ...(version === 1 ? {} : { after: version - 1 }), version, rows: [{ key: `z-${version}`, version, entry: { kind: 'evacuation', zone: 'z' } }] }, 0, 'store')
+  }
+  const count = (version: number): number => (pageCodec.decode(server.serve({ ...request, era: 1, version })!.page as Uint8Array) as { rows: unknown[] }).rows.length
+  put(1)
+  put(2)
+  expect([count(-1), count(1), count(-1)]).toEqual([2, 1, 2])
+  put(3)
+  expect([count(-1), count(1), count(2)]).toEqual([3, 2, 1])
+})
+
+test('a request for no table is refused', () => {
+  const server = createServer(new ManualClock())
+  expect([{ ...request, table: 'x' }, { ...request, version: 'x' }, { t: 'fetch' }].map((message) => server.serve(message))).toEqual([undefined, undefined, undefined])
+})
--- a/test/peers/PeerMesh.test.ts
+++ b/test/peers/PeerMesh.test.ts
@@ -24,6 +24,7 @@
     catalog: new Catalog(() => {}),
     clock: new SystemClock(),
     rejected: createRejectedInput(options.logger),
+    random: Math.random,
     traffic: new PeerTraffic(new Registry(), new SystemClock()),
     isReader: () => true,
     ...options
--- /dev/null
+++ b/test/peers/TableFetcher.test.ts
@@ -0,0 +1,131 @@
+import { test } from 'node:test'
+import { expect } from 'earl'
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import { Registry } from 'prom-client'
+import { Catalog } from '../../src/catalog/Catalog.js'
+import type { CatalogPage } from '../../src/catalog/CatalogPage.js'
+import { createFailure } from '../../src/common/createFailure.js'
+import type { Failure } from '../../src/common/Failure.js'
+import { ManualClock } from '../../src/common/ManualClock.js'
+import { pageCodec } from '../../src/peers/pageCodec.js'
+import { peerLimits } from '../../src/peers/peerLimits.js'
+import { PeerTable } from '../../src/peers/PeerTable.js'
+import { PeerTraffic } from '../../src/peers/PeerTraffic.js'
+import { TableFetcher } from '../../src/peers/TableFetcher.js'
+import type { Message } from '../../src/wire/Message.js'
+import { createHeartbeat } from '../support/createHeartbeat.js'
+import { MemoryLogger } from '../support/MemoryLogger.js'
+
+const whole: CatalogPage = { era: 1, version: 7, rows: [{ key: 'z', version: 7, entry: { kind: 'evacuation', zone: 'z' } }] }
+
+/** A host without a copy of its tables, and peers that have the orders. */
+class FetcherFixture {
+  readonly clock = new ManualClock()
+  readonly catalog = new Catalog(() => {})
+  readonly logger = new MemoryLogger()
+  /** Addresses that were asked for the orders, in turn. */
+  readonly asked: string[] = []
+  isReader = false
+  reply: () => Promise<Result<Message, Failure>> = async () => ok({ t: 'page', page: pageCodec.encode(whole) })
+  readonly fetcher: TableFetcher
+  private readonly peers = new PeerTable('self')
+
+  constructor () {
+    this.fetcher = new TableFetcher({
+      region: 'north',
+      catalog: this.catalog,
+      peers: this.peers,
+      clock: this.clock,
+      logger: this.logger,
+      traffic: new PeerTraffic(new Registry(), this.clock),
+      random: () => 0,
+      isReader: () => this.isReader,
+      request: async (address) => {
+        this.asked.push(address)
+        return await this.reply()
+      },
+      onRejected: (reason) => this.logger.warn(reason),
+      onFetched: () => {}
+    })
+  }
+
+  /** Receives a heartbeat of a host whose copy of the orders has version 7. */
+  hear (name: string, region = 'north'): void {
+    const host = { ...createHeartbeat(name, 1).host, region, peerAddress: name }
+    this.peers.receive(createHeartbeat(name, 1, { host, versions: { orders: 7, endpoints: -1, hosts: -1 } }), this.clock.nowMs())
+  }
+
+  /** Runs the fetches that are due and waits until they have ended. */
+  async run (): Promise<void> {
+    this.fetcher.run(this.clock.nowMs())
+    await new Promise((resolve) => setImmediate(resolve))
+  }
+}
+
+// Guards against a table that is sent by each host that has it, which fills the link of the host that lacks it (issue 41).
+test('a table is fetched from one host however many have it', async () => {
+  const fixture = new FetcherFixture()
+  fixture.reply = async () => await new Promise(() => {})
+  for (let index = 0; index < 30; index++) {
+    fixture.hear(`host-${index}`)
+    await fixture.run()
+  }
+  expect(fixture.asked.length).toEqual(1)
+})
+
+// Guards against a host that asks again for what it has.
+test('a host that has fetched a table asks nobody for it', async () => {
+  const fixture = new FetcherFixture()
+  fixture.hear('b')
+  for (let round = 0; round < 3; round++) await fixture.run()
+  expect([fixture.asked, fixture.catalog.versionOf('orders')]).toEqual([['b'], 7])
+})
+
+// Guards against a failed transfer that is repeated at once with the same contents, which keeps full links full (issue 41).
+test('a fetch that failed is repeated at another host after a growing pause', async () => {
+  const fixture = new FetcherFixture()
+  fixture.reply = async () => err(createFailure('peerTimeout'))
+  fixture.hear('b')
+  fixture.hear('c')
+  for (let ms = 0; ms < 1_000; ms += 10) {
+    await fixture.run()
+    fixture.clock.advance(10)
+  }
+  expect([fixture.asked.slice(0, 2), fixture.asked.length < 10]).toEqual([['b', 'c'], true])
+})
+
+// Guards against distant hosts that serve a table although one of the region has it.
+test('hosts of the region are asked first', async () => {
+  const fixture = new FetcherFixture()
+  fixture.hear('far', 'south')
+  fixture.hear('near')
+  await fixture.run()
+  expect(fixture.asked).toEqual(['near'])
+})
+
+// Guards against pages sent to hosts that get the same change from the store.
+test('a host that reads the store waits for the change from there', async () => {
+  const fixture = new FetcherFixture()
+  fixture.catalog.apply('orders', { era: 1, version: 1, rows: [] }, 0, 'store')
+  fixture.isReader = true
+  fixture.hear('b')
+  await fixture.run()
+  expect(fixture.asked).toEqual([])
+  fixture.clock.advance(peerLimits.readerFetchDelayMs)
+  await fixture.run()
+  expect(fixture.asked).toEqual(['b'])
+})
+
+// Guards against a host of another release, or with a fault, whose bytes end the process or are taken for a table.
+test('bytes that are no page are refused', async () => {
+  const fixture = new FetcherFixture()
+  const replies = [Buffer.from('x'), pageCodec.encode({ version: 'x' } as unknown as CatalogPage)]
+  fixture.hear('b')
+  for (const page of replies) {
+    fixture.reply = async () => ok({ t: 'page', page })
+    await fixture.run()
+    fixture.clock.advance(1_000)
+  }
+  expect([fixture.catalog.versionOf('orders'), fixture.logger.lines.filter((line) => line.includes('page-unreadable')).length]).toEqual([-1, 2])
+})
