--- a/src/peers/PeerMesh.ts
+++ b/src/peers/PeerMesh.ts
@@ -10,6 +10,7 @@
 import type { Catalog } from '../catalog/Catalog.js'
 import { CatalogTable } from '../catalog/CatalogTable.js'
 import { comparePositions } from '../catalog/comparePositions.js'
+import { computeDeadAfterMs } from './computeDeadAfterMs.js'
 import { PageServer } from './PageServer.js'
 import { PeerMessage } from './PeerMessage.js'
 import { positionOf } from './positionOf.js'
@@ -107,9 +108,10 @@
   private tick (): void {
     const nowMs = this.options.clock.nowMs()
     for (const row of this.options.peers) {
+      row.heartbeatIntervalMs = this.heartbeatIntervalFor(row)
       this.logSilence(row, nowMs)
       if (row.isHeartbeatInFlight || nowMs < row.nextHeartbeatAtMs) continue
-      row.nextHeartbeatAtMs = nowMs + this.heartbeatIntervalFor(row)
+      row.nextHeartbeatAtMs = nowMs + row.heartbeatIntervalMs
       this.sendHeartbeat(row).catch((error: unknown) =>
         this.options.logger.error('heartbeat-failed', { peer: row.record.name, error: String(error) }))
     }
@@ -142,7 +144,7 @@
   }
 
   private logSilence (row: PeerRow, nowMs: number): void {
-    if (row.isReportedDown || row.lastHeartbeatAtMs === undefined || nowMs - row.lastHeartbeatAtMs < peerLimits.deadAfterMs) return
+    if (row.isReportedDown || row.lastHeartbeatAtMs === undefined || nowMs - row.lastHeartbeatAtMs < computeDeadAfterMs(row.heartbeatIntervalMs)) return
     row.isReportedDown = true
     this.options.logger.warn('peer-down', { peer: row.record.name, silentMs: Math.round(nowMs - row.lastHeartbeatAtMs) })
   }
--- a/src/peers/PeerRow.ts
+++ b/src/peers/PeerRow.ts
@@ -12,6 +12,8 @@
   /** True when the peer has been logged as down, and initially, so that its first heartbeat is logged. */
   isReportedDown: boolean
   nextHeartbeatAtMs: number
+  /** Time in ms between heartbeats to the peer, and of the peer's to this host. */
+  heartbeatIntervalMs: number
   /** Smoothed round trip time in ms of heartbeats; undefined before the first one. */
   roundTripMs: number | undefined
   isHeartbeatInFlight: boolean
--- a/src/peers/PeerTable.ts
+++ b/src/peers/PeerTable.ts
@@ -1,4 +1,5 @@
 import { Table } from '../common/Table.js'
+import { computeDeadAfterMs } from './computeDeadAfterMs.js'
 import { peerLimits } from './peerLimits.js'
 import type { Heartbeat } from './Heartbeat.js'
 import type { HostRecord } from './HostRecord.js'
@@ -58,13 +59,13 @@
 
   /** Lists the hosts whose last heartbeat is recent. */
   listAlive (nowMs: number): PeerRow[] {
-    return [...this.rows].filter((row) => row.lastHeartbeatAtMs !== undefined && nowMs - row.lastHeartbeatAtMs < peerLimits.deadAfterMs)
+    return [...this.rows].filter((row) => row.lastHeartbeatAtMs !== undefined && nowMs - row.lastHeartbeatAtMs < computeDeadAfterMs(row.heartbeatIntervalMs))
   }
 
   /** Lists the hosts that may still send requests: live ones, and silent ones that may only be cut off. */
   listRecent (nowMs: number): PeerRow[] {
-    return [...this.rows].filter(({ lastHeartbeatAtMs, isLeaving }) => {
-      const keptMs = isLeaving ? peerLimits.deadAfterMs : peerLimits.recentMs
+    return [...this.rows].filter(({ lastHeartbeatAtMs, heartbeatIntervalMs, isLeaving }) => {
+      const keptMs = isLeaving ? computeDeadAfterMs(heartbeatIntervalMs) : peerLimits.recentMs
       return lastHeartbeatAtMs !== undefined && nowMs - lastHeartbeatAtMs < keptMs
     })
   }
@@ -97,6 +98,7 @@
     lastHeartbeatAtMs: undefined,
     isReportedDown: true,
     nextHeartbeatAtMs: 0,
+    heartbeatIntervalMs: peerLimits.sameRegionHeartbeatMs,
     roundTripMs: undefined,
     isHeartbeatInFlight: false,
     isReady: false,
--- a/src/peers/peerLimits.ts
+++ b/src/peers/peerLimits.ts
@@ -10,7 +10,7 @@
   heartbeatTimeoutMs: 1_000,
   /** Time in ms without a request after which an accepted connection is closed, since the peer uses a new one by then. */
   idleTimeoutMs: 30_000,
-  /** Time in ms without a heartbeat after which a host is considered down. */
+  /** Shortest time in ms without a heartbeat after which a host is considered down. */
   deadAfterMs: 2_000,
   /** Time in ms without a heartbeat for which a host that hasn't announced its leaving may still send requests, as it may only be cut off. */
   recentMs: 30_000,
--- a/test/peers/PeerTable.test.ts
+++ b/test/peers/PeerTable.test.ts
@@ -44,3 +44,13 @@
   expect([...peers.sumBreaks(200)]).toEqual([['e1', { hosts: 2, breaks: 3 }], ['e2', { hosts: 1, breaks: 1 }]])
   expect([...peers.sumBreaks(peerLimits.deadAfterMs)]).toEqual([['e1', { hosts: 1, breaks: 1 }]])
 })
+
+// Guards against a host that counts as down, so that others read the store in its place, because one of its rare heartbeats was lost (issue 41).
+test('a host whose heartbeats are rare is alive after one of them is lost', () => {
+  const peers = new PeerTable('a')
+  peers.receive(createHeartbeat('b', 1), 0)
+  const row = peers.get('b')!
+  row.heartbeatIntervalMs = peerLimits.crossRegionHeartbeatMs * peerLimits.maxSlowdown
+  const nextHeartbeatMs = 2 * row.heartbeatIntervalMs
+  expect([peers.listAlive(nextHeartbeatMs).length, peers.listAlive(nextHeartbeatMs + peerLimits.heartbeatTimeoutMs).length]).toEqual([1, 0])
+})
