Keep what an incarnation of an endpoint announced when its entry comes back (DRAIN)

A request reached an endpoint again that had said in its responses that it was leaving. Two causes, both of one state that ends too early: what responses said was held by the row of the registry entry and went with it, so an entry that lapsed and came back was taken for an endpoint that had said nothing; and one good health check after 5 s ended it, though an endpoint in trouble may pass one falsely. The users' rule excuses only a restart or a pause of the host. Now announcements (leaving, back-off, rate limit) belong to the incarnation and outlive its entry, and a leaving holds for 60 s whatever a health check says; after that a health check ends it as before.

--- a/src/endpoints/EndpointTable.ts
+++ b/src/endpoints/EndpointTable.ts
@@ -1,5 +1,7 @@
 import { hashName } from '../common/hashName.js'
 import { Table } from '../common/Table.js'
+import type { AnnouncedState } from './AnnouncedState.js'
+import { AnnouncedStates } from './AnnouncedStates.js'
 import { endpointLimits } from './endpointLimits.js'
 import type { EndpointRecord } from './EndpointRecord.js'
 import type { EndpointRow } from './EndpointRow.js'
@@ -24,6 +26,8 @@
 export class EndpointTable {
   private readonly rows = new Table<EndpointRow>()
   private byService = new Map<string, EndpointRow[]>()
+  /** What removed endpoints announced. */
+  private readonly announcedStates = new AnnouncedStates()
   private changes = 0
 
   constructor (private readonly findRegion: (zone: string) => string, private readonly readDrainMs: () => number) {}
@@ -79,7 +83,12 @@
 
   private deleteMissing ({ nowMs, mayHaveLapsed }: UpdateContext): number {
     if (mayHaveLapsed) return 0
-    return this.rows.deleteWhere((row) => row.expiresAtMs !== undefined && row.expiresAtMs <= nowMs)
+    const expired = [...this.rows].filter((row) => row.expiresAtMs !== undefined && row.expiresAtMs <= nowMs)
+    for (const { record, announced } of expired) {
+      this.announcedStates.keep(record, announced)
+      this.rows.delete(record.id)
+    }
+    return expired.length
   }
 
   /**
@@ -97,7 +106,7 @@
   private updateRow (record: EndpointRecord, nowMs: number): boolean {
     const existing = this.rows.get(record.id)
     if (existing === undefined || existing.record.bornAtMs !== record.bornAtMs || existing.record.address !== record.address) {
-      this.rows.set(record.id, createRow(record, this.findRegion(record.zone), nowMs))
+      this.rows.set(record.id, createRow(record, this.findRegion(record.zone), this.announcedStates.take(record), nowMs))
       return true
     }
     const hasNewColdPeriod = record.coldMs > 0 && record.coldMs !== existing.record.coldMs
@@ -120,7 +129,8 @@
   }
 }
 
-function createRow (record: EndpointRecord, region: string, nowMs: number): EndpointRow {
+function createRow (record: EndpointRecord, region: string, announced: AnnouncedState | undefined, nowMs: number): EndpointRow {
+  const leavingSinceMs = announced?.leavingSinceMs
   return {
     record,
     region,
@@ -130,9 +140,9 @@
     reportedAtMs: -endpointLimits.loadReportValidMs,
     peerInFlight: 0,
     coldUntilMs: nowMs + record.coldMs,
-    announced: { rateLimit: undefined, ownRateLimit: undefined, leavingSinceMs: undefined, backoffUntilMs: -Infinity },
+    announced: announced ?? { rateLimit: undefined, ownRateLimit: undefined, leavingSinceMs: undefined, backoffUntilMs: -Infinity },
     isSuspect: false,
-    nextProbeAtMs: 0,
+    nextProbeAtMs: leavingSinceMs === undefined ? 0 : leavingSinceMs + endpointLimits.leavingHoldMs,
     isProbing: false,
     failures: 0,
     breaks: 0,
--- a/src/endpoints/endpointLimits.ts
+++ b/src/endpoints/endpointLimits.ts
@@ -32,10 +32,14 @@
   /** Longest time in ms for which an endpoint gets nothing because it asked for that; then it must pass a health check. */
   maxBackoffMs: 60_000,
   /**
-   * Time in ms from a response that says that the endpoint is leaving until a health check, and between further ones, while the
-   * registry lists it as ready.
+   * Time in ms after a response that says that the endpoint is leaving for which that holds whatever a health check says. One that
+   * stays for longer, listed as ready, is used again once a health check denies that it is leaving.
    */
+  leavingHoldMs: 60_000,
+  /** Time in ms between these health checks. */
   leavingCheckMs: 5_000,
+  /** Number of removed endpoints whose announcements are kept. */
+  maxKeptAnnouncements: 10_000,
   /** Age in ms up to which an endpoint's load report is used. */
   loadReportValidMs: 300,
   /** Minimum number of entries, and share of all, that must disappear together to be treated as lapsed. */
--- a/src/host/HealthChecker.ts
+++ b/src/host/HealthChecker.ts
@@ -29,8 +29,8 @@
 const okStatus = 200
 
 /**
- * Probes suspect endpoints until they answer under their own id, and those that say that they are leaving although the registry
- * lists them as ready. Healthy endpoints need no probes: their answers show that they are up. An endpoint that wants nothing for
+ * Probes suspect endpoints until they answer under their own id, and those that have said for long that they are leaving although
+ * the registry lists them as ready. Healthy endpoints need no probes: their answers show that they are up. An endpoint that wants nothing for
  * a time gets no probes either.
  */
 export class HealthChecker extends System {
--- a/src/host/NoticeRecorder.ts
+++ b/src/host/NoticeRecorder.ts
@@ -26,24 +26,26 @@
     this.recordBackoff(row, notice.backoffMs)
   }
 
-  /** The endpoint is left out until its registry entry goes, a new incarnation registers, or a health check denies it. */
+  /** The endpoint is left out until a new incarnation registers, or a health check denies it after `leavingHoldMs`. */
   recordLeaving (row: EndpointRow, reading: EndpointNotice['leaving']): void {
     if (reading.kind === 'invalid') this.reject('response-leaving-invalid', row, reading.text)
     if (reading.kind !== 'value' || row.announced.leavingSinceMs !== undefined) return
     const { endpoints, clock, logger } = this.options
     const nowMs = clock.nowMs()
-    row.nextProbeAtMs = nowMs + endpointLimits.leavingCheckMs
+    row.nextProbeAtMs = nowMs + endpointLimits.leavingHoldMs
     endpoints.setLeaving(row, nowMs)
     logger.info('endpoint-leaving', { endpoint: row.record.id, service: row.record.service, draining: row.record.isDraining, source: 'response' })
   }
 
-  /** Records that an endpoint passed a health check whose response doesn't say that it is leaving. */
+  /** Records that an endpoint passed a health check whose response doesn't say that it is leaving; it may lie at first. */
   endLeaving (row: EndpointRow): void {
     const { endpoints, clock, logger } = this.options
     const { leavingSinceMs } = row.announced
     if (leavingSinceMs === undefined) return
+    const leftOutMs = clock.nowMs() - leavingSinceMs
+    if (leftOutMs < endpointLimits.leavingHoldMs) return
     endpoints.setLeaving(row, undefined)
-    logger.info('endpoint-stays', { endpoint: row.record.id, leftOutMs: Math.round(clock.nowMs() - leavingSinceMs) })
+    logger.info('endpoint-stays', { endpoint: row.record.id, leftOutMs: Math.round(leftOutMs) })
   }
 
   /** An invalid limit says neither that there is none nor what it is, so the one before stays in force. */
--- a/test/endpoints/EndpointTable.test.ts
+++ b/test/endpoints/EndpointTable.test.ts
@@ -81,3 +81,19 @@
   ])
   expect(table.update([createEndpoint('a', { isDraining: true })], storeAvailable)).toEqual([{ id: 'b', isDraining: false, keptMs: 0 }])
 })
+
+// Guards against requests to an endpoint that wants none because its entry went and came back (issue 41).
+test('what an incarnation announced holds when its entry comes back, and not for another incarnation', () => {
+  const endpoints = new EndpointTable(() => 'north', () => 2_500)
+  const records = ['e-0', 'e-1'].map((id) => createEndpoint(id))
+  const update = (present: typeof records, nowMs: number): void => { endpoints.update(present, { nowMs, mayHaveLapsed: false }) }
+  update(records, 0)
+  endpoints.setLeaving(endpoints.get('e-0')!, 5)
+  endpoints.get('e-1')!.announced.backoffUntilMs = 9_000
+  update([], 10)
+  update(records, 20)
+  expect([endpoints.get('e-0')!.announced.leavingSinceMs, endpoints.get('e-1')!.announced.backoffUntilMs, endpoints.listService('stock').map((row) => row.record.id)]).toEqual([5, 9_000, ['e-1']])
+  update([], 30)
+  update(records.map((record) => ({ ...record, bornAtMs: 2 })), 40)
+  expect(endpoints.listService('stock').map((row) => row.announced.backoffUntilMs)).toEqual([-Infinity, -Infinity])
+})
--- a/test/host/NoticeRecorder.test.ts
+++ b/test/host/NoticeRecorder.test.ts
@@ -29,3 +29,21 @@
   const results = [20_000, maxBackoffMs, 31_536_000_000].map((backoffMs) => recordBackoff(backoffMs))
   expect(results.map(({ announced, isSuspect }) => [announced.backoffUntilMs, isSuspect])).toEqual([[20_000, false], [maxBackoffMs, false], [maxBackoffMs, true]])
 })
+
+// Guards against an endpoint that one wrong byte shuts out for good, and against one that a false health check lets return at once.
+test('an endpoint that stays is used again when a health check denies its leaving after the hold time', () => {
+  const logger = new MemoryLogger()
+  const clock = new ManualClock()
+  const endpoints = new EndpointTable(() => 'north', () => 2_500)
+  endpoints.update([createEndpoint('e-0')], { nowMs: clock.nowMs(), mayHaveLapsed: false })
+  const row = endpoints.get('e-0')!
+  const notices = new NoticeRecorder({ endpoints, clock, logger, rejected: createRejectedInput(logger) })
+  notices.recordLeaving(row, { kind: 'value', value: true })
+  const listed: number[] = []
+  for (const ms of [5_000, endpointLimits.leavingHoldMs - 5_001, 1]) {
+    clock.advance(ms)
+    notices.endLeaving(row)
+    listed.push(endpoints.listService('stock').length)
+  }
+  expect([listed, row.nextProbeAtMs]).toEqual([[0, 0, 1], endpointLimits.leavingHoldMs])
+})
