Give up a response whose framing has no end, and one that switches protocols

An idempotent request was answered 504 at its deadline, though another endpoint could answer it, when a faulty endpoint sent bytes that the parser skips: empty lines before a response, or zeros of a chunk size. 30 requests parsed about 300 MB in a second. A response with status 101 also held its request until the deadline, since Node.js then closes the connection without an error.

Cause: the bounds of a response counted what its parser reports. Now the bytes of the connection count that are not part of the buffered body, 512 KB at most, and a connection that closes before a response fails its attempt. Tests that failed before: 'a request is answered by another endpoint when empty lines or a chunk size have no end', 'a response that switches protocols is a failure at once'.

--- a/src/entry/HttpExchange.ts
+++ b/src/entry/HttpExchange.ts
@@ -48,6 +48,8 @@
   private readonly received = new GrowingBuffer()
   /** Number of chunks in which the buffered part of the body arrived. */
   private receivedChunks = 0
+  /** Bytes received on the connection since the request was made. */
+  private socketBytes = 0
   private isSettled = false
   private mayHaveSent = false
   private hasRetriedStale = false
@@ -106,8 +108,11 @@
     const outgoing = httpRequest(this.addConnection(options, socket))
     this.mayHaveSent = true
     this.outgoing = outgoing
+    this.socketBytes = 0
     outgoing.on('response', this.onResponse)
     outgoing.on('error', this.onError)
+    outgoing.once('close', () => this.onClose(outgoing))
+    outgoing.once('socket', (connection) => this.limitFraming(connection))
     limitInterimResponses(outgoing, this.onEndlessInterim)
     if (socket === undefined) outgoing.once('socket', this.checkAfterConnect)
     this.writeBody(outgoing)
@@ -182,6 +187,25 @@
     this.send(undefined)
   }
 
+  /** A response that switches protocols closes the connection without an error. */
+  private readonly onClose = this.guard((outgoing: ClientRequest) => {
+    if (outgoing === this.outgoing && this.incoming === undefined) this.fail('upstreamReset', AttemptResult.broken)
+  })
+
+  /** The parser skips bytes without end that are part of no body, such as empty lines before a response or zeros before a chunk size. */
+  private limitFraming (socket: Socket): void {
+    const count = this.guard((chunk: Buffer) => {
+      if (this.isSettled) {
+        socket.off('data', count)
+        return
+      }
+      this.socketBytes += chunk.length
+      if (this.socketBytes - this.received.length > entryLimits.maxFramingBytes) this.reject('response-framing-too-long', this.incoming === undefined ? 'upstreamReset' : 'upstreamTruncated')
+    })
+    socket.on('data', count)
+    this.outgoing!.once('close', () => socket.off('data', count))
+  }
+
   private readonly onEndlessInterim = this.guard(() => this.reject('response-interim-endless', 'upstreamReset'))
 
   private readonly onResponse = this.guard((incoming: IncomingMessage) => {
--- a/src/entry/entryLimits.ts
+++ b/src/entry/entryLimits.ts
@@ -6,6 +6,8 @@
   maxBufferedBytes: 65_536,
   /** Number of chunks of a buffered response above which the attempt fails; each chunk costs processor time however small it is. */
   maxBufferedChunks: 8_192,
+  /** Maximum number of bytes of a response beside the buffered part of its body; more than its interim responses and headers can have. */
+  maxFramingBytes: 524_288,
   /** Maximum number of interim responses (1xx) to one request. */
   maxInterimResponses: 16,
   /** Maximum time in ms between body bytes; then the request fails as too slow. */
--- a/test/host/endlessResponses.test.ts
+++ b/test/host/endlessResponses.test.ts
@@ -59,3 +59,25 @@
     await group.waitUntil(() => endless.closedConnections > 0)
   })
 })
+
+// Guards against bytes that the parser skips, which cost processor time and the whole time of a request that another endpoint can answer.
+test('a request is answered by another endpoint when empty lines or a chunk size have no end', async () => {
+  const head = 'HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n'
+  for (const [first, more] of [['', '\r\n'.repeat(8_000)], [head, '0'.repeat(16_000)]] as const) {
+    await withEndless(first, more, 1, async (group, endless) => {
+      const answers = await Promise.all(Array.from({ length: 20 }, async (_value, index) => await group.send({ object: String(index) })))
+      expect(answers.map(({ status, body }) => [status, body])).toEqual(Array(20).fill([200, 'done e-0']))
+      await group.waitUntil(() => endless.closedConnections > 0 && group.logger.lines.some((line) => line.includes('response-framing-too-long')))
+    })
+  }
+})
+
+// Guards against a request that waits for its deadline because its connection closed without an error.
+test('a response that switches protocols is a failure at once', async () => {
+  await withEndless('HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n', 'x'.repeat(1_000), 0, async (group, endless) => {
+    const startMs = performance.now()
+    const { status } = await group.send({ method: 'POST', path: '/order/' })
+    expect([status, performance.now() - startMs < 500]).toEqual([502, true])
+    await group.waitUntil(() => endless.closedConnections > 0)
+  })
+})
