Spread the polls of the store within each region (DRAIN)

With 34 hosts a copy of a table counted as stale in calm, so hosts read the store themselves: one poll of all regions' readers ended every 1.5 s, and its proof reached hosts of other regions with a heartbeat every 1,417 ms, together with the way back 3.0 s, which is the bound after which a copy is stale and the whole of drain_s. Now a poll of the region's own readers ends every 1.5 s, whose hosts exchange heartbeats every 708 ms. It costs two more calls to the store a second with three regions. Test that failed before: 'the polls of a region are spread whatever readers other regions have'.

--- a/src/catalog/CatalogFollower.ts
+++ b/src/catalog/CatalogFollower.ts
@@ -25,7 +25,7 @@
   readonly shouldRead: (table: CatalogTable) => boolean
   /** Returns for how long in ms the local copy of a table may miss changes, as far as this host knows of calls by any host. */
   readonly getTableAge: (table: CatalogTable, nowMs: number) => number
-  /** Returns the place of this host among those that read the store, and their number. */
+  /** Returns the place of this host among those of its region that read the store, and their number. */
   readonly getReaderPlace: () => { readonly index: number, readonly count: number }
 }
 
--- a/src/catalog/PollSchedule.ts
+++ b/src/catalog/PollSchedule.ts
@@ -1,17 +1,17 @@
-/** Place of this host among the hosts that read the store, from 0, and their number. */
+/** Place of this host among the hosts of its region that read the store, from 0, and their number. */
 interface ReaderPlace {
   readonly index: number
   readonly count: number
 }
 
-/** Longest wait of a poll, and time between the ends of any two polls of a table in the cluster; both in ms. */
+/** Longest wait of a poll, and time between the ends of any two polls of a table in a region; both in ms. */
 interface PollTimes {
   readonly maxWaitMs: number
   readonly spacingMs: number
 }
 
 /**
- * Spreads the ends of the readers' long polls of one table over time. A change answers all polls at once, and hosts start
+ * Spreads the ends of the long polls of one table by a region's readers over time. A change answers all polls at once, and hosts start
  * together, so without this polls would begin and end together, and connections that fell silent would leave all readers
  * without news for a whole poll. A reader whose poll ends learns of the silence and forwards what it missed, so the spacing
  * bounds how long all can miss a change. The times are those of the store's clock, which all readers share.
--- a/src/catalog/catalogLimits.ts
+++ b/src/catalog/catalogLimits.ts
@@ -3,7 +3,7 @@
   /** Longest time in ms for which a long poll asks the store to wait for changes. */
   maxFollowWaitMs: 10_000,
   /**
-   * Time in ms between the ends of any two long polls of a table, whichever hosts make them. Missed changes of configuration
+   * Time in ms between the ends of any two long polls of a table, whichever hosts of a region make them. Missed changes of configuration
    * and endpoints must arrive within seconds after connections fell silent; hosts also discover each other by heartbeats.
    */
   pollSpacingMs: { orders: 1_500, endpoints: 1_500, hosts: 10_000 },
--- a/src/peers/StoreReaders.ts
+++ b/src/peers/StoreReaders.ts
@@ -40,11 +40,15 @@
     return this.isReader(this.options.self.name) || !this.isReadByOthers(table)
   }
 
-  /** Returns the place of this host among the readers, in the same order on all hosts, and their number. */
+  /**
+   * Returns the place of this host among the readers of its region, in the same order on all of its hosts, and their number. Polls
+   * are spread within a region, since heartbeats between regions are too rare with many hosts to prove that a table is complete.
+   */
   getPlace (): { readonly index: number, readonly count: number } {
     this.refresh()
-    const names = [...this.readers].sort()
-    const index = names.indexOf(this.options.self.name)
+    const { self, peers } = this.options
+    const names = [...this.readers].filter((name) => name === self.name || peers.get(name)?.record.region === self.region).sort()
+    const index = names.indexOf(self.name)
     // A host that reads the store because no reader reaches it can't rely on the others.
     return index < 0 ? { index: 0, count: 1 } : { index, count: names.length }
   }
--- a/test/peers/StoreReaders.test.ts
+++ b/test/peers/StoreReaders.test.ts
@@ -121,3 +121,16 @@
   expect(places.map(({ index }) => index).sort()).toEqual([0, 1])
   expect(places.map(({ count }) => count)).toEqual([2, 2])
 })
+
+// Guards against copies that count as stale in calm because their proof comes from other regions, whose heartbeats are rare with many hosts (issue 41).
+test('the polls of a region are spread whatever readers other regions have', () => {
+  const createFar = (name: string): HostRecord => ({ ...createRecord(name), region: 'south' })
+  const far = names.map((name) => `far-${name}`)
+  const places = chosen.map((name) => {
+    const fixture = new StoreReadersFixture(name)
+    for (const each of far) fixture.peers.receive(createHeartbeat(each, 1, { host: createFar(each) }), fixture.clock.nowMs())
+    fixture.receiveHeartbeats(names)
+    return fixture.readers.getPlace()
+  })
+  expect(places.map(({ index, count }) => [index, count]).sort()).toEqual([[0, 2], [1, 2]])
+})
