End a call to the store whose connection closes without a response or an error

A host would have read a table no more: a response with status 101 closes its connection without an error, so the call to the store never ended, also not by its timeout, since the request was gone by then. A request that closes without a response now fails as disconnected. Test that failed before: 'a response that switches protocols fails the call' (no result within 3 s).

--- a/src/ctl/callHost.ts
+++ b/src/ctl/callHost.ts
@@ -46,7 +46,11 @@
     // Nothing is sent before the connection, including its TLS handshake, is established.
     req.on('socket', (socket) => socket.once(call.tls === undefined ? 'connect' : 'secureConnect', () => { connected = true }))
     req.on('error', fail)
+    let hasResponse = false
+    // A response that switches protocols closes the connection without an error.
+    req.on('close', () => { if (!hasResponse) fail(new Error('the connection closed without a response')) })
     req.on('response', (res) => {
+      hasResponse = true
       const chunks: Buffer[] = []
       let bytes = 0
       res.on('data', (chunk: Buffer) => {
--- a/test/platformAdapter/HttpCatalogStore.test.ts
+++ b/test/platformAdapter/HttpCatalogStore.test.ts
@@ -89,3 +89,20 @@
     expect((await client.read('endpoints'))._unsafeUnwrapErr().kind).toEqual('unavailable')
   })
 })
+
+// Guards against a table that is never read again because one call to the store never ended.
+test('a response that switches protocols fails the call', async () => {
+  const store = new StoreServer()
+  const client = new HttpCatalogStore(await store.listen(), createRejectedInput())
+  store.intercept = (req) => {
+    req.socket.write('HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n')
+    return true
+  }
+  try {
+    const failure = await Promise.race([client.read('orders'), new Promise<undefined>((resolve) => { setTimeout(() => resolve(undefined), 3_000) })])
+    expect(failure?.isErr() === true && failure.error.kind).toEqual('disconnected')
+  } finally {
+    client.close()
+    store.close()
+  }
+})
