Separate the transfer of a page from the choice of its source

TableFetcher decided when and from whom to fetch and also put the parts of a page together. PageTransfer now does the latter. A busy source is no longer waited for before the first part: another host that has the table is asked after the usual pause.

--- a/src/peers/TableFetcher.ts
+++ b/src/peers/TableFetcher.ts
@@ -1,5 +1,3 @@
-import * as z from 'zod/mini'
-import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import type { Catalog } from '../catalog/Catalog.js'
 import { CatalogTable } from '../catalog/CatalogTable.js'
@@ -7,13 +5,13 @@
 import type { Clock } from '../common/Clock.js'
 import type { Failure } from '../common/Failure.js'
 import { formatException } from '../common/formatException.js'
-import { GrowingBuffer } from '../common/GrowingBuffer.js'
 import type { Logger } from '../common/Logger.js'
 import type { Message } from '../wire/Message.js'
+import type { FetchFailure } from './FetchFailure.js'
 import { forwardedPageSchema } from './forwardedPageSchema.js'
 import { pageCodec } from './pageCodec.js'
+import { PageTransfer } from './PageTransfer.js'
 import { peerLimits } from './peerLimits.js'
-import { PeerMessage } from './PeerMessage.js'
 import type { PeerRow } from './PeerRow.js'
 import type { PeerTable } from './PeerTable.js'
 import type { PeerTraffic } from './PeerTraffic.js'
@@ -49,16 +47,6 @@
   failedSource: string | undefined
 }
 
-/** Outcome of a fetch that brought nothing, with the time in ms after which the source can serve one, if it told any. */
-interface FetchFailure {
-  readonly waitMs: number | undefined
-}
-
-const partSchema = z.object({ pageId: z.string(), totalBytes: z.int().check(z.gte(1), z.lte(peerLimits.maxPageBytes)), part: z.instanceof(Uint8Array) })
-const waitSchema = z.object({ waitMs: z.number().check(z.gte(0)) })
-
-type PagePart = z.infer<typeof partSchema>
-
 /**
  * Fetches what this host lacks of the shared tables from hosts that have it, as their heartbeats tell. One fetch of a table is under
  * way at a time, from one host, so a table crosses each link once however many hosts have it, and a fetch that fails is repeated
@@ -66,8 +54,11 @@
  */
 export class TableFetcher {
   private readonly states = new Map<CatalogTable, FetchState>(Object.values(CatalogTable).map((table) => [table, createState()]))
+  private readonly pages: PageTransfer
 
-  constructor (private readonly options: TableFetcherOptions) {}
+  constructor (private readonly options: TableFetcherOptions) {
+    this.pages = new PageTransfer(options)
+  }
 
   /** Begins the fetches that are due. */
   run (nowMs: number): void {
@@ -108,70 +99,40 @@
   }
 
   private async fetch (table: CatalogTable, state: FetchState, source: PeerRow): Promise<void> {
-    let failure: FetchFailure | undefined = { waitMs: undefined }
+    let failure: FetchFailure | undefined = { kind: 'failed' }
     try {
       failure = await this.transfer(table, source)
     } finally {
       state.isInFlight = false
-      this.finish(state, source, failure)
+      this.finish(state, source, failure !== undefined)
     }
     if (failure === undefined) this.options.onFetched(table)
   }
 
-  private finish (state: FetchState, source: PeerRow, failure: FetchFailure | undefined): void {
+  /** Another host that has the table is asked after the pause, also when this one was only busy. */
+  private finish (state: FetchState, source: PeerRow, hasFailed: boolean): void {
     const { clock, random } = this.options
-    if (failure === undefined) {
+    if (!hasFailed) {
       Object.assign(state, createState())
       return
     }
     state.failedSource = source.record.name
-    state.nextAtMs = clock.nowMs() + Math.max(failure.waitMs ?? 0, state.backoffMs) * (0.5 + random())
+    state.nextAtMs = clock.nowMs() + state.backoffMs * (0.5 + random())
     state.backoffMs = Math.min(peerLimits.maxFetchBackoffMs, state.backoffMs * 2)
   }
 
   /** Returns undefined when this host has what the source had. */
   private async transfer (table: CatalogTable, source: PeerRow): Promise<FetchFailure | undefined> {
-    const position = this.options.catalog.resumeAfter(table)
-    const received = new GrowingBuffer()
-    let pageId: string | undefined
-    for (;;) {
-      const part = await this.requestPart(source, { t: PeerMessage.fetch, table, ...position, offset: received.length, ...(pageId === undefined ? {} : { pageId }) })
-      if (part.isErr() && (received.length === 0 || part.error.waitMs === undefined)) return part.error
-      if (part.isErr()) {
-        await sleep(Math.min(part.error.waitMs!, peerLimits.fetchTimeoutMs))
-        continue
-      }
-      const { value } = part
-      if (value.part.length === 0 || received.length + value.part.length > value.totalBytes) return this.reject(table, source)
-      pageId = value.pageId
-      received.append(Buffer.from(value.part))
-      if (received.length === value.totalBytes) return this.apply(table, received.take(), source) ? undefined : { waitMs: undefined }
-    }
-  }
-
-  private async requestPart (source: PeerRow, message: Message): Promise<Result<PagePart, FetchFailure>> {
-    const { clock, traffic, request } = this.options
-    const startMs = clock.nowMs()
-    const reply = await request(source.record.peerAddress, message, peerLimits.fetchTimeoutMs)
-    if (reply.isErr()) {
-      traffic.recordFailure(PeerMessage.fetch, reply.error.name)
-      return err({ waitMs: undefined })
-    }
-    traffic.recordReply(PeerMessage.fetch, clock.nowMs() - startMs)
-    const part = partSchema.safeParse(reply.value)
-    if (part.success) return ok(part.data)
-    const wait = waitSchema.safeParse(reply.value)
-    return err({ waitMs: wait.success ? wait.data.waitMs : undefined })
+    const bytes = await this.pages.transfer(source.record.peerAddress, table, this.options.catalog.resumeAfter(table))
+    if (bytes.isErr() && bytes.error.kind !== 'unreadable') return bytes.error
+    return bytes.isOk() && this.apply(table, bytes.value, source) ? undefined : this.reject(table, source)
   }
 
   /** Returns true when the local copy has all that the page has. */
   private apply (table: CatalogTable, bytes: Uint8Array, source: PeerRow): boolean {
     const { catalog, clock, onRejected } = this.options
     const parsed = forwardedPageSchema.safeParse(decodeSafely(bytes))
-    if (!parsed.success) {
-      this.reject(table, source)
-      return false
-    }
+    if (!parsed.success) return false
     const page = readForwardedPage(table, parsed.data, onRejected)
     if (page === undefined) return false
     catalog.apply(table, page, clock.nowMs(), source.record.name)
@@ -180,7 +141,7 @@
 
   private reject (table: CatalogTable, source: PeerRow): FetchFailure {
     this.options.onRejected('page-unreadable', { table, peer: source.record.name })
-    return { waitMs: undefined }
+    return { kind: 'unreadable' }
   }
 }
 
@@ -195,7 +156,3 @@
 function createState (): FetchState {
   return { isInFlight: false, behindSinceMs: undefined, nextAtMs: 0, backoffMs: peerLimits.minFetchBackoffMs, failedSource: undefined }
 }
-
-async function sleep (ms: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, ms))
-}
