--- a/src/peers/PeerMesh.ts
+++ b/src/peers/PeerMesh.ts
@@ -96,7 +96,7 @@
     this.tick()
   }
 
-  /** Forwards a change immediately to the hosts of the region that don't read the store. */
+  /** Tells the hosts of the region that don't read the store immediately of a change, so that they fetch it. */
   relay (): void {
     const { peers, self, isReader } = this.options
     for (const row of peers) {
