--- a/dev/soak.ts
+++ b/dev/soak.ts
@@ -22,6 +22,8 @@
   readonly kept?: boolean
   readonly silentConnections?: boolean
   readonly regionDelay?: number
+  readonly linkRate?: number
+  readonly growingConfig?: boolean
   readonly script: string
 }
 
@@ -43,6 +45,8 @@
   .option('--kept', 'play the seeds that once found something')
   .option('--silent-connections', 'add connections that fall silent for good, moved routes and withdrawn entries to the faults')
   .option('--region-delay <ms>', 'one-way delay between regions', readPositive)
+  .option('--link-rate <bytes>', 'bytes a second that a host sends to other hosts and exchanges with the store', readPositive)
+  .option('--growing-config', 'add configurations that grow by many routes to the faults')
   .option('--script <file>', 'program of the hosts, such as that of an earlier release', 'dist/platform/shuntHost.js')
   .parse()
   .opts<SoakArguments>()
@@ -62,6 +66,8 @@
     overlap: args.overlap,
     silencesConnections: args.silentConnections === true,
     regionDelayMs: args.regionDelay ?? 0,
+    linkBytesPerSecond: args.linkRate,
+    growsConfig: args.growingConfig === true,
     ...options
   }
   const result = await runSoak({
--- a/dev/soak/SoakCluster.ts
+++ b/dev/soak/SoakCluster.ts
@@ -1,8 +1,10 @@
 import { Guard } from '../cluster/Guard.js'
 import { SeededRandom } from '../common/SeededRandom.js'
 import { sendRequest } from '../common/sendRequest.js'
+import { BandwidthGroup } from '../proxy/BandwidthGroup.js'
 import { Link } from '../proxy/Link.js'
 import type { LinkFaults } from '../proxy/LinkFaults.js'
+import type { LinkPlan } from '../proxy/LinkPlan.js'
 import { StoreServer } from '../store/StoreServer.js'
 import { SoakCaller } from './SoakCaller.js'
 import { SoakEndpoint } from './SoakEndpoint.js'
@@ -68,6 +70,8 @@
   private readonly network: number
   private version = 0
   private readonly addedRoutes = new Map<string, object>()
+  private idleRoutes: Readonly<Record<string, object>> = {}
+  private readonly bandwidthGroups = new Map<string, BandwidthGroup>()
   private callerRuns: Promise<unknown> = Promise.resolve()
   private exitTimer: NodeJS.Timeout | undefined
 
@@ -111,12 +115,19 @@
     this.version += 1
     this.store.tables.put('op', 'config', {
       version: this.version.toString(hexadecimal).padStart(versionDigits, '0'),
-      routes: { ...baseRoutes, ...Object.fromEntries(this.addedRoutes) },
+      routes: { ...baseRoutes, ...Object.fromEntries(this.addedRoutes), ...this.idleRoutes },
       services: Object.fromEntries(services.map((name) => [name, { health_path: '/health', max_connections: 400, cold_start_s: 1, cold_per_s: 20 }])),
       limits: { header_bytes: 16_384, body_bytes: 1_000_000, header_timeout_s: 3, idle_timeout_s: 15 }
     })
   }
 
+  /** Writes a configuration with this number of routes that no caller uses. */
+  setIdleRoutes (count: number): void {
+    const names = Array.from({ length: count }, (_value, index) => `idle-${index.toString(hexadecimal)}`)
+    this.idleRoutes = Object.fromEntries(names.map((name) => [`r-${name}`, { ...baseRoutes['r-read'], prefix: `/${name}/` }]))
+    this.putConfig()
+  }
+
   /** Adds a route for reads. */
   addRoute (prefix: string): void {
     this.addedRoutes.set(toRouteName(prefix), { ...baseRoutes['r-read'], prefix })
@@ -245,11 +256,24 @@
 
   private async openLink ({ source, target, listen, address, delayMs }: SoakLink): Promise<void> {
     const place = { source, sourceZone: '', sourceRegion: '', targetName: address, targetKind: 'host', targetZone: '', targetRegion: '' } as const
-    const link = new Link({ ...place, listen, target: address, delayMs, findsLateResets: target === 'endpoint' }, new Map())
+    const groups = this.planBandwidth(source, target, address)
+    const link = new Link({ ...place, ...groups, listen, target: address, delayMs, findsLateResets: target === 'endpoint' }, this.bandwidthGroups)
     await link.open()
     this.links.set(source, [...this.links.get(source) ?? [], { target, link }])
   }
 
+  /** What a host sends to other hosts and to the store shares its link, and so does what it receives from the store. */
+  private planBandwidth (source: string, target: LinkTarget, address: string): Pick<LinkPlan, 'forwardGroup' | 'backwardGroup'> {
+    const { linkBytesPerSecond } = this.options
+    if (linkBytesPerSecond === undefined || (target !== 'host' && target !== 'store')) return {}
+    const forwardGroup = `from-${source}`
+    const backwardGroup = target === 'store' ? `to-${source}` : `from-host-${Number(address.split(':')[0]!.split('.').at(-1)) - 1}`
+    for (const name of [forwardGroup, backwardGroup]) {
+      if (!this.bandwidthGroups.has(name)) this.bandwidthGroups.set(name, new BandwidthGroup(linkBytesPerSecond))
+    }
+    return { forwardGroup, backwardGroup }
+  }
+
   private addCaller (index: number): void {
     const random = new SeededRandom(this.options.seed * networks + index)
     this.callers.push(new SoakCaller({
--- a/dev/soak/SoakOptions.ts
+++ b/dev/soak/SoakOptions.ts
@@ -13,4 +13,8 @@
   readonly silencesConnections?: boolean
   /** One-way delay in ms between regions; 0 when it is not set. */
   readonly regionDelayMs?: number
+  /** Bytes a second that a host sends to other hosts and to the store, and receives from the store; no limit when it is not set. */
+  readonly linkBytesPerSecond?: number | undefined
+  /** Adds configurations that grow by many routes to the faults. */
+  readonly growsConfig?: boolean
 }
--- a/dev/soak/createSoakFaults.ts
+++ b/dev/soak/createSoakFaults.ts
@@ -1,4 +1,5 @@
 import { CommonSilenceFault } from './CommonSilenceFault.js'
+import { ConfigGrowthFault } from './ConfigGrowthFault.js'
 import { EndpointBehaviourFault } from './EndpointBehaviourFault.js'
 import { EndpointShutdownFault } from './EndpointShutdownFault.js'
 import { EvacuationFault } from './EvacuationFault.js'
@@ -9,15 +10,20 @@
 import { RouteMoveFault } from './RouteMoveFault.js'
 import { SettingsFault } from './SettingsFault.js'
 import type { SoakFault } from './SoakFault.js'
+import type { SoakOptions } from './SoakOptions.js'
 import { StoreFault } from './StoreFault.js'
 
+/** Kinds of faults that come only when they are asked for. */
+type OptionalFaults = Pick<SoakOptions, 'silencesConnections' | 'growsConfig'>
+
 /**
- * Creates all kinds of faults from which a run draws. Connections that fall silent for good, and what is checked beside them, come
- * only with `silencesConnections`, so that the seeds of earlier runs still draw the same faults.
+ * Creates all kinds of faults from which a run draws. Connections that fall silent for good, and what is checked beside them, and
+ * configurations that grow come only when they are asked for, so that the seeds of earlier runs still draw the same faults.
  */
-export function createSoakFaults (silencesConnections = false): SoakFault[] {
+export function createSoakFaults ({ silencesConnections = false, growsConfig = false }: OptionalFaults): SoakFault[] {
   return [
     ...(silencesConnections ? createSilenceFaults() : []),
+    ...(growsConfig ? [new ConfigGrowthFault()] : []),
     new HostShutdownFault('SIGKILL', 1, 4),
     new HostShutdownFault('SIGKILL', 3, 1),
     new HostShutdownFault('SIGTERM', 1, 4),
--- a/dev/soak/runSoak.ts
+++ b/dev/soak/runSoak.ts
@@ -45,10 +45,10 @@
 }
 
 /** Injects faults for `seconds`, waits until all of them are reverted, and returns their number. */
-async function injectFaults (cluster: SoakCluster, { seconds, overlap, onLine, silencesConnections }: SoakRunOptions): Promise<number> {
+async function injectFaults (cluster: SoakCluster, { seconds, overlap, onLine, ...kinds }: SoakRunOptions): Promise<number> {
   const startMs = performance.now()
   const endMs = startMs + seconds * 1_000
-  const choices = createSoakFaults(silencesConnections).map((fault) => ({ weight: fault.weight, choice: fault }))
+  const choices = createSoakFaults(kinds).map((fault) => ({ weight: fault.weight, choice: fault }))
   const injections: Array<Promise<void>> = []
   while (performance.now() < endMs) {
     const fault = cluster.random.pick<SoakFault>(choices)
