--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -22,6 +22,7 @@
 import { InputEdge } from '../common/InputEdge.js'
 import type { Logger } from '../common/Logger.js'
 import { Scheduler } from '../common/Scheduler.js'
+import { sleep } from '../common/sleep.js'
 import { AnnouncementLogSystem } from '../endpoints/AnnouncementLogSystem.js'
 import { EndpointTable } from '../endpoints/EndpointTable.js'
 import { DrainableHttpServer } from '../entry/DrainableHttpServer.js'
@@ -357,7 +358,3 @@
     promise.catch((error: unknown) => this.log.error('task-failed', { task, error: formatException(error) }))
   }
 }
-
-async function sleep (ms: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, ms))
-}
--- a/src/host/NoticeRecorder.ts
+++ b/src/host/NoticeRecorder.ts
@@ -37,7 +37,7 @@
     logger.info('endpoint-leaving', { endpoint: row.record.id, service: row.record.service, draining: row.record.isDraining, source: 'response' })
   }
 
-  /** Records that an endpoint passed a health check whose response doesn't say that it is leaving; it may lie at first. */
+  /** Records that an endpoint passed a health check whose response doesn't say that it is leaving, which counts only after `leavingHoldMs`. */
   endLeaving (row: EndpointRow): void {
     const { endpoints, clock, logger } = this.options
     const { leavingSinceMs } = row.announced
--- a/src/peers/PageTransfer.ts
+++ b/src/peers/PageTransfer.ts
@@ -6,6 +6,7 @@
 import type { Clock } from '../common/Clock.js'
 import type { Failure } from '../common/Failure.js'
 import { GrowingBuffer } from '../common/GrowingBuffer.js'
+import { sleep } from '../common/sleep.js'
 import type { Message } from '../wire/Message.js'
 import type { FetchFailure } from './FetchFailure.js'
 import { peerLimits } from './peerLimits.js'
@@ -62,7 +63,3 @@
     return err(busy.success ? { kind: 'busy', waitMs: busy.data.waitMs } : { kind: 'failed' })
   }
 }
-
-async function sleep (ms: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, ms))
-}
--- a/src/peers/TableFetcher.ts
+++ b/src/peers/TableFetcher.ts
@@ -7,7 +7,6 @@
 import { formatException } from '../common/formatException.js'
 import type { Logger } from '../common/Logger.js'
 import type { Message } from '../wire/Message.js'
-import type { FetchFailure } from './FetchFailure.js'
 import { forwardedPageSchema } from './forwardedPageSchema.js'
 import { pageCodec } from './pageCodec.js'
 import { PageTransfer } from './PageTransfer.js'
@@ -99,20 +98,20 @@
   }
 
   private async fetch (table: CatalogTable, state: FetchState, source: PeerRow): Promise<void> {
-    let failure: FetchFailure | undefined = { kind: 'failed' }
+    let isComplete = false
     try {
-      failure = await this.transfer(table, source)
+      isComplete = await this.transfer(table, source)
     } finally {
       state.isInFlight = false
-      this.finish(state, source, failure !== undefined)
+      this.finish(state, source, isComplete)
     }
-    if (failure === undefined) this.options.onFetched(table)
+    if (isComplete) this.options.onFetched(table)
   }
 
   /** Another host that has the table is asked after the pause, also when this one was only busy. */
-  private finish (state: FetchState, source: PeerRow, hasFailed: boolean): void {
+  private finish (state: FetchState, source: PeerRow, isComplete: boolean): void {
     const { clock, random } = this.options
-    if (!hasFailed) {
+    if (isComplete) {
       Object.assign(state, createState())
       return
     }
@@ -121,11 +120,13 @@
     state.backoffMs = Math.min(peerLimits.maxFetchBackoffMs, state.backoffMs * 2)
   }
 
-  /** Returns undefined when this host has what the source had. */
-  private async transfer (table: CatalogTable, source: PeerRow): Promise<FetchFailure | undefined> {
-    const bytes = await this.pages.transfer(source.record.peerAddress, table, this.options.catalog.resumeAfter(table))
-    if (bytes.isErr() && bytes.error.kind !== 'unreadable') return bytes.error
-    return bytes.isOk() && this.apply(table, bytes.value, source) ? undefined : this.reject(table, source)
+  /** Returns true when this host has what the source had. */
+  private async transfer (table: CatalogTable, source: PeerRow): Promise<boolean> {
+    const { catalog, onRejected } = this.options
+    const bytes = await this.pages.transfer(source.record.peerAddress, table, catalog.resumeAfter(table))
+    if (bytes.isOk() && this.apply(table, bytes.value, source)) return true
+    if (bytes.isOk() || bytes.error.kind === 'unreadable') onRejected('page-unreadable', { table, peer: source.record.name })
+    return false
   }
 
   /** Returns true when the local copy has all that the page has. */
@@ -138,11 +139,6 @@
     catalog.apply(table, page, clock.nowMs(), source.record.name)
     return comparePositions(page, catalog.resumeAfter(table)) <= 0
   }
-
-  private reject (table: CatalogTable, source: PeerRow): FetchFailure {
-    this.options.onRejected('page-unreadable', { table, peer: source.record.name })
-    return { kind: 'unreadable' }
-  }
 }
 
 function decodeSafely (bytes: Uint8Array): unknown {
