--- a/src/entry/DrainableHttpServer.ts
+++ b/src/entry/DrainableHttpServer.ts
@@ -3,6 +3,7 @@
 import { createServer as createTlsServer } from 'node:https'
 import { Server as NetServer } from 'node:net'
 import type { Socket } from 'node:net'
+import { afterNextPoll } from '../common/afterNextPoll.js'
 import { createFailure } from '../common/createFailure.js'
 import type { Clock } from '../common/Clock.js'
 import type { Failure } from '../common/Failure.js'
@@ -58,6 +59,7 @@
   private openRequests = 0
   private acceptedConnections = 0
   private droppedConnections = 0
+  private abandonedRequests = 0
   private isClosingIdle = false
 
   constructor (private readonly options: HttpFrontOptions) {
@@ -95,6 +97,11 @@
     return this.droppedConnections
   }
 
+  /** Number of requests whose callers had left before the requests were handled. */
+  get abandoned (): number {
+    return this.abandonedRequests
+  }
+
   async listen (address: string, port: number): Promise<void> {
     await new Promise<void>((resolve, reject) => {
       this.server.once('error', reject)
@@ -203,6 +210,15 @@
       else if (connection.isRefusingRequests) connection.socket.end()
       else if (this.isClosingIdle) this.endIdle(connection)
     })
+    // A busy process accepts connections late, when the caller may have given up and closed its connection behind the request.
+    afterNextPoll(() => this.handle(req, res, expectation))
+  }
+
+  private handle (req: IncomingMessage, res: PipelinedResponse, expectation: 'none' | 'continue' | 'other'): void {
+    if (req.socket.destroyed) {
+      this.abandonedRequests += 1
+      return
+    }
     guardCallback(this.options.onRequest, (error) => {
       this.options.onException(error)
       this.refuse(req, res, createFailure('internal', { outcome: Outcome.unknown }))
--- a/src/host/HostMetrics.ts
+++ b/src/host/HostMetrics.ts
@@ -11,6 +11,8 @@
 interface HostGauges {
   readonly countInFlight: () => number
   readonly countConnections: () => number
+  /** Returns how many requests were not handled since their callers had left. */
+  readonly countAbandoned: () => number
   readonly countPeers: () => number
   readonly configVersion: () => number
   readonly isStoreDown: () => boolean
@@ -74,6 +76,7 @@
   registerGauges (gauges: HostGauges): void {
     this.addGauge('shunt_in_flight', 'Requests without a complete answer', gauges.countInFlight)
     this.addGauge('shunt_caller_connections', 'Open connections of callers', gauges.countConnections)
+    this.addGauge('shunt_requests_abandoned', 'Requests since the start whose callers had left before they were handled, as the process was busy', gauges.countAbandoned)
     this.addGauge('shunt_peers_alive', 'Other hosts whose last heartbeat is recent', gauges.countPeers)
     this.addGauge('shunt_config_version', 'Version of the configuration in force', gauges.configVersion)
     this.addGauge('shunt_store_down', '1 while the store cannot be reached', () => gauges.isStoreDown() ? 1 : 0)
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -199,6 +199,7 @@
     metrics.registerGauges({
       countInFlight: () => this.front.inFlight,
       countConnections: () => this.front.connections,
+      countAbandoned: () => this.front.abandoned,
       countPeers: () => this.peers.listAlive(clock.nowMs()).length,
       configVersion: () => this.routing.config?.version ?? 0,
       isStoreDown: () => this.health.isDown,
