Treat a stall of the soak's own process as a fault, and begin its recovery anew

Suspected: the process of the soak stood still for about 2.4 s. It plays the callers, the links, the endpoints and the store, so requests in flight time out although no host did anything wrong.

Change: StallWatch notices turns of the event loop over 500 ms. Such a stall is a disturbance of all hosts and the store, and after the last fault the 15 s of recovery and the 4 s of the check begin anew. A run with three stalls there has a finding, since it shows no recovery.

--- a/dev/soak/SoakCluster.ts
+++ b/dev/soak/SoakCluster.ts
@@ -13,6 +13,7 @@
 import { soakLimits } from './soakLimits.js'
 import type { SoakOptions } from './SoakOptions.js'
 import { soakPorts } from './soakPorts.js'
+import { StallWatch } from './StallWatch.js'
 
 /** Options of a cluster in addition to its size. */
 interface SoakClusterOptions extends SoakOptions {
@@ -74,6 +75,7 @@
   private readonly bandwidthGroups = new Map<string, BandwidthGroup>()
   private callerRuns: Promise<unknown> = Promise.resolve()
   private exitTimer: NodeJS.Timeout | undefined
+  private readonly stallWatch = new StallWatch((fromMs, untilMs) => this.history.recordStall(this.hosts.map((host) => host.name), fromMs, untilMs))
 
   constructor (private readonly options: SoakClusterOptions) {
     this.random = new SeededRandom(options.seed)
@@ -91,12 +93,14 @@
     for (let index = 0; index < this.options.callers; index++) this.addCaller(index)
     this.callerRuns = Promise.all(this.callers.map(async (caller) => { await caller.run() }))
     this.exitTimer = setInterval(() => this.recordUnexpectedExits(), soakLimits.pollMs)
+    this.stallWatch.start()
   }
 
   async close (): Promise<void> {
     for (const caller of this.callers) caller.stop()
     await this.callerRuns
     clearInterval(this.exitTimer)
+    this.stallWatch.stop()
     for (const host of this.hosts) {
       host.isExpectedDown = true
       const peakMb = host.readPeakMb()
--- a/dev/soak/SoakHistory.ts
+++ b/dev/soak/SoakHistory.ts
@@ -18,6 +18,8 @@
   faultsEndedMs = Infinity
   /** Unexpected exits, failed planned stops, excessive memory and logged internal errors of host processes. */
   readonly hostErrors: string[] = []
+  /** Number of times that the process of the soak stood still after the last fault. */
+  lateStalls = 0
 
   /** Begins an unplanned disturbance of some hosts; the returned function ends it. */
   disturbHosts (names: readonly string[]): () => void {
@@ -28,4 +30,14 @@
       for (const end of ends) end(endMs)
     }
   }
+
+  /** Records that the process of the soak stood still. After the last fault, the recovery begins anew. */
+  recordStall (hosts: readonly string[], fromMs: number, untilMs: number): void {
+    for (const log of [this.disturbances, this.unplannedDisturbances]) {
+      for (const name of [...hosts, 'store']) log.begin(name, fromMs)(untilMs)
+    }
+    if (untilMs < this.faultsEndedMs) return
+    this.faultsEndedMs = untilMs
+    this.lateStalls += 1
+  }
 }
--- a/dev/soak/checkSoakPromises.ts
+++ b/dev/soak/checkSoakPromises.ts
@@ -146,7 +146,8 @@
   return findings
 }
 
-function checkRecovery ({ requests, faultsEndedMs }: SoakHistory): SoakFinding[] {
+function checkRecovery ({ requests, faultsEndedMs, lateStalls }: SoakHistory): SoakFinding[] {
+  if (lateStalls >= soakLimits.maxLateStalls) return [{ promise: 'after the last fault requests are served', detail: `not shown, as the process of the soak stood still ${lateStalls} times` }]
   const late = requests.filter((request) => request.sentAtMs > faultsEndedMs + soakLimits.recoveryMs)
   const served = late.filter((request) => request.status === okStatus).length
   if (late.length > 0 && served >= late.length * soakLimits.recoveredShare) return []
--- a/dev/soak/runSoak.ts
+++ b/dev/soak/runSoak.ts
@@ -2,6 +2,7 @@
 import { createSoakFaults } from './createSoakFaults.js'
 import type { SoakFinding } from './SoakFinding.js'
 import type { SoakFault } from './SoakFault.js'
+import type { SoakHistory } from './SoakHistory.js'
 import { soakLimits } from './soakLimits.js'
 import type { SoakOptions } from './SoakOptions.js'
 import { SoakCluster } from './SoakCluster.js'
@@ -35,7 +36,7 @@
     await cluster.start()
     faults = await injectFaults(cluster, options)
     cluster.history.faultsEndedMs = performance.now()
-    await sleep(soakLimits.recoveryMs + soakLimits.recoveryCheckMs)
+    await waitForRecovery(cluster.history)
   } finally {
     await cluster.close()
   }
@@ -61,6 +62,15 @@
   return injections.length
 }
 
+/** Waits until the recovery and the check behind it are over, counted from the last fault or from a later stall of this process. */
+async function waitForRecovery (history: SoakHistory): Promise<void> {
+  for (;;) {
+    const leftMs = history.faultsEndedMs + soakLimits.recoveryMs + soakLimits.recoveryCheckMs - performance.now()
+    if (leftMs <= 0 || history.lateStalls >= soakLimits.maxLateStalls) return
+    await sleep(leftMs)
+  }
+}
+
 async function sleep (ms: number): Promise<void> {
   await new Promise((resolve) => setTimeout(resolve, ms))
 }
--- a/dev/soak/soakLimits.ts
+++ b/dev/soak/soakLimits.ts
@@ -22,5 +22,9 @@
   maxHostMb: 350,
   /** Time in ms within which all hosts must become ready at startup. */
   startTimeoutMs: 20_000,
-  pollMs: 25
+  pollMs: 25,
+  /** Time in ms without a turn of the event loop of the soak's own process that counts as a fault; hosts wait 1 s for each other. */
+  stallMs: 500,
+  /** Number of stalls after the last fault from which a run has a finding, since it can't show the recovery. */
+  maxLateStalls: 3
 } as const
