Let test hosts listen where no outgoing connection takes their ports

Seen: "listen EADDRINUSE" in 3 of 12 starts of a group of 30 or 40 hosts, most of them at a link of the new test. findFreePorts opened and closed a listener on 127.0.0.1, from where all connections of the machine's test processes take their ports until the host or link listens.

Change: findFreeAddresses gives addresses on a loopback address of the process, each one once.

--- a/test/peers/PeerMesh.test.ts
+++ b/test/peers/PeerMesh.test.ts
@@ -3,6 +3,7 @@
 import { Registry } from 'prom-client'
 import { Catalog } from '../../src/catalog/Catalog.js'
 import { DialMap } from '../../src/common/DialMap.js'
+import { parseDestination } from '../../src/common/parseDestination.js'
 import { SystemClock } from '../../src/common/SystemClock.js'
 import { PeerMesh } from '../../src/peers/PeerMesh.js'
 import { PeerTable } from '../../src/peers/PeerTable.js'
@@ -10,7 +11,7 @@
 import { FrameServer } from '../../src/wire/FrameServer.js'
 import { createHeartbeat } from '../support/createHeartbeat.js'
 import { createRejectedInput } from '../support/createRejectedInput.js'
-import { findFreePorts } from '../support/findFreePorts.js'
+import { findFreeAddresses } from '../support/findFreeAddresses.js'
 import { MemoryLogger } from '../support/MemoryLogger.js'
 import { waitUntil } from '../support/waitUntil.js'
 
@@ -62,12 +63,13 @@
 
 // Guards against hosts that have no peers, without a trace in the logs, because their keys differ.
 test('a peer with another cluster key is logged', async () => {
-  const port = (await findFreePorts(1))[0]!
+  const address = (await findFreeAddresses(1))[0]!
+  const { host: listenHost, port } = parseDestination(address)
   const server = new FrameServer({ self: { name: 'b', role: 'entry', incarnation: 1 }, clusterKey: 'other', onMessage: () => undefined })
-  await server.listen('127.0.0.1', port)
+  await server.listen(listenHost, port)
   const { host, versions: _versions, pages: _pages, ...state } = createHeartbeat('a', 1)
   const peers = new PeerTable('a')
-  peers.upsert({ ...host, name: 'b', peerAddress: `127.0.0.1:${port}` })
+  peers.upsert({ ...host, name: 'b', peerAddress: address })
   const logger = new MemoryLogger()
   const mesh = createMesh({ self: host, peers, logger, describeSelf: () => state })
   try {
--- a/test/support/HostGroup.ts
+++ b/test/support/HostGroup.ts
@@ -12,7 +12,7 @@
 import { StoreServer } from '../../dev/store/StoreServer.js'
 import { CuttableStore } from './CuttableStore.js'
 import { createHostSettings } from './createHostSettings.js'
-import { findFreePorts } from './findFreePorts.js'
+import { findFreeAddresses } from './findFreeAddresses.js'
 import type { LimitedLinks } from './LimitedLinks.js'
 import { MemoryLogger } from './MemoryLogger.js'
 import type { RawEndpoint } from './RawEndpoint.js'
@@ -156,8 +156,7 @@
   }
 
   private async createSettings (name: string): Promise<HostSettings> {
-    const ports = await findFreePorts(5)
-    const [callers, readiness, directory, peers, metrics] = ports.map((port) => `127.0.0.1:${port}`)
+    const [callers, readiness, directory, peers, metrics] = await findFreeAddresses(5)
     const region = this.regions[this.settings.length % this.regions.length]!
     return createHostSettings({
       name,
