Tell the other hosts of endpoints that ask for a time without requests

Each host learned of a back-off with a response of its own, so an endpoint that wants nothing got one request of each host in each back-off, and every one cost a caller an attempt and the host a retry of its budget.

Change: heartbeats carry the back-offs that the sender was asked for itself, with the start time of the incarnation. A host that is told waits one heartbeat interval longer than the host that was asked, which returns first. What was told isn't passed on. Leavings aren't told, since a leaving endpoint serves what reaches it.

--- a/dev/fuzz/FuzzTables.ts
+++ b/dev/fuzz/FuzzTables.ts
@@ -46,6 +46,7 @@
     for (const row of this.peers) {
       parseDestination(row.record.peerAddress)
       for (const [, perSecond, ageMs] of row.rateLimits) if (!(perSecond >= -1 && ageMs >= 0)) throw new Error(`a host reports a limit of ${perSecond} from ${ageMs} ms ago`)
+      for (const [, , leftMs] of row.backoffs) if (!(leftMs >= 0)) throw new Error(`a host reports a back-off of ${leftMs} ms`)
     }
     for (const sum of [...this.peers.sumLoads(this.nowMs).values()]) if (!Number.isFinite(sum)) throw new Error(`a host has ${sum} requests in flight`)
   }
--- a/dev/fuzz/HeartbeatFuzzEdge.ts
+++ b/dev/fuzz/HeartbeatFuzzEdge.ts
@@ -25,6 +25,7 @@
   loads: named,
   breaks: named,
   rateLimits: mostly(fc.constantFrom([], [['e-1', 3, 0]], [['e-1', -1, 5], ['e-2', 1e300, 1e300]], [['e-1', -2, -1]])),
+  backoffs: mostly(fc.constantFrom([], [['e-1', 0, 5]], [['e-1', 1e300, 1e300], ['e-2', 0, 1e300]], [['e-1', 0, -1]])),
   demands: named,
   localShares: named,
   pages: mostly(fc.array(mostly(fc.tuple(mostly(fc.constantFrom(...Object.values(CatalogTable))), mostly(forwardedPage))), { maxLength: 2 }))
--- a/dev/fuzz/TransferFuzzEdge.ts
+++ b/dev/fuzz/TransferFuzzEdge.ts
@@ -42,6 +42,7 @@
   loads: [],
   breaks: [],
   rateLimits: [],
+  backoffs: [],
   demands: [],
   localShares: [],
   pages: []
--- a/src/endpoints/AnnouncedState.ts
+++ b/src/endpoints/AnnouncedState.ts
@@ -8,6 +8,8 @@
   ownRateLimit: EndpointRateLimit | undefined
   /** When a response first said that the endpoint is leaving; undefined while none has, or once a health check denied it. */
   leavingSinceMs: number | undefined
-  /** Until when the endpoint wants nothing from this host, by the response that asked for longest. */
+  /** Until when the endpoint wants no requests, by the response to any host that asked for longest. */
   backoffUntilMs: number
+  /** The same by the responses to this host. */
+  ownBackoffUntilMs: number
 }
--- a/src/endpoints/AnnouncementLogSystem.ts
+++ b/src/endpoints/AnnouncementLogSystem.ts
@@ -44,10 +44,10 @@
     logged.nextLimitLogAtMs = nowMs + logIntervalMs
   }
 
-  private logBackoff ({ record, announced: { backoffUntilMs } }: EndpointRow, logged: LoggedState, nowMs: number): void {
+  private logBackoff ({ record, announced: { backoffUntilMs, ownBackoffUntilMs } }: EndpointRow, logged: LoggedState, nowMs: number): void {
     const isBackingOff = backoffUntilMs > nowMs
     if (logged.isBackingOff === isBackingOff || nowMs < logged.nextBackoffLogAtMs) return
-    if (isBackingOff) this.logger.info('endpoint-backing-off', { endpoint: record.id, service: record.service, forMs: Math.round(backoffUntilMs - nowMs) })
+    if (isBackingOff) this.logger.info('endpoint-backing-off', { endpoint: record.id, service: record.service, forMs: Math.round(backoffUntilMs - nowMs), source: ownBackoffUntilMs > nowMs ? 'response' : 'peer' })
     else this.logger.info('endpoint-backoff-ended', { endpoint: record.id, service: record.service })
     logged.isBackingOff = isBackingOff
     logged.nextBackoffLogAtMs = nowMs + logIntervalMs
--- a/src/endpoints/EndpointTable.ts
+++ b/src/endpoints/EndpointTable.ts
@@ -140,7 +140,7 @@
     reportedAtMs: -endpointLimits.loadReportValidMs,
     peerInFlight: 0,
     coldUntilMs: nowMs + record.coldMs,
-    announced: announced ?? { rateLimit: undefined, ownRateLimit: undefined, leavingSinceMs: undefined, backoffUntilMs: -Infinity },
+    announced: announced ?? { rateLimit: undefined, ownRateLimit: undefined, leavingSinceMs: undefined, backoffUntilMs: -Infinity, ownBackoffUntilMs: -Infinity },
     isSuspect: false,
     nextProbeAtMs: leavingSinceMs === undefined ? 0 : leavingSinceMs + endpointLimits.leavingHoldMs,
     isProbing: false,
--- a/src/host/HostStatus.ts
+++ b/src/host/HostStatus.ts
@@ -2,6 +2,7 @@
 import { toReportedAge } from '../catalog/toReportedAge.js'
 import type { StoreHealth } from '../catalog/StoreHealth.js'
 import type { Clock } from '../common/Clock.js'
+import { listBackoffs } from '../endpoints/listBackoffs.js'
 import { listRateLimits } from '../endpoints/listRateLimits.js'
 import { endpointLimits } from '../endpoints/endpointLimits.js'
 import type { EndpointTable } from '../endpoints/EndpointTable.js'
@@ -43,6 +44,7 @@
       loads: this.listLoads(region),
       breaks: this.listBreaks(nowMs),
       rateLimits: listRateLimits(endpoints, nowMs),
+      backoffs: listBackoffs(endpoints, nowMs),
       demands: requestRate.list(nowMs),
       localShares: shares.list()
     }
--- a/src/host/MaintenanceSystem.ts
+++ b/src/host/MaintenanceSystem.ts
@@ -1,5 +1,6 @@
 import type { Logger } from '../common/Logger.js'
 import { System } from '../common/System.js'
+import { applyBackoffReport } from '../endpoints/applyBackoffReport.js'
 import { applyBreakReports } from '../endpoints/applyBreakReports.js'
 import { recordRateLimit } from '../endpoints/recordRateLimit.js'
 import type { EndpointTable } from '../endpoints/EndpointTable.js'
@@ -32,6 +33,7 @@
     this.applyLoads(nowMs)
     this.applyBreaks(nowMs)
     this.applyRateLimits(nowMs)
+    this.applyBackoffs(nowMs)
   }
 
   private applyLoads (nowMs: number): void {
@@ -50,6 +52,16 @@
     }
   }
 
+  private applyBackoffs (nowMs: number): void {
+    const { endpoints, peers } = this.options
+    for (const { backoffs, lastHeartbeatAtMs, heartbeatIntervalMs } of peers.listAlive(nowMs)) {
+      for (const [endpoint, bornAtMs, leftMs] of backoffs) {
+        const row = endpoints.get(endpoint)
+        if (row !== undefined) applyBackoffReport(row, { bornAtMs, leftMs, receivedAtMs: lastHeartbeatAtMs!, heartbeatIntervalMs })
+      }
+    }
+  }
+
   private applyBreaks (nowMs: number): void {
     const { endpoints, peers, logger } = this.options
     for (const [endpoint, reports] of peers.sumBreaks(nowMs)) {
--- a/src/host/NoticeRecorder.ts
+++ b/src/host/NoticeRecorder.ts
@@ -62,7 +62,9 @@
     if (reading.kind !== 'value') return
     const { maxBackoffMs } = endpointLimits
     const untilMs = this.options.clock.nowMs() + Math.min(reading.value, maxBackoffMs)
-    row.announced.backoffUntilMs = Math.max(row.announced.backoffUntilMs, untilMs)
+    const { announced } = row
+    announced.ownBackoffUntilMs = Math.max(announced.ownBackoffUntilMs, untilMs)
+    announced.backoffUntilMs = Math.max(announced.backoffUntilMs, untilMs)
     if (reading.value > maxBackoffMs) row.isSuspect = true
   }
 
--- a/src/peers/Heartbeat.ts
+++ b/src/peers/Heartbeat.ts
@@ -1,5 +1,6 @@
 import type { CatalogPage } from '../catalog/CatalogPage.js'
 import type { CatalogTable } from '../catalog/CatalogTable.js'
+import type { BackoffReport } from '../endpoints/BackoffReport.js'
 import type { HostRecord } from './HostRecord.js'
 
 /** State that hosts exchange a few times a second. */
@@ -29,6 +30,8 @@
    * the endpoint has named none since.
    */
   readonly rateLimits: ReadonlyArray<readonly [endpoint: string, perSecond: number, ageMs: number]>
+  /** Endpoints that asked the sender for a time without requests. */
+  readonly backoffs: readonly BackoffReport[]
   /** Request rate that the sender receives, by service. */
   readonly demands: ReadonlyArray<readonly [service: string, perSecond: number]>
   /** Share of the sender's requests that stay in its region, by service. */
--- a/src/peers/PeerRow.ts
+++ b/src/peers/PeerRow.ts
@@ -40,6 +40,8 @@
   breaks: ReadonlyArray<readonly [endpoint: string, count: number]>
   /** Rate limits that endpoints named to the peer; see `Heartbeat`. */
   rateLimits: Heartbeat['rateLimits']
+  /** Endpoints that asked the peer for a time without requests; see `Heartbeat`. */
+  backoffs: Heartbeat['backoffs']
   /** The peer's requests in flight by endpoint. */
   loads: ReadonlyMap<string, number>
 }
--- a/src/peers/PeerTable.ts
+++ b/src/peers/PeerTable.ts
@@ -47,6 +47,7 @@
     row.localShares = heartbeat.localShares
     row.breaks = heartbeat.breaks
     row.rateLimits = heartbeat.rateLimits
+    row.backoffs = heartbeat.backoffs
     return row
   }
 
@@ -112,6 +113,7 @@
     demands: [],
     localShares: [],
     breaks: [],
-    rateLimits: []
+    rateLimits: [],
+    backoffs: []
   }
 }
--- a/src/peers/readHeartbeat.ts
+++ b/src/peers/readHeartbeat.ts
@@ -26,6 +26,7 @@
   // Absent from heartbeats of an earlier release too.
   breaks: z._default(namedNumbers, []),
   rateLimits: z._default(z.array(z.tuple([z.string(), z.number().check(z.gte(-1)), z.number().check(z.gte(0))])), []),
+  backoffs: z._default(z.array(z.tuple([z.string(), z.number(), z.number().check(z.gte(0))])), []),
   demands: namedNumbers,
   localShares: namedNumbers,
   pages: z.array(z.tuple([tables, forwardedPageSchema]))
--- a/test/host/endpointNotices.test.ts
+++ b/test/host/endpointNotices.test.ts
@@ -169,3 +169,25 @@
     expect(times.length > before + 1).toEqual(true)
   })
 })
+
+// Guards against attempts that each host makes for itself at an endpoint that wants no requests.
+test('an endpoint that asked one host for a time without requests gets none from the others', async () => {
+  const group = await HostGroup.start(6, 3)
+  try {
+    await group.waitUntil(() => group.logger.lines.filter((line) => line.includes('peer-up')).length >= 6 * 5)
+    const first = group.endpoints[0]!
+    first.behaviour = 'shed'
+    first.retryAfter = '5'
+    let arrivals = 0
+    first.onArrival = () => { arrivals += 1 }
+    await sendMany(group)
+    await sleep(600)
+    const statuses: number[] = []
+    for (let host = 1; host < 6; host++) {
+      for (let index = 0; index < 10; index++) statuses.push((await group.send({ object: String(objects++) }, host)).status)
+    }
+    expect([arrivals, new Set(statuses)]).toEqual([1, new Set([200])])
+  } finally {
+    await group.stop()
+  }
+})
--- a/test/support/createHeartbeat.ts
+++ b/test/support/createHeartbeat.ts
@@ -14,6 +14,7 @@
     loads: [],
     breaks: [],
     rateLimits: [],
+    backoffs: [],
     demands: [],
     localShares: [],
     pages: [],
