Wait with the shared sleep in the entry daemon, the command line and the soak

Behaviour is unchanged, and none of these files is part of shunt-host. Build and lint pass, and so do the tests of ctl, entry and soak (119).

--- a/dev/soak/runSoak.ts
+++ b/dev/soak/runSoak.ts
@@ -1,3 +1,4 @@
+import { sleep } from '../../src/common/sleep.js'
 import { checkSoakPromises } from './checkSoakPromises.js'
 import { createSoakFaults } from './createSoakFaults.js'
 import type { SoakFinding } from './SoakFinding.js'
@@ -70,7 +71,3 @@
     await sleep(leftMs)
   }
 }
-
-async function sleep (ms: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, ms))
-}
--- a/src/ctl/pollUntilDone.ts
+++ b/src/ctl/pollUntilDone.ts
@@ -1,6 +1,6 @@
-import { setTimeout as sleep } from 'node:timers/promises'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
+import { sleep } from '../common/sleep.js'
 import type { CommandFailure } from './CommandFailure.js'
 import type { CommandContext } from './CommandContext.js'
 
--- a/src/entry/AttemptLoop.ts
+++ b/src/entry/AttemptLoop.ts
@@ -3,6 +3,7 @@
 import { createFailure } from '../common/createFailure.js'
 import type { Failure } from '../common/Failure.js'
 import { Outcome } from '../common/Outcome.js'
+import { sleep } from '../common/sleep.js'
 import { AttemptResult } from '../steer/AttemptResult.js'
 import type { SteerTarget } from '../steer/SteerTarget.js'
 import { Attempt } from './Attempt.js'
@@ -59,7 +60,7 @@
       target.value.release(AttemptResult.cancelled, 0)
       if (isCancelled) return err(createFailure('deadlineExceeded'))
       if (this.context.clock.nowMs() + regionRetryIntervalMs >= waitUntilMs) return err(createFailure('regionShareCap'))
-      await new Promise((resolve) => setTimeout(resolve, regionRetryIntervalMs))
+      await sleep(regionRetryIntervalMs)
     }
   }
 
@@ -107,7 +108,7 @@
     const waitMs = this.context.steering.reserveLinkBytes(region, this.request.workClass, bytes)
     if (waitMs <= 0) return undefined
     if (waitMs >= this.request.scope.leftMs) return createFailure('linkBudget', { retryAfterMs: waitMs })
-    await new Promise((resolve) => setTimeout(resolve, waitMs))
+    await sleep(waitMs)
     return undefined
   }
 
--- a/src/entry/EntryDaemon.ts
+++ b/src/entry/EntryDaemon.ts
@@ -3,6 +3,7 @@
 import { DialMap } from '../common/DialMap.js'
 import type { Logger } from '../common/Logger.js'
 import { Scheduler } from '../common/Scheduler.js'
+import { sleep } from '../common/sleep.js'
 import { System } from '../common/System.js'
 import type { Settings } from '../config/Settings.js'
 import { AgentClient } from '../control/AgentClient.js'
@@ -132,7 +133,7 @@
     await this.plannedStop.run()
     this.isListening = false
     this.digest.run(this.options.clock.nowMs())
-    await new Promise((resolve) => setTimeout(resolve, finalDigestDelayMs))
+    await sleep(finalDigestDelayMs)
     this.scheduler.stop()
     this.tls?.stop()
     this.agentLink.stop()
--- a/src/entry/PlannedStop.ts
+++ b/src/entry/PlannedStop.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '../common/Clock.js'
 import type { Logger } from '../common/Logger.js'
+import { sleep } from '../common/sleep.js'
 import { lookupTtl } from '../model/lookupTtl.js'
 import { DrainKind } from '../model/DrainKind.js'
 import type { EntryGateway } from './EntryGateway.js'
@@ -84,7 +85,3 @@
     return true
   }
 }
-
-async function sleep (ms: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, ms))
-}
