Close connections of callers who don't read once their responses fill the memory

What callers see: one caller with some dozens of connections, on each of which it pipelines requests and reads no response, fills the memory of a host. The platform ends a process beyond its memory (350 to 870 MB), and the requests of all other callers there end with it.

Cause: a response of up to 512 KB is written to its connection at once, whether the caller takes bytes or not, and up to 16 pipelined requests are handled at a time. The bound is 8 MB a connection, with 3,000 connections.

Open: bodies of requests are bounded by request, not for the process.

--- a/src/entry/DrainableHttpServer.ts
+++ b/src/entry/DrainableHttpServer.ts
@@ -92,6 +92,24 @@
     return this.tracked.size
   }
 
+  /**
+   * Closes the connections with most bytes that their callers have not taken yet until at most `maxBytes` are left, and returns what
+   * was closed. Callers who don't read must not take the memory that the others need.
+   */
+  closeSlowReaders (maxBytes: number): { readonly connections: number, readonly bytes: number } {
+    const rows = [...this.tracked.values()].map((connection) => ({ connection, bytes: connection.unsentBytes })).sort((a, b) => b.bytes - a.bytes)
+    let leftBytes = rows.reduce((sum, { bytes }) => sum + bytes, 0)
+    const closed = { connections: 0, bytes: 0 }
+    for (const { connection, bytes } of rows) {
+      if (leftBytes <= maxBytes) break
+      connection.socket.destroy()
+      leftBytes -= bytes
+      closed.connections += 1
+      closed.bytes += bytes
+    }
+    return closed
+  }
+
   /** Number of connections that were closed on accept because the limit was reached. */
   get dropped (): number {
     return this.droppedConnections
--- a/src/entry/TrackedConnection.ts
+++ b/src/entry/TrackedConnection.ts
@@ -42,6 +42,13 @@
     return !this.isRefusingRequests
   }
 
+  /** Bytes of responses that the caller has not taken yet, also of those that wait behind another one. */
+  get unsentBytes (): number {
+    let bytes = this.socket.writableLength
+    for (const res of this.openResponses) if (res.socket === null) bytes += res.writableLength
+    return bytes
+  }
+
   private get newest (): PipelinedResponse | undefined {
     return [...this.openResponses].at(-1)
   }
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -47,6 +47,7 @@
 import { MaintenanceSystem } from './MaintenanceSystem.js'
 import { NoticeRecorder } from './NoticeRecorder.js'
 import { RequestHandler } from './RequestHandler.js'
+import { SlowReaderSystem } from './SlowReaderSystem.js'
 import { RequestLog } from './RequestLog.js'
 import { AuxiliaryPorts } from './AuxiliaryPorts.js'
 
@@ -191,7 +192,7 @@
     const checker = new HealthChecker({ endpoints: this.endpoints, dial, routing: this.routing, httpBinding, notices: this.notices, clock, logger: createLog('endpoints') })
     this.scheduler = new Scheduler(
       clock,
-      [checker, this.registration, this.createMaintenanceSystem(), this.createShareSystem(), this.createFreshnessSystem(), this.createRetryBudgetLogSystem(), new AnnouncementLogSystem(this.endpoints, createLog('endpoints')), new PeerTrafficLogSystem(traffic, createLog('peers'))],
+      [checker, this.registration, this.createMaintenanceSystem(), this.createShareSystem(), this.createFreshnessSystem(), this.createRetryBudgetLogSystem(), new AnnouncementLogSystem(this.endpoints, createLog('endpoints')), new PeerTrafficLogSystem(traffic, createLog('peers')), new SlowReaderSystem(this.front, options.rejected)],
       (system, error) => {
         this.log.error('tick-failed', { system: system.name, error: formatException(error) })
       }
