Bound the responses that callers don't read in the entry daemon too

SlowReaderSystem is in entry/ now and runs in both; the connections are sorted only where the bound is passed.

--- a/src/entry/DrainableHttpServer.ts
+++ b/src/entry/DrainableHttpServer.ts
@@ -97,10 +97,11 @@
    * was closed. Callers who don't read must not take the memory that the others need.
    */
   closeSlowReaders (maxBytes: number): { readonly connections: number, readonly bytes: number } {
-    const rows = [...this.tracked.values()].map((connection) => ({ connection, bytes: connection.unsentBytes })).sort((a, b) => b.bytes - a.bytes)
+    const rows = [...this.tracked.values()].map((connection) => ({ connection, bytes: connection.unsentBytes }))
     let leftBytes = rows.reduce((sum, { bytes }) => sum + bytes, 0)
     const closed = { connections: 0, bytes: 0 }
-    for (const { connection, bytes } of rows) {
+    if (leftBytes <= maxBytes) return closed
+    for (const { connection, bytes } of rows.sort((a, b) => b.bytes - a.bytes)) {
       if (leftBytes <= maxBytes) break
       connection.socket.destroy()
       leftBytes -= bytes
--- a/src/entry/EntryDaemon.ts
+++ b/src/entry/EntryDaemon.ts
@@ -26,6 +26,7 @@
 import { PlannedStop } from './PlannedStop.js'
 import { ProbeSystem } from './ProbeSystem.js'
 import { routePeerMessage } from './routePeerMessage.js'
+import { SlowReaderSystem } from './SlowReaderSystem.js'
 import { TlsReloader } from './TlsReloader.js'
 
 /** Settings and dependencies of the daemon. */
@@ -217,6 +218,7 @@
       new ModuleSystem('steer', steer),
       new ProbeSystem(steer, this.gateway.endpointClient),
       new OperationSystem(steer, this.options.metrics),
+      new SlowReaderSystem({ server: this.gateway.callerServer, onClosed: (closed) => this.log.warn('responses-not-read', closed) }),
       this.digest
     ]
     return new Scheduler(this.options.clock, systems, (system, error) => {
--- a/src/entry/entryLimits.ts
+++ b/src/entry/entryLimits.ts
@@ -8,6 +8,8 @@
   maxBufferedChunks: 8_192,
   /** Maximum number of bytes of a response beside the buffered part of its body; more than its interim responses and headers can have. */
   maxFramingBytes: 524_288,
+  /** Largest number of bytes of responses that callers have not taken yet, on all connections together; hosts have a few hundred MB. */
+  maxUnsentBytes: 67_108_864,
   /** Maximum number of interim responses (1xx) to one request. */
   maxInterimResponses: 16,
   /** Maximum time in ms between body bytes; then the request fails as too slow. */
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -27,6 +27,7 @@
 import { EndpointTable } from '../endpoints/EndpointTable.js'
 import { DrainableHttpServer } from '../entry/DrainableHttpServer.js'
 import { HttpUpstreamClient } from '../entry/HttpUpstreamClient.js'
+import { SlowReaderSystem } from '../entry/SlowReaderSystem.js'
 import { ServiceRequestRate } from '../placing/ServiceRequestRate.js'
 import { EndpointSelector } from '../placing/EndpointSelector.js'
 import { LocalShares } from '../placing/LocalShares.js'
@@ -47,7 +48,6 @@
 import { MaintenanceSystem } from './MaintenanceSystem.js'
 import { NoticeRecorder } from './NoticeRecorder.js'
 import { RequestHandler } from './RequestHandler.js'
-import { SlowReaderSystem } from './SlowReaderSystem.js'
 import { RequestLog } from './RequestLog.js'
 import { AuxiliaryPorts } from './AuxiliaryPorts.js'
 
@@ -192,7 +192,7 @@
     const checker = new HealthChecker({ endpoints: this.endpoints, dial, routing: this.routing, httpBinding, notices: this.notices, clock, logger: createLog('endpoints') })
     this.scheduler = new Scheduler(
       clock,
-      [checker, this.registration, this.createMaintenanceSystem(), this.createShareSystem(), this.createFreshnessSystem(), this.createRetryBudgetLogSystem(), new AnnouncementLogSystem(this.endpoints, createLog('endpoints')), new PeerTrafficLogSystem(traffic, createLog('peers')), new SlowReaderSystem(this.front, options.rejected)],
+      [checker, this.registration, this.createMaintenanceSystem(), this.createShareSystem(), this.createFreshnessSystem(), this.createRetryBudgetLogSystem(), new AnnouncementLogSystem(this.endpoints, createLog('endpoints')), new PeerTrafficLogSystem(traffic, createLog('peers')), this.createSlowReaderSystem()],
       (system, error) => {
         this.log.error('tick-failed', { system: system.name, error: formatException(error) })
       }
@@ -335,6 +335,11 @@
     return new RetryBudgetLogSystem({ retries: this.retries, getShares: (nowMs) => this.retryAllowance.get(nowMs), logger: this.options.createModuleLogger('request') })
   }
 
+  private createSlowReaderSystem (): SlowReaderSystem {
+    const { rejected } = this.options
+    return new SlowReaderSystem({ server: this.front, onClosed: (closed) => rejected.record(InputEdge.caller, 'responses-not-read', closed) })
+  }
+
   private createFront (metrics: HostMetrics): DrainableHttpServer {
     return new DrainableHttpServer({
       clock: this.options.clock,
--- a/src/host/hostLimits.ts
+++ b/src/host/hostLimits.ts
@@ -8,8 +8,6 @@
   maxBodyBytes: 67_108_864,
   /** Maximum number of open caller connections. */
   maxConnections: 3_000,
-  /** Largest number of bytes of responses that callers have not taken yet, on all connections together; hosts have a few hundred MB. */
-  maxUnsentBytes: 67_108_864,
   /** Maximum number of idle connections kept open to one endpoint. */
   maxIdlePerEndpoint: 12,
   /** Timeout in ms for connecting to an endpoint. */
--- a/test/host/slowReaders.test.ts
+++ b/test/host/slowReaders.test.ts
@@ -3,7 +3,7 @@
 import { setFlagsFromString } from 'node:v8'
 import { runInNewContext } from 'node:vm'
 import { expect } from 'earl'
-import { hostLimits } from '../../src/host/hostLimits.js'
+import { entryLimits } from '../../src/entry/entryLimits.js'
 import { HostGroup } from '../support/HostGroup.js'
 import { RawEndpoint } from '../support/RawEndpoint.js'
 
@@ -56,7 +56,7 @@
       await new Promise((resolve) => setTimeout(resolve, callerPauseMs))
       if (name % callersPerCheck === 0) mostBytes = Math.max(mostBytes, readBufferBytes() - beforeBytes)
     }
-    expect(mostBytes).toBeLessThan(hostLimits.maxUnsentBytes + otherBytes)
+    expect(mostBytes).toBeLessThan(entryLimits.maxUnsentBytes + otherBytes)
     expect(group.logger.lines.some((line) => line.includes('responses-not-read'))).toEqual(true)
     expect((await group.send({ id: 'reader' })).body.length).toEqual(bodyBytes)
   } finally {
