--- a/dev/measures/HostUnderLoad.ts
+++ b/dev/measures/HostUnderLoad.ts
@@ -1,4 +1,5 @@
 import { Agent } from 'node:http'
+import { sleep } from '../../src/common/sleep.js'
 import { Guard } from '../cluster/Guard.js'
 import { sendRequest } from '../common/sendRequest.js'
 import { SoakHost } from '../soak/SoakHost.js'
@@ -102,7 +103,7 @@
       const status = await sendRequest(`http://${host.readinessAddress}/v1/readiness`, { timeoutMs: requestTimeoutMs }).then((response) => response.status, () => 0)
       if (status === okStatus) return
       if (performance.now() > endMs) throw new Error(`host "${host.name}" is not ready:\n${host.process.readLogTail()}`)
-      await new Promise((resolve) => setTimeout(resolve, pollMs))
+      await sleep(pollMs)
     }
   }
 }
--- a/test/host/leftCallers.test.ts
+++ b/test/host/leftCallers.test.ts
@@ -1,6 +1,7 @@
 import { test } from 'node:test'
 import { Worker } from 'node:worker_threads'
 import { expect } from 'earl'
+import { sleep } from '../../src/common/sleep.js'
 import { HostGroup } from '../support/HostGroup.js'
 
 const stallTimeoutMs = 5_000
@@ -12,7 +13,16 @@
 }
 
 /** Stops the event loop of the hosts while callers connect, send their requests and leave; returns the ids that reached endpoints. */
-async function leaveDuringStall (group: HostGroup, requests: readonly string[]): Promise<string[]> {
+async function leaveDuringStall (requests: readonly string[]): Promise<string[]> {
+  const group = await HostGroup.start()
+  try {
+    return await listArrivals(group, requests)
+  } finally {
+    await group.stop()
+  }
+}
+
+async function listArrivals (group: HostGroup, requests: readonly string[]): Promise<string[]> {
   const arrivals: string[] = []
   for (const endpoint of group.endpoints) endpoint.onArrival = (id) => arrivals.push(id)
   const state = new Int32Array(new SharedArrayBuffer(4))
@@ -20,7 +30,7 @@
   // The worker needs this thread until it runs.
   await new Promise((resolve) => worker.once('online', resolve))
   expect(Atomics.wait(state, 0, 0, stallTimeoutMs)).toEqual('ok')
-  await new Promise((resolve) => setTimeout(resolve, settleMs))
+  await sleep(settleMs)
   expect((await group.send({ id: 'after' })).status).toEqual(200)
   await worker.terminate()
   return arrivals
@@ -28,17 +38,13 @@
 
 // Guards against passing on requests that waited to be accepted until their callers had left.
 test('requests whose callers left before they were accepted reach no endpoint', async () => {
-  const group = await HostGroup.start()
   const reads = Array.from({ length: 30 }, (_value, index) => formatRequest(`read-${index}`))
   const orders = Array.from({ length: 30 }, (_value, index) => formatRequest(`order-${index}`, { method: 'POST', path: '/order/1', body: 'abc' }))
-  expect(await leaveDuringStall(group, [...reads, ...orders])).toEqual(['after'])
-  await group.stop()
+  expect(await leaveDuringStall([...reads, ...orders])).toEqual(['after'])
 })
 
 // Guards against passing on the pipelined requests of such callers.
 test('pipelined requests whose caller left before they were accepted reach no endpoint', async () => {
-  const group = await HostGroup.start()
   const texts = Array.from({ length: 20 }, (_value, index) => [1, 2, 3].map((place) => formatRequest(`r-${index}-${place}`)).join(''))
-  expect(await leaveDuringStall(group, texts)).toEqual(['after'])
-  await group.stop()
+  expect(await leaveDuringStall(texts)).toEqual(['after'])
 })
--- a/test/soak/StallWatch.test.ts
+++ b/test/soak/StallWatch.test.ts
@@ -5,6 +5,7 @@
 import { soakLimits } from '../../dev/soak/soakLimits.js'
 import { StallWatch } from '../../dev/soak/StallWatch.js'
 import type { SoakRequest } from '../../dev/soak/SoakRequest.js'
+import { sleep } from '../../src/common/sleep.js'
 
 const settleMs = 100
 const faultsEndedMs = 100_000
@@ -14,10 +15,6 @@
   Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms)
 }
 
-async function pause (ms: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, ms))
-}
-
 function createTimedOut (id: string, sentAtMs: number): SoakRequest {
   return {
     id,
@@ -59,12 +56,12 @@
   const stalls: number[] = []
   const watch = new StallWatch((fromMs, untilMs) => stalls.push(untilMs - fromMs))
   watch.start()
-  await pause(settleMs)
+  await sleep(settleMs)
   standStill(soakLimits.stallMs / 2)
-  await pause(settleMs)
+  await sleep(settleMs)
   expect(stalls).toEqual([])
   standStill(2 * soakLimits.stallMs)
-  await pause(settleMs)
+  await sleep(settleMs)
   watch.stop()
   expect(stalls.length).toEqual(1)
   expect(stalls[0]! >= 2 * soakLimits.stallMs).toEqual(true)
