Log and count how fetches of tables go while a host is behind

A host that has news late fetches it from another one. New: lines table-behind and table-caught-up, the gauge shunt_table_behind_ms, the counter shunt_table_fetches_total by outcome, and behindMs in refusals without a route. What is fetched, when and from whom is unchanged.

--- a/src/host/HostContext.ts
+++ b/src/host/HostContext.ts
@@ -34,6 +34,6 @@
   /** Returns the version of the local copy of the endpoints table. */
   readonly endpointsVersion: () => number
   /** Returns log fields that tell how old the configuration and the last news from the store are. */
-  readonly describeConfigAge: () => { readonly configAgeMs: number, readonly unconfirmedMs: number, readonly storeAgeMs: number }
+  readonly describeConfigAge: () => { readonly configAgeMs: number, readonly unconfirmedMs: number, readonly behindMs: number, readonly storeAgeMs: number }
   readonly random: () => number
 }
--- a/src/host/HostMetrics.ts
+++ b/src/host/HostMetrics.ts
@@ -18,6 +18,7 @@
   readonly isStoreDown: () => boolean
   /** Returns for how long in ms the local copy of a table may miss changes. */
   readonly getTableAge: (table: CatalogTable) => number
+  readonly getBehindMs: (table: CatalogTable) => number
   /** Returns the era of the store that the local copy of the orders belongs to. */
   readonly getStoreEra: () => number
   /** Returns how many rows of a table hold although the store has lost them by a restore. */
@@ -85,6 +86,7 @@
     this.addGauge('shunt_endpoints_backing_off', 'Endpoints that are left out because they asked in a response for a time without requests', gauges.countBackingOffEndpoints)
     this.addGauge('shunt_store_era', 'Era of the store that the local copy of the orders belongs to; it rises when the store is restored', gauges.getStoreEra)
     this.addTableGauge('shunt_table_unconfirmed_ms', 'Time since the latest call to the store by any host that shows that the local copy of a table is complete', gauges.getTableAge)
+    this.addTableGauge('shunt_table_behind_ms', 'Time since another host is known to have a newer copy of a table', gauges.getBehindMs)
     this.addTableGauge('shunt_table_retained_rows', 'Rows that hold although the store has lost them by a restore', gauges.countRetainedRows)
     this.addRetryBudgets(gauges.listRetryBudgets)
   }
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -8,6 +8,7 @@
 import type { CatalogStore } from '../catalog/CatalogStore.js'
 import { CatalogTable } from '../catalog/CatalogTable.js'
 import { TableFreshnessSystem } from '../catalog/TableFreshnessSystem.js'
+import { BehindTableLogSystem } from '../peers/BehindTableLogSystem.js'
 import type { HostRecord } from '../peers/HostRecord.js'
 import { PeerMesh } from '../peers/PeerMesh.js'
 import { PeerTable } from '../peers/PeerTable.js'
@@ -141,6 +142,7 @@
       requestRate: this.requestRate,
       shares: this.shares,
       getTableAge: (table, nowMs) => this.readers.getTableAge(table, nowMs),
+      getBehindMs: (table, nowMs) => this.mesh.getBehindMs(table, nowMs),
       isReady: () => this.isReady,
       isLeaving: () => this.isLeaving
     })
@@ -192,7 +194,7 @@
     const checker = new HealthChecker({ endpoints: this.endpoints, dial, routing: this.routing, httpBinding, notices: this.notices, clock, logger: createLog('endpoints') })
     this.scheduler = new Scheduler(
       clock,
-      [checker, this.registration, this.createMaintenanceSystem(), this.createShareSystem(), this.createFreshnessSystem(), this.createRetryBudgetLogSystem(), new AnnouncementLogSystem(this.endpoints, createLog('endpoints')), new PeerTrafficLogSystem(traffic, createLog('peers')), this.createSlowReaderSystem()],
+      [checker, this.registration, this.createMaintenanceSystem(), this.createShareSystem(), this.createFreshnessSystem(), this.createBehindTableSystem(), this.createRetryBudgetLogSystem(), new AnnouncementLogSystem(this.endpoints, createLog('endpoints')), new PeerTrafficLogSystem(traffic, createLog('peers')), this.createSlowReaderSystem()],
       (system, error) => {
         this.log.error('tick-failed', { system: system.name, error: formatException(error) })
       }
@@ -205,6 +207,7 @@
       configVersion: () => this.routing.config?.version ?? 0,
       isStoreDown: () => this.health.isDown,
       getTableAge: (table) => this.readers.getTableAge(table, clock.nowMs()),
+      getBehindMs: (table) => this.mesh.getBehindMs(table, clock.nowMs()),
       getStoreEra: () => this.state.catalog.positionOf(CatalogTable.orders).era,
       countRetainedRows: (table) => this.state.catalog.countRetained(table),
       countLimitedEndpoints: () => [...this.endpoints].filter((row) => row.announced.rateLimit?.perSecond !== undefined).length,
@@ -331,6 +334,10 @@
     return new TableFreshnessSystem({ getAgeMs, logger: this.options.createModuleLogger('store') })
   }
 
+  private createBehindTableSystem (): BehindTableLogSystem {
+    return new BehindTableLogSystem({ listBehind: (nowMs) => this.mesh.listBehind(nowMs), logger: this.options.createModuleLogger('peers') })
+  }
+
   private createRetryBudgetLogSystem (): RetryBudgetLogSystem {
     return new RetryBudgetLogSystem({ retries: this.retries, getShares: (nowMs) => this.retryAllowance.get(nowMs), logger: this.options.createModuleLogger('request') })
   }
--- a/src/host/HostStatus.ts
+++ b/src/host/HostStatus.ts
@@ -23,6 +23,8 @@
   readonly shares: LocalShares
   /** Returns for how long in ms the local copy of a table may miss changes. */
   readonly getTableAge: (table: CatalogTable, nowMs: number) => number
+  /** Returns for how long in ms another host is known to have a newer copy of a table; 0 when none is. */
+  readonly getBehindMs: (table: CatalogTable, nowMs: number) => number
   readonly isReady: () => boolean
   readonly isLeaving: () => boolean
 }
@@ -50,13 +52,17 @@
     }
   }
 
-  /** Returns for log lines how old the configuration is, for how long it may miss changes, and the age of the last successful call to the store. */
-  describeConfigAge (): { configAgeMs: number, unconfirmedMs: number, storeAgeMs: number } {
-    const { clock, state, getTableAge } = this.options
+  /**
+   * Returns for log lines how old the configuration is, for how long it may miss changes, for how long another host is known to have a
+   * newer one, and the age of the last successful call to the store.
+   */
+  describeConfigAge (): { configAgeMs: number, unconfirmedMs: number, behindMs: number, storeAgeMs: number } {
+    const { clock, state, getTableAge, getBehindMs } = this.options
     const nowMs = clock.nowMs()
     return {
       configAgeMs: Math.round(state.catalog.ageOf(CatalogTable.orders, nowMs)),
       unconfirmedMs: toReportedAge(getTableAge(CatalogTable.orders, nowMs)),
+      behindMs: Math.round(getBehindMs(CatalogTable.orders, nowMs)),
       storeAgeMs: this.readStoreAge(nowMs)
     }
   }
--- a/src/peers/PeerMesh.ts
+++ b/src/peers/PeerMesh.ts
@@ -10,6 +10,7 @@
 import type { Catalog } from '../catalog/Catalog.js'
 import { CatalogTable } from '../catalog/CatalogTable.js'
 import { comparePositions } from '../catalog/comparePositions.js'
+import type { BehindTable } from './BehindTable.js'
 import { computeDeadAfterMs } from './computeDeadAfterMs.js'
 import { PageServer } from './PageServer.js'
 import { PeerMessage } from './PeerMessage.js'
@@ -105,6 +106,16 @@
     this.tick()
   }
 
+  /** Lists the tables of which another host is known to have a newer copy. */
+  listBehind (nowMs: number): BehindTable[] {
+    return this.fetcher.listBehind(nowMs)
+  }
+
+  /** Returns for how long in ms another host is known to have a newer copy of a table; 0 when none is. */
+  getBehindMs (table: CatalogTable, nowMs: number): number {
+    return this.fetcher.getBehindMs(table, nowMs)
+  }
+
   private tick (): void {
     const nowMs = this.options.clock.nowMs()
     for (const row of this.options.peers) {
--- a/src/peers/TableFetcher.ts
+++ b/src/peers/TableFetcher.ts
@@ -1,3 +1,4 @@
+import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import type { Catalog } from '../catalog/Catalog.js'
 import { CatalogTable } from '../catalog/CatalogTable.js'
@@ -7,6 +8,8 @@
 import { formatException } from '../common/formatException.js'
 import type { Logger } from '../common/Logger.js'
 import type { Message } from '../wire/Message.js'
+import type { BehindTable } from './BehindTable.js'
+import type { FetchFailure } from './FetchFailure.js'
 import { forwardedPageSchema } from './forwardedPageSchema.js'
 import { pageCodec } from './pageCodec.js'
 import { PageTransfer } from './PageTransfer.js'
@@ -37,9 +40,12 @@
 
 /** State of the fetches of one table. Times are monotonic ms. */
 interface FetchState {
-  isInFlight: boolean
+  /** Fetch that is under way. */
+  current: { readonly source: string, readonly startMs: number } | undefined
   /** Since when another host is known to have a newer copy. */
   behindSinceMs: number | undefined
+  /** Fetches since then that brought nothing, by reason. */
+  failures: Map<FetchFailure['kind'], number>
   nextAtMs: number
   backoffMs: number
   /** Host that failed to serve the last fetch; another one is asked next, if there is one. */
@@ -61,17 +67,38 @@
 
   /** Begins the fetches that are due. */
   run (nowMs: number): void {
-    for (const [table, state] of this.states) {
-      if (!state.isInFlight && nowMs >= state.nextAtMs) this.check(table, state, nowMs)
-    }
+    for (const [table, state] of this.states) this.check(table, state, nowMs)
+  }
+
+  /** Returns for how long in ms another host is known to have a newer copy of a table; 0 when none is. */
+  getBehindMs (table: CatalogTable, nowMs: number): number {
+    return nowMs - (this.states.get(table)?.behindSinceMs ?? nowMs)
+  }
+
+  /** Lists the tables of which another host is known to have a newer copy. */
+  listBehind (nowMs: number): BehindTable[] {
+    return [...this.states].flatMap(([table, state]) => {
+      const sources = this.listSources(table, nowMs)
+      const { behindSinceMs, current, failures } = state
+      if (behindSinceMs === undefined || sources.length === 0) return []
+      const newest = Math.max(...sources.map((row) => row.positions!.versions[table]))
+      const fetchMs = current === undefined ? undefined : nowMs - current.startMs
+      return [{ table, behindMs: nowMs - behindSinceMs, newest, held: this.options.catalog.versionOf(table), sources: sources.length, source: current?.source, fetchMs, failures }]
+    })
   }
 
   private check (table: CatalogTable, state: FetchState, nowMs: number): void {
     const sources = this.listSources(table, nowMs)
-    state.behindSinceMs = sources.length === 0 ? undefined : state.behindSinceMs ?? nowMs
-    if (state.behindSinceMs === undefined || nowMs - state.behindSinceMs < this.readDelayMs(table)) return
-    state.isInFlight = true
-    this.fetch(table, state, this.chooseSource(sources, state)).catch((error: unknown) =>
+    if (sources.length === 0) {
+      state.behindSinceMs = undefined
+      state.failures.clear()
+      return
+    }
+    state.behindSinceMs ??= nowMs
+    if (state.current !== undefined || nowMs < state.nextAtMs || nowMs - state.behindSinceMs < this.readDelayMs(table)) return
+    const source = this.chooseSource(sources, state)
+    state.current = { source: source.record.name, startMs: nowMs }
+    this.fetch(table, state, source).catch((error: unknown) =>
       this.options.logger.error('fetch-failed', { table, error: formatException(error) }))
   }
 
@@ -98,35 +125,37 @@
   }
 
   private async fetch (table: CatalogTable, state: FetchState, source: PeerRow): Promise<void> {
-    let isComplete = false
+    let result: Result<void, FetchFailure> = err({ kind: 'failed' })
     try {
-      isComplete = await this.transfer(table, source)
+      result = await this.transfer(table, source)
     } finally {
-      state.isInFlight = false
-      this.finish(state, source, isComplete)
+      state.current = undefined
+      this.finish(table, state, source, result)
     }
-    if (isComplete) this.options.onFetched(table)
+    if (result.isOk()) this.options.onFetched(table)
   }
 
   /** Another host that has the table is asked after the pause, also when this one was only busy. */
-  private finish (state: FetchState, source: PeerRow, isComplete: boolean): void {
-    const { clock, random } = this.options
-    if (isComplete) {
+  private finish (table: CatalogTable, state: FetchState, source: PeerRow, result: Result<void, FetchFailure>): void {
+    const { clock, random, traffic } = this.options
+    traffic.recordFetch(table, result.isOk() ? 'complete' : result.error.kind)
+    if (result.isOk()) {
       Object.assign(state, createState())
       return
     }
+    state.failures.set(result.error.kind, (state.failures.get(result.error.kind) ?? 0) + 1)
     state.failedSource = source.record.name
     state.nextAtMs = clock.nowMs() + state.backoffMs * (0.5 + random())
     state.backoffMs = Math.min(peerLimits.maxFetchBackoffMs, state.backoffMs * 2)
   }
 
-  /** Returns true when this host has what the source had. */
-  private async transfer (table: CatalogTable, source: PeerRow): Promise<boolean> {
+  /** Succeeds when this host has what the source had. */
+  private async transfer (table: CatalogTable, source: PeerRow): Promise<Result<void, FetchFailure>> {
     const { catalog, onRejected } = this.options
     const bytes = await this.pages.transfer(source.record.peerAddress, table, catalog.resumeAfter(table))
-    if (bytes.isOk() && this.apply(table, bytes.value, source)) return true
-    if (bytes.isOk() || bytes.error.kind === 'unreadable') onRejected('page-unreadable', { table, peer: source.record.name })
-    return false
+    const result = bytes.andThen((value): Result<void, FetchFailure> => this.apply(table, value, source) ? ok() : err({ kind: 'unreadable' }))
+    if (result.isErr() && result.error.kind === 'unreadable') onRejected('page-unreadable', { table, peer: source.record.name })
+    return result
   }
 
   /** Returns true when the local copy has all that the page has. */
@@ -150,5 +179,5 @@
 }
 
 function createState (): FetchState {
-  return { isInFlight: false, behindSinceMs: undefined, nextAtMs: 0, backoffMs: peerLimits.minFetchBackoffMs, failedSource: undefined }
+  return { current: undefined, behindSinceMs: undefined, failures: new Map(), nextAtMs: 0, backoffMs: peerLimits.minFetchBackoffMs, failedSource: undefined }
 }
