Deny a path without a route only from a configuration known to be complete

Cause: RequestHandler answered unknownService from whatever copy it had, however long no call to the store had confirmed it, and also while peers were known to have a newer one. A host that is late for any reason denied what it could not know.

Now RouteFinder answers 404 only when the copy has every change acknowledged earlier than config_apply_s ago (the age of the newest call to the store whose changes the host has) and no peer is known to have a newer one; otherwise 503 configUnconfirmed with Retry-After 0.3 s, which promises that nothing ran and lets the caller reach another host. Known routes are served as before: to refuse them would turn an outage of the store into one of all routes.

--- a/src/host/HostBounds.ts
+++ b/src/host/HostBounds.ts
@@ -4,6 +4,8 @@
   readonly graceMs: number
   /** Time in ms after an endpoint's leaving was acknowledged until which requests may still reach it. */
   readonly drainMs: number
+  /** Time in ms after a change of the configuration was acknowledged from which requests must be handled by it. */
+  readonly configApplyMs: number
   readonly retryRatio: number
   readonly retryWindowMs: number
   readonly retrySlack: number
--- a/src/host/HostContext.ts
+++ b/src/host/HostContext.ts
@@ -10,6 +10,7 @@
 import type { HostMetrics } from './HostMetrics.js'
 import type { NoticeRecorder } from './NoticeRecorder.js'
 import type { RequestLog } from './RequestLog.js'
+import type { RouteFinder } from './RouteFinder.js'
 
 /** Components that serve requests. */
 export interface HostContext {
@@ -18,6 +19,7 @@
   readonly clock: Clock
   readonly httpBinding: HttpBinding
   readonly routing: RoutingTable
+  readonly routes: RouteFinder
   readonly picker: WeightedPicker
   readonly endpointSelector: EndpointSelector
   readonly requestRate: ServiceRequestRate
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -49,6 +49,7 @@
 import { MaintenanceSystem } from './MaintenanceSystem.js'
 import { NoticeRecorder } from './NoticeRecorder.js'
 import { RequestHandler } from './RequestHandler.js'
+import { RouteFinder } from './RouteFinder.js'
 import { RequestLog } from './RequestLog.js'
 import { AuxiliaryPorts } from './AuxiliaryPorts.js'
 
@@ -285,6 +286,7 @@
       clock,
       httpBinding,
       routing,
+      routes: this.createRouteFinder(),
       picker: new WeightedPicker(),
       endpointSelector,
       requestRate,
@@ -302,6 +304,16 @@
     })
   }
 
+  private createRouteFinder (): RouteFinder {
+    const { clock } = this.options
+    return new RouteFinder({
+      routing: this.routing,
+      getUnconfirmedMs: () => this.readers.getTableAge(CatalogTable.orders, clock.nowMs()),
+      getBehindMs: () => this.mesh.getBehindMs(CatalogTable.orders, clock.nowMs()),
+      getMaxUnconfirmedMs: () => this.settings.bounds.configApplyMs
+    })
+  }
+
   private createEndpointSelector (): EndpointSelector {
     const { endpoints, routing, shares, state, peers } = this
     const { settings, random } = this.options
--- a/src/host/RequestHandler.ts
+++ b/src/host/RequestHandler.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { err, ok } from 'neverthrow'
+import { err } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import { createFailure } from '../common/createFailure.js'
 import type { Failure } from '../common/Failure.js'
@@ -56,13 +56,12 @@
   }
 
   private findRoute (req: IncomingMessage): Result<Route, Failure> {
-    const { routing } = this.context
+    const { routing, routes } = this.context
     if (routing.config === undefined || !this.context.isSynced()) return err(createFailure('notReady', { retryAfterMs: hostLimits.notReadyRetryMs }))
     if (countHeaderBytes(req) > routing.config.limits.headerBytes) return err(createFailure('headersTooLarge'))
     const host = (req.headers.host ?? '').toLowerCase()
     const path = (req.url ?? '').split('?', 1)[0]!
-    const route = routing.find(host, path)
-    return route === undefined ? err(createFailure('unknownService')) : ok(route)
+    return routes.find(host, path)
   }
 
   private openScope ({ req, res, startMs }: Exchange, route: Route): RequestScope {
--- a/test/platformAdapter/decoders.test.ts
+++ b/test/platformAdapter/decoders.test.ts
@@ -100,7 +100,7 @@
 
 // Guards against silently replacing given values by defaults.
 test('rule parameters are converted to ms and validated', () => {
-  const bounds = parseRuleParams(['grace_s=6', 'drain_s=3', 'budget_ratio=0.2', 'budget_window_s=10', 'budget_slack=58', 'ttl_max_s=5', 'unknown=x'])._unsafeUnwrap()
-  expect(bounds).toEqual({ graceMs: 6_000, drainMs: 3_000, retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 58, maxTtlMs: 5_000 })
+  const bounds = parseRuleParams(['grace_s=6', 'drain_s=3', 'config_apply_s=4', 'budget_ratio=0.2', 'budget_window_s=10', 'budget_slack=58', 'ttl_max_s=5', 'unknown=x'])._unsafeUnwrap()
+  expect(bounds).toEqual({ graceMs: 6_000, drainMs: 3_000, configApplyMs: 4_000, retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 58, maxTtlMs: 5_000 })
   expect(parseRuleParams(['grace_s=soon'])._unsafeUnwrapErr()).toEqual('"grace_s=soon" is not a number of 0 or more')
 })
--- a/test/support/createHostSettings.ts
+++ b/test/support/createHostSettings.ts
@@ -13,7 +13,7 @@
     seeds: [],
     dial: {},
     clusterKey: 'test',
-    bounds: { graceMs: 3_000, drainMs: 2_500, retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 64, maxTtlMs: 5_000 },
+    bounds: { graceMs: 3_000, drainMs: 2_500, configApplyMs: 2_500, retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 64, maxTtlMs: 5_000 },
     ...change
   }
 }
