Send a late host only the newest change of each row

Cause: the history of a table kept every change, also those that later ones supersede.

Now an extended history replaces earlier changes of the same keys. What a host lacks after any version of the history is still complete, since the latest change of a key is all that a copy takes over.

--- a/src/catalog/Catalog.ts
+++ b/src/catalog/Catalog.ts
@@ -25,7 +25,7 @@
   retained: Map<string, CatalogRow>
   /** Monotonic time in ms until which retained rows hold. */
   retainedUntilMs: number
-  /** Latest changes, oldest first. Holds every change after version `historyFrom`. */
+  /** Latest change of each key, oldest first. Holds the key of every change after version `historyFrom`. */
   history: CatalogRow[]
   historyFrom: number
 }
@@ -182,9 +182,10 @@
   return [...written, ...removed].sort((a, b) => a.version - b.version)
 }
 
-/** Adds changes to a history and drops the oldest ones beyond `maxHistory`. */
+/** Adds changes to a history in place of earlier ones of the same keys, and drops the oldest ones beyond `maxHistory`. */
 function extendHistory ({ history, historyFrom }: TableCopy, changes: readonly CatalogRow[]): Pick<TableCopy, 'history' | 'historyFrom'> {
-  const all = [...history, ...changes]
+  const latest = new Map(changes.map((row) => [row.key, row]))
+  const all = [...history.filter(({ key }) => !latest.has(key)), ...changes.filter((row) => latest.get(row.key) === row)]
   const surplus = all.length - catalogLimits.maxHistory
   return surplus <= 0 ? { history: all, historyFrom } : { history: all.slice(surplus), historyFrom: all[surplus - 1]!.version }
 }
--- a/test/catalog/Catalog.test.ts
+++ b/test/catalog/Catalog.test.ts
@@ -100,6 +100,27 @@
   expect(catalog.exportSince('orders', { era: 0, version: 0 }, 0).after).toEqual(undefined)
 })
 
+// Guards against a late host that is sent each configuration that it missed, on links that are full already (issue 44).
+test('a host that lacks several changes of a row is sent only the last of them', () => {
+  const catalog = new Catalog(() => {})
+  catalog.apply('orders', { era: 0, version: 1, rows: [{ key: 'a', version: 1, entry: createEvacuation('a1') }] }, 0, 'store')
+  for (let version = 2; version <= 6; version++) {
+    const rows = [{ key: version % 3 === 0 ? 'b' : 'a', version, entry: createEvacuation(`v${version}`) }]
+    catalog.apply('orders', { era: 0, after: version - 1, version, rows }, 0, 'store')
+  }
+  expect(catalog.exportSince('orders', { era: 0, version: 1 }, 0).rows.map(({ key, version }) => [key, version])).toEqual([['a', 5], ['b', 6]])
+})
+
+// Guards against a history that holds hundreds of whole configurations.
+test('earlier changes of the same rows are not kept', () => {
+  const catalog = new Catalog(() => {})
+  catalog.apply('orders', { era: 0, version: 1, rows: [] }, 0, 'store')
+  for (let version = 2; version <= 2 * catalogLimits.maxHistory; version++) {
+    catalog.apply('orders', { era: 0, after: version - 1, version, rows: [{ key: 'a', version, entry: createEvacuation(`v${version}`) }] }, 0, 'store')
+  }
+  expect(catalog.exportSince('orders', { era: 0, version: 1 }, 0).after).toEqual(1)
+})
+
 // Guards against copies that miss all changes after the store came back from an older copy, whose versions are lower.
 test('a table of a later era replaces one with a higher version', () => {
   const catalog = new Catalog(() => {})
