--- a/src/peers/TableFetcher.ts
+++ b/src/peers/TableFetcher.ts
@@ -10,6 +10,7 @@
 import type { Message } from '../wire/Message.js'
 import type { BehindTable } from './BehindTable.js'
 import type { FetchFailure } from './FetchFailure.js'
+import { chooseSource } from './chooseSource.js'
 import { forwardedPageSchema } from './forwardedPageSchema.js'
 import { pageCodec } from './pageCodec.js'
 import { PageTransfer } from './PageTransfer.js'
@@ -95,17 +96,23 @@
       return
     }
     state.behindSinceMs ??= nowMs
-    if (state.current !== undefined || nowMs < state.nextAtMs || nowMs - state.behindSinceMs < this.readDelayMs(table)) return
-    const source = this.chooseSource(sources, state)
+    if (state.current !== undefined || nowMs < state.nextAtMs || nowMs - state.behindSinceMs < this.fetchDelayMs(table, sources)) return
+    const { region, random } = this.options
+    const source = chooseSource(sources, { region, random, avoided: new Set(state.failedSource === undefined ? [] : [state.failedSource]) })
     state.current = { source: source.record.name, startMs: nowMs }
     this.fetch(table, state, source).catch((error: unknown) =>
       this.options.logger.error('fetch-failed', { table, error: formatException(error) }))
   }
 
-  /** A host that reads the store gets changes from there at the same time. */
-  private readDelayMs (table: CatalogTable): number {
-    const { catalog, isReader } = this.options
-    return isReader() && catalog.versionOf(table) >= 0 ? peerLimits.readerFetchDelayMs : 0
+  /**
+   * A host that reads the store gets changes from there at the same time, and so do the readers of its region when only other
+   * regions are known to have them. A host without a copy waits for nobody.
+   */
+  private fetchDelayMs (table: CatalogTable, sources: readonly PeerRow[]): number {
+    const { catalog, isReader, region } = this.options
+    if (catalog.versionOf(table) < 0) return 0
+    const isNear = sources.some((row) => row.record.region === region)
+    return isReader() || !isNear ? peerLimits.storeFirstMs : 0
   }
 
   private listSources (table: CatalogTable, nowMs: number): PeerRow[] {
@@ -115,15 +122,6 @@
       positions !== undefined && positions.versions[table] >= 0 && comparePositions(positionOf(positions, table, own.era), own) > 0)
   }
 
-  /** Hosts of the region come first. The choice among them is random, so that they share the work. */
-  private chooseSource (sources: readonly PeerRow[], { failedSource }: FetchState): PeerRow {
-    const others = sources.filter((row) => row.record.name !== failedSource)
-    const usable = others.length > 0 ? others : sources
-    const near = usable.filter((row) => row.record.region === this.options.region)
-    const preferred = near.length > 0 ? near : usable
-    return preferred[Math.floor(this.options.random() * preferred.length)]!
-  }
-
   private async fetch (table: CatalogTable, state: FetchState, source: PeerRow): Promise<void> {
     let result: Result<void, FetchFailure> = err({ kind: 'failed' })
     try {
--- a/src/peers/peerLimits.ts
+++ b/src/peers/peerLimits.ts
@@ -14,8 +14,8 @@
   deadAfterMs: 2_000,
   /** Time in ms without a heartbeat for which a host that hasn't announced its leaving may still send requests, as it may only be cut off. */
   recentMs: 30_000,
-  /** Time in ms for which a host that reads the store waits for a change from there before it fetches it from another host. */
-  readerFetchDelayMs: 250,
+  /** Time in ms for which a host waits for a change from the store, if it or only its region's readers read it, before it fetches the change from another host or region. */
+  storeFirstMs: 250,
   /** Size in bytes of the parts in which a page is sent. Heartbeats wait for one part at most; it takes 0.05 s on a link of 10 Mbit/s. */
   pagePartBytes: 65_536,
   /** Time in ms to wait for a part of a page. */
--- a/test/peers/TableFetcher.test.ts
+++ b/test/peers/TableFetcher.test.ts
@@ -109,6 +109,30 @@
   expect(fixture.asked).toEqual(['near'])
 })
 
+// Guards against all hosts of a region that fetch a change from the first host of another one, whose link then delays each of them (issue 44).
+test('a host with a copy waits for its own region before it asks another one', async () => {
+  const fixture = new FetcherFixture()
+  fixture.catalog.apply('orders', { era: 1, version: 1, rows: [] }, 0, 'store')
+  fixture.hear('far', 'south')
+  await fixture.run()
+  expect(fixture.asked).toEqual([])
+  fixture.clock.advance(100)
+  fixture.hear('near')
+  await fixture.run()
+  expect(fixture.asked).toEqual(['near'])
+})
+
+// Guards against a region without readers that never asks another one.
+test('another region is asked when the own one stays behind', async () => {
+  const fixture = new FetcherFixture()
+  fixture.catalog.apply('orders', { era: 1, version: 1, rows: [] }, 0, 'store')
+  fixture.hear('far', 'south')
+  await fixture.run()
+  fixture.clock.advance(peerLimits.storeFirstMs)
+  await fixture.run()
+  expect(fixture.asked).toEqual(['far'])
+})
+
 // Guards against pages sent to hosts that get the same change from the store.
 test('a host that reads the store waits for the change from there', async () => {
   const fixture = new FetcherFixture()
@@ -117,7 +141,7 @@
   fixture.hear('b')
   await fixture.run()
   expect(fixture.asked).toEqual([])
-  fixture.clock.advance(peerLimits.readerFetchDelayMs)
+  fixture.clock.advance(peerLimits.storeFirstMs)
   await fixture.run()
   expect(fixture.asked).toEqual(['b'])
 })
