Ask a second host for a table when the first one is busy or takes long

Cause: a fetch of a table depended on one host. One that lost power just after its heartbeat, or is overloaded, held the fetch for its timeout of 2 s; one that was busy with the rest of a page held it without a bound; and each busy host doubled the pause before the next was asked, up to 1.5 s, although others had the table. A change must be in force within 2.5 to 3 s.

Now a second host is asked beside the first after 500 ms, two at most, so a table crosses a link twice at worst. A busy host is left out for the time that it names while others are asked at once, and a fetch waits for the rest of a page no longer than for a reply.

--- a/src/peers/BehindTable.ts
+++ b/src/peers/BehindTable.ts
@@ -11,9 +11,8 @@
   readonly held: number
   /** Number of hosts that have a newer copy. */
   readonly sources: number
-  /** Host that is being fetched from, and for how long; undefined while no fetch is under way. */
-  readonly source: string | undefined
-  readonly fetchMs: number | undefined
+  /** Hosts that are being fetched from, and for how long. */
+  readonly fetches: ReadonlyArray<{ readonly source: string, readonly elapsedMs: number }>
   /** Fetches that brought nothing, by reason. */
   readonly failures: ReadonlyMap<FetchFailure['kind'], number>
 }
--- a/src/peers/BehindTableLogSystem.ts
+++ b/src/peers/BehindTableLogSystem.ts
@@ -34,9 +34,17 @@
     }
   }
 
-  private logBehind ({ table, behindMs, newest, held, sources, source, fetchMs, failures }: BehindTable, nowMs: number): void {
+  private logBehind ({ table, behindMs, newest, held, sources, fetches, failures }: BehindTable, nowMs: number): void {
     if (nowMs < (this.nextLogAtMs.get(table) ?? -Infinity)) return
     this.nextLogAtMs.set(table, nowMs + logIntervalMs)
-    this.options.logger.warn('table-behind', { table, behindMs: Math.round(behindMs), newest, held, sources, source: source ?? '', fetchMs: Math.round(fetchMs ?? 0), ...Object.fromEntries(failures) })
+    this.options.logger.warn('table-behind', {
+      table,
+      behindMs: Math.round(behindMs),
+      newest,
+      held,
+      sources,
+      fetching: fetches.map(({ source, elapsedMs }) => `${source}:${Math.round(elapsedMs)}`).join(','),
+      ...Object.fromEntries(failures)
+    })
   }
 }
--- a/src/peers/PageTransfer.ts
+++ b/src/peers/PageTransfer.ts
@@ -29,20 +29,26 @@
 export class PageTransfer {
   constructor (private readonly options: PageTransferOptions) {}
 
-  /** Returns the encoded page with what a host has of a table after a position. A busy host is waited for only once a part has arrived. */
+  /**
+   * Returns the encoded page with what a host has of a table after a position. A busy host is waited for only once a part has arrived,
+   * and no longer than for a reply, since another host may serve the page meanwhile.
+   */
   async transfer (address: string, table: CatalogTable, position: StorePosition): Promise<Result<Buffer, FetchFailure>> {
     const received = new GrowingBuffer()
+    const { clock } = this.options
     let pageId: string | undefined
+    let lastPartAtMs = clock.nowMs()
     for (;;) {
       const part = await this.requestPart(address, { t: PeerMessage.fetch, table, ...position, offset: received.length, ...(pageId === undefined ? {} : { pageId }) })
       if (part.isErr()) {
-        if (pageId === undefined || part.error.kind !== 'busy') return err(part.error)
-        await sleep(Math.min(part.error.waitMs, peerLimits.fetchTimeoutMs))
+        if (pageId === undefined || part.error.kind !== 'busy' || clock.nowMs() + part.error.waitMs - lastPartAtMs > peerLimits.fetchTimeoutMs) return err(part.error)
+        await sleep(part.error.waitMs)
         continue
       }
       const { totalBytes, part: bytes } = part.value
       if (bytes.length === 0 || received.length + bytes.length > totalBytes) return err({ kind: 'unreadable' })
       pageId = part.value.pageId
+      lastPartAtMs = clock.nowMs()
       received.append(Buffer.from(bytes))
       if (received.length === totalBytes) return ok(received.take())
     }
--- a/src/peers/TableFetcher.ts
+++ b/src/peers/TableFetcher.ts
@@ -41,22 +41,22 @@
 
 /** State of the fetches of one table. Times are monotonic ms. */
 interface FetchState {
-  /** Fetch that is under way. */
-  current: { readonly source: string, readonly startMs: number } | undefined
+  /** Start times of the fetches that are under way, by source. */
+  readonly current: Map<string, number>
   /** Since when another host is known to have a newer copy. */
   behindSinceMs: number | undefined
   /** Fetches since then that brought nothing, by reason. */
-  failures: Map<FetchFailure['kind'], number>
+  readonly failures: Map<FetchFailure['kind'], number>
   nextAtMs: number
   backoffMs: number
-  /** Host that failed to serve the last fetch; another one is asked next, if there is one. */
-  failedSource: string | undefined
+  /** Hosts that served nothing lately, and until when others are asked first. */
+  readonly avoidedUntilMs: Map<string, number>
 }
 
 /**
- * Fetches what this host lacks of the shared tables from hosts that have it, as their heartbeats tell. One fetch of a table is under
- * way at a time, from one host, so a table crosses each link once however many hosts have it, and a fetch that fails is repeated
- * with a backoff.
+ * Fetches what this host lacks of the shared tables from hosts that have it, as their heartbeats tell. A table is fetched from one
+ * host at a time, so it crosses each link once however many hosts have it; only when that takes long is a second host asked beside
+ * it, as the first may be gone or overloaded. A fetch that fails is repeated with a backoff; a busy host only gives way to others.
  */
 export class TableFetcher {
   private readonly states = new Map<CatalogTable, FetchState>(Object.values(CatalogTable).map((table) => [table, createState()]))
@@ -83,8 +83,8 @@
       const { behindSinceMs, current, failures } = state
       if (behindSinceMs === undefined || sources.length === 0) return []
       const newest = Math.max(...sources.map((row) => row.positions!.versions[table]))
-      const fetchMs = current === undefined ? undefined : nowMs - current.startMs
-      return [{ table, behindMs: nowMs - behindSinceMs, newest, held: this.options.catalog.versionOf(table), sources: sources.length, source: current?.source, fetchMs, failures }]
+      const fetches = [...current].map(([source, startMs]) => ({ source, elapsedMs: nowMs - startMs }))
+      return [{ table, behindMs: nowMs - behindSinceMs, newest, held: this.options.catalog.versionOf(table), sources: sources.length, fetches, failures }]
     })
   }
 
@@ -96,10 +96,12 @@
       return
     }
     state.behindSinceMs ??= nowMs
-    if (state.current !== undefined || nowMs < state.nextAtMs || nowMs - state.behindSinceMs < this.fetchDelayMs(table, sources)) return
+    if (nowMs - state.behindSinceMs < this.fetchDelayMs(table, sources)) return
+    const avoided = listAvoided(state, nowMs)
+    if (!isDue(state, sources.some((row) => !avoided.has(row.record.name)), nowMs)) return
     const { region, random } = this.options
-    const source = chooseSource(sources, { region, random, avoided: new Set(state.failedSource === undefined ? [] : [state.failedSource]) })
-    state.current = { source: source.record.name, startMs: nowMs }
+    const source = chooseSource(sources, { region, random, avoided })
+    state.current.set(source.record.name, nowMs)
     this.fetch(table, state, source).catch((error: unknown) =>
       this.options.logger.error('fetch-failed', { table, error: formatException(error) }))
   }
@@ -127,23 +129,22 @@
     try {
       result = await this.transfer(table, source)
     } finally {
-      state.current = undefined
+      state.current.delete(source.record.name)
       this.finish(table, state, source, result)
     }
     if (result.isOk()) this.options.onFetched(table)
   }
 
-  /** Another host that has the table is asked after the pause, also when this one was only busy. */
   private finish (table: CatalogTable, state: FetchState, source: PeerRow, result: Result<void, FetchFailure>): void {
     const { clock, random, traffic } = this.options
     traffic.recordFetch(table, result.isOk() ? 'complete' : result.error.kind)
-    if (result.isOk()) {
-      Object.assign(state, createState())
-      return
-    }
-    state.failures.set(result.error.kind, (state.failures.get(result.error.kind) ?? 0) + 1)
-    state.failedSource = source.record.name
-    state.nextAtMs = clock.nowMs() + state.backoffMs * (0.5 + random())
+    if (result.isOk()) return reset(state)
+    const nowMs = clock.nowMs()
+    const { error } = result
+    state.failures.set(error.kind, (state.failures.get(error.kind) ?? 0) + 1)
+    state.avoidedUntilMs.set(source.record.name, nowMs + (error.kind === 'busy' ? error.waitMs : peerLimits.maxFetchBackoffMs))
+    if (error.kind === 'busy') return
+    state.nextAtMs = nowMs + state.backoffMs * (0.5 + random())
     state.backoffMs = Math.min(peerLimits.maxFetchBackoffMs, state.backoffMs * 2)
   }
 
@@ -176,6 +177,24 @@
   }
 }
 
+/** Lists the hosts that are being asked or served nothing lately. */
+function listAvoided ({ current, avoidedUntilMs }: FetchState, nowMs: number): Set<string> {
+  for (const [name, untilMs] of avoidedUntilMs) if (nowMs >= untilMs) avoidedUntilMs.delete(name)
+  return new Set([...current.keys(), ...avoidedUntilMs.keys()])
+}
+
+/** Decides whether to begin a fetch. A second one, or one while all hosts were busy, needs a host that isn't avoided. */
+function isDue ({ current, nextAtMs, failures }: FetchState, hasOther: boolean, nowMs: number): boolean {
+  if (nowMs < nextAtMs) return false
+  if (current.size === 0) return hasOther || !failures.has('busy')
+  return hasOther && current.size < peerLimits.maxFetches && nowMs - Math.max(...current.values()) >= peerLimits.hedgeAfterMs
+}
+
 function createState (): FetchState {
-  return { current: undefined, behindSinceMs: undefined, failures: new Map(), nextAtMs: 0, backoffMs: peerLimits.minFetchBackoffMs, failedSource: undefined }
+  return { current: new Map(), behindSinceMs: undefined, failures: new Map(), nextAtMs: 0, backoffMs: peerLimits.minFetchBackoffMs, avoidedUntilMs: new Map() }
+}
+
+/** Begins anew after a fetch that brought all that its source had; another one may still be under way. */
+function reset (state: FetchState): void {
+  Object.assign(state, { ...createState(), current: state.current })
 }
--- a/src/peers/peerLimits.ts
+++ b/src/peers/peerLimits.ts
@@ -20,6 +20,9 @@
   pagePartBytes: 65_536,
   /** Time in ms to wait for a part of a page. */
   fetchTimeoutMs: 2_000,
+  /** Time in ms after which a second host is asked beside one that has not served a table yet, and the number of fetches of a table at a time. */
+  hedgeAfterMs: 500,
+  maxFetches: 2,
   /** Shortest and longest backoff in ms between failed fetches of a table. */
   minFetchBackoffMs: 50,
   maxFetchBackoffMs: 1_000,
--- a/test/peers/TableFetcher.test.ts
+++ b/test/peers/TableFetcher.test.ts
@@ -178,3 +178,53 @@
   }
   expect([fixture.catalog.versionOf('orders'), fixture.logger.lines.filter((line) => line.includes('page-unreadable')).length]).toEqual([-1, 2])
 })
+
+// Guards against a host that is deaf for seconds because the host it asked has lost power or is overloaded (issue 44).
+test('a second host is asked when the first one takes long, and no third', async () => {
+  const fixture = new FetcherFixture()
+  fixture.reply = async () => fixture.asked.length === 1 ? await new Promise(() => {}) : ok(createPart(pageCodec.encode(whole)))
+  for (const name of ['b', 'c', 'd']) fixture.hear(name)
+  await fixture.run()
+  fixture.clock.advance(peerLimits.hedgeAfterMs - 1)
+  await fixture.run()
+  expect(fixture.asked).toEqual(['b'])
+  fixture.clock.advance(1)
+  await fixture.run()
+  expect([fixture.asked, fixture.catalog.versionOf('orders')]).toEqual([['b', 'c'], 7])
+})
+
+test('at most two hosts are asked at a time', async () => {
+  const fixture = new FetcherFixture()
+  fixture.reply = async () => await new Promise(() => {})
+  for (const name of ['b', 'c', 'd']) fixture.hear(name)
+  for (let round = 0; round < 3; round++) {
+    await fixture.run()
+    fixture.clock.advance(peerLimits.hedgeAfterMs)
+  }
+  expect(fixture.asked).toEqual(['b', 'c'])
+})
+
+// Guards against a backoff that grows with each busy host although others could serve the table at once (issue 44).
+test('busy hosts give way to others at once, and are asked again when their time is over', async () => {
+  const fixture = new FetcherFixture()
+  fixture.reply = async () => ok({ t: 'page', table: 'orders', waitMs: 400 })
+  for (const name of ['b', 'c', 'd']) fixture.hear(name)
+  for (let round = 0; round < 5; round++) await fixture.run()
+  expect([...fixture.asked].sort()).toEqual(['b', 'c', 'd'])
+  fixture.clock.advance(400)
+  await fixture.run()
+  expect(fixture.asked.length).toEqual(4)
+})
+
+// Guards against a fetch that waits without a bound for the rest of a page while other hosts could serve the table (issue 44).
+test('a host that is busy for long with the rest of a page gives way to another one', async () => {
+  const bytes = pageCodec.encode(whole)
+  const fixture = new FetcherFixture()
+  fixture.reply = async ({ offset }) => {
+    if (fixture.asked.at(-1) === 'c') return ok(createPart(bytes))
+    return ok(offset === 0 ? createPart(bytes.subarray(0, 20), bytes.length) : { t: 'page', table: 'orders', waitMs: peerLimits.fetchTimeoutMs + 1 })
+  }
+  for (const name of ['b', 'c']) fixture.hear(name)
+  for (let round = 0; round < 3; round++) await fixture.run()
+  expect([fixture.asked, fixture.catalog.versionOf('orders')]).toEqual([['b', 'b', 'c'], 7])
+})
