Call the store before the time to apply a change is over

Cause: a host that gets its tables from the readers of its region calls the store itself only when no call by any host has confirmed its copy for 3 s. That is the whole of config_apply_s and drain_s on the grown deployment, and more than their 2.5 s on the small ones, so whatever silences the readers just before a change breaks the bound at every other host.

Now a copy of the orders or endpoints counts as stale after 0.8 of its bound (config_apply_s, drain_s), 3 s at most; the rest is for the host's own call. In calm a copy is at most 2.3 s old with 34 hosts, by the spacing of polls (1.5 s) and of heartbeats in a region (0.75 s at most), so the bound of 2.4 s there adds no calls; with seven hosts it is 1.8 s against 2.0 s.

--- a/src/catalog/CatalogFollower.ts
+++ b/src/catalog/CatalogFollower.ts
@@ -25,6 +25,8 @@
   readonly shouldRead: (table: CatalogTable) => boolean
   /** Returns for how long in ms the local copy of a table may miss changes, as far as this host knows of calls by any host. */
   readonly getTableAge: (table: CatalogTable, nowMs: number) => number
+  /** Returns the time in ms after which the local copy of a table counts as stale. */
+  readonly getStaleAfterMs: (table: CatalogTable) => number
   /** Returns the place of this host among those of its region that read the store, and their number. */
   readonly getReaderPlace: () => { readonly index: number, readonly count: number }
 }
@@ -122,8 +124,8 @@
   }
 
   private get isStale (): boolean {
-    const { clock, getTableAge } = this.options
-    return getTableAge(this.table, clock.nowMs()) >= catalogLimits.staleAfterMs[this.table]
+    const { clock, getTableAge, getStaleAfterMs } = this.options
+    return getTableAge(this.table, clock.nowMs()) >= getStaleAfterMs(this.table)
   }
 
   private logDroppedRead ({ era, version }: StorePosition, held: StorePosition): void {
--- a/src/catalog/TableFreshnessSystem.ts
+++ b/src/catalog/TableFreshnessSystem.ts
@@ -1,6 +1,5 @@
 import type { Logger } from '../common/Logger.js'
 import { System } from '../common/System.js'
-import { catalogLimits } from './catalogLimits.js'
 import { CatalogTable } from './CatalogTable.js'
 import { toReportedAge } from './toReportedAge.js'
 
@@ -8,6 +7,8 @@
 interface TableFreshnessOptions {
   /** Returns for how long in ms the local copy of a table may miss changes. */
   readonly getAgeMs: (table: CatalogTable, nowMs: number) => number
+  /** Returns the time in ms after which the local copy of a table counts as stale. */
+  readonly getStaleAfterMs: (table: CatalogTable) => number
   readonly logger: Logger
 }
 
@@ -29,7 +30,7 @@
 
   private check (table: CatalogTable, nowMs: number): void {
     const ageMs = this.options.getAgeMs(table, nowMs)
-    if (ageMs < catalogLimits.staleAfterMs[table]) this.recordFresh(table, nowMs)
+    if (ageMs < this.options.getStaleAfterMs(table)) this.recordFresh(table, nowMs)
     else if (this.confirmed.delete(table)) this.recordStale(table, ageMs, nowMs)
   }
 
--- a/src/catalog/catalogLimits.ts
+++ b/src/catalog/catalogLimits.ts
@@ -14,9 +14,9 @@
   /** Time in ms since a reader's last successful store call up to which its report of an outage counts. */
   reportValidMs: 13_000,
   /**
-   * Time in ms without a call to the store by any host, as far as this host knows, after which the local copy of a table counts
-   * as stale and the host calls the store itself, on a new connection. Hosts must have all changes 4 s after connections fell
-   * silent, and that call takes part of it.
+   * Longest time in ms without a call to the store by any host, as far as this host knows, after which the local copy of a table
+   * counts as stale and the host calls the store itself, on a new connection. Hosts must have all changes 4 s after connections
+   * fell silent, and that call takes part of it; `computeStaleAfterMs` takes the bounds of the deployment into account.
    */
   staleAfterMs: { orders: 3_000, endpoints: 3_000, hosts: 13_000 },
   /** Time in ms between checks whether a host has become a reader. */
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -7,6 +7,7 @@
 import { CatalogFollower } from '../catalog/CatalogFollower.js'
 import type { CatalogStore } from '../catalog/CatalogStore.js'
 import { CatalogTable } from '../catalog/CatalogTable.js'
+import { computeStaleAfterMs } from '../catalog/computeStaleAfterMs.js'
 import { TableFreshnessSystem } from '../catalog/TableFreshnessSystem.js'
 import { BehindTableLogSystem } from '../peers/BehindTableLogSystem.js'
 import type { HostRecord } from '../peers/HostRecord.js'
@@ -96,6 +97,7 @@
   private readonly graceTime: GraceTime
   private readonly registration: HostRegistration
   private isLeaving = false
+  private readonly getStaleAfterMs = (table: CatalogTable): number => computeStaleAfterMs(table, this.settings.bounds)
 
   constructor (private readonly options: HostProcessOptions) {
     const { settings, clock, createModuleLogger: createLog, httpBinding } = options
@@ -147,7 +149,7 @@
       isReady: () => this.isReady,
       isLeaving: () => this.isLeaving
     })
-    this.readers = new StoreReaders({ self: this.self, peers: this.peers, health: this.health, clock })
+    this.readers = new StoreReaders({ self: this.self, peers: this.peers, health: this.health, clock, getStaleAfterMs: this.getStaleAfterMs })
     const traffic = new PeerTraffic(options.registry, clock)
     this.mesh = new PeerMesh({
       self: this.self,
@@ -273,6 +275,7 @@
       random,
       shouldRead: (table: CatalogTable) => this.readers.shouldRead(table),
       getTableAge: (table: CatalogTable, nowMs: number) => this.readers.getTableAge(table, nowMs),
+      getStaleAfterMs: this.getStaleAfterMs,
       getReaderPlace: () => this.readers.getPlace()
     }
     return Object.values(CatalogTable).map((table) => new CatalogFollower(table, options))
@@ -343,7 +346,7 @@
 
   private createFreshnessSystem (): TableFreshnessSystem {
     const getAgeMs = (table: CatalogTable, nowMs: number): number => this.readers.getTableAge(table, nowMs)
-    return new TableFreshnessSystem({ getAgeMs, logger: this.options.createModuleLogger('store') })
+    return new TableFreshnessSystem({ getAgeMs, getStaleAfterMs: this.getStaleAfterMs, logger: this.options.createModuleLogger('store') })
   }
 
   private createBehindTableSystem (): BehindTableLogSystem {
--- a/src/peers/StoreReaders.ts
+++ b/src/peers/StoreReaders.ts
@@ -14,6 +14,8 @@
   /** This host's own calls to the store. */
   readonly health: StoreHealth
   readonly clock: Clock
+  /** Returns the time in ms after which the local copy of a table counts as stale. */
+  readonly getStaleAfterMs: (table: CatalogTable) => number
 }
 
 /** Time in ms for which a choice stays valid. */
@@ -74,7 +76,7 @@
   /** Returns true when another host, which is to read the store, is known to have read a table lately. */
   private isReadByOthers (table: CatalogTable): boolean {
     const readers = this.selectReaders([...this.options.peers])
-    return this.options.clock.nowMs() - findLatestContact(readers, table) < catalogLimits.staleAfterMs[table]
+    return this.options.clock.nowMs() - findLatestContact(readers, table) < this.options.getStaleAfterMs(table)
   }
 
   /** Lists the other live readers of any region whose calls for endpoints have succeeded recently. */
--- a/test/catalog/CatalogFollower.test.ts
+++ b/test/catalog/CatalogFollower.test.ts
@@ -23,7 +23,7 @@
   const catalog = new Catalog(onChange)
   const health = new StoreHealth()
   const follower = new CatalogFollower(table, {
-    store: client, catalog, health, clock: new SystemClock(), logger, random: () => 0.5, shouldRead: () => true, getTableAge: (each, nowMs) => health.tableAgeMs(each, nowMs), getReaderPlace: () => ({ index: 0, count: 1 })
+    store: client, catalog, health, clock: new SystemClock(), logger, random: () => 0.5, shouldRead: () => true, getTableAge: (each, nowMs) => health.tableAgeMs(each, nowMs), getStaleAfterMs: (each) => catalogLimits.staleAfterMs[each], getReaderPlace: () => ({ index: 0, count: 1 })
   })
   const running = follower.run()
   try {
--- a/test/catalog/TableFreshnessSystem.test.ts
+++ b/test/catalog/TableFreshnessSystem.test.ts
@@ -7,7 +7,7 @@
 test('a table that becomes stale is logged once, and again when it is confirmed', () => {
   const logger = new MemoryLogger()
   let ageMs = Infinity
-  const system = new TableFreshnessSystem({ getAgeMs: (table) => table === 'orders' ? ageMs : 0, logger })
+  const system = new TableFreshnessSystem({ getAgeMs: (table) => table === 'orders' ? ageMs : 0, getStaleAfterMs: () => 3_000, logger })
   for (const next of [Infinity, 0, 2_000, 3_500, Infinity, 100, 50]) {
     ageMs = next
     system.run(0)
--- a/test/peers/StoreReaders.test.ts
+++ b/test/peers/StoreReaders.test.ts
@@ -25,7 +25,7 @@
 
   constructor (self: string) {
     this.peers = new PeerTable(self)
-    this.readers = new StoreReaders({ self: createRecord(self), peers: this.peers, health: new StoreHealth(), clock: this.clock })
+    this.readers = new StoreReaders({ self: createRecord(self), peers: this.peers, health: new StoreHealth(), clock: this.clock, getStaleAfterMs: (table) => catalogLimits.staleAfterMs[table] })
   }
 
   /** Receives a heartbeat from each sender, with the given report about the store. */
