Deny by limits only with a configuration known to be complete

The related path of the denial of unknown routes: 413 and 431 come from the limits of the configuration too, and callers take them as final.

RouteFinder becomes DenialPolicy, which all denials that depend on the configuration pass; a malformed request is still 400, whatever the copy.

--- a/src/common/resultCodes.ts
+++ b/src/common/resultCodes.ts
@@ -35,7 +35,7 @@
   shed: { code: 3007, status: 503, text: 'The request was shed to protect other work.' },
   notOwner: { code: 3008, status: 503, text: 'The host does not own an endpoint of the service.' },
   notReady: { code: 3009, status: 503, text: 'The host has no configuration yet.' },
-  configUnconfirmed: { code: 3010, status: 503, text: 'The host cannot tell whether a newer configuration has a route for this path.' },
+  configUnconfirmed: { code: 3010, status: 503, text: 'The host cannot tell whether a newer configuration allows the request.' },
   // Idempotency keys
   keyRunning: { code: 4001, status: 409, text: 'A request with this key is running.' },
   keyMismatch: { code: 4002, status: 422, text: 'The key was used with another request.' },
--- a/src/host/HostContext.ts
+++ b/src/host/HostContext.ts
@@ -6,11 +6,11 @@
 import type { WeightedPicker } from '../routing/WeightedPicker.js'
 import type { ServiceRequestRate } from '../placing/ServiceRequestRate.js'
 import type { RejectedInput } from '../metrics/RejectedInput.js'
+import type { DenialPolicy } from './DenialPolicy.js'
 import type { HttpBinding } from './HttpBinding.js'
 import type { HostMetrics } from './HostMetrics.js'
 import type { NoticeRecorder } from './NoticeRecorder.js'
 import type { RequestLog } from './RequestLog.js'
-import type { RouteFinder } from './RouteFinder.js'
 
 /** Components that serve requests. */
 export interface HostContext {
@@ -19,7 +19,7 @@
   readonly clock: Clock
   readonly httpBinding: HttpBinding
   readonly routing: RoutingTable
-  readonly routes: RouteFinder
+  readonly denials: DenialPolicy
   readonly picker: WeightedPicker
   readonly endpointSelector: EndpointSelector
   readonly requestRate: ServiceRequestRate
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -37,6 +37,7 @@
 import { RoutingTable } from '../routing/RoutingTable.js'
 import { WeightedPicker } from '../routing/WeightedPicker.js'
 import { ClusterState } from './ClusterState.js'
+import { DenialPolicy } from './DenialPolicy.js'
 import { GraceTime } from './GraceTime.js'
 import { HostRegistration } from './HostRegistration.js'
 import type { HttpBinding } from './HttpBinding.js'
@@ -50,7 +51,6 @@
 import { MaintenanceSystem } from './MaintenanceSystem.js'
 import { NoticeRecorder } from './NoticeRecorder.js'
 import { RequestHandler } from './RequestHandler.js'
-import { RouteFinder } from './RouteFinder.js'
 import { RequestLog } from './RequestLog.js'
 import { AuxiliaryPorts } from './AuxiliaryPorts.js'
 
@@ -289,7 +289,7 @@
       clock,
       httpBinding,
       routing,
-      routes: this.createRouteFinder(),
+      denials: this.createDenialPolicy(),
       picker: new WeightedPicker(),
       endpointSelector,
       requestRate,
@@ -307,10 +307,9 @@
     })
   }
 
-  private createRouteFinder (): RouteFinder {
+  private createDenialPolicy (): DenialPolicy {
     const { clock } = this.options
-    return new RouteFinder({
-      routing: this.routing,
+    return new DenialPolicy({
       getUnconfirmedMs: () => this.readers.getTableAge(CatalogTable.orders, clock.nowMs()),
       getBehindMs: () => this.mesh.getBehindMs(CatalogTable.orders, clock.nowMs()),
       getMaxUnconfirmedMs: () => this.settings.bounds.configApplyMs
--- a/src/host/RequestHandler.ts
+++ b/src/host/RequestHandler.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { err } from 'neverthrow'
+import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import { createFailure } from '../common/createFailure.js'
 import type { Failure } from '../common/Failure.js'
@@ -56,12 +56,13 @@
   }
 
   private findRoute (req: IncomingMessage): Result<Route, Failure> {
-    const { routing, routes } = this.context
+    const { routing, denials } = this.context
     if (routing.config === undefined || !this.context.isSynced()) return err(createFailure('notReady', { retryAfterMs: hostLimits.notReadyRetryMs }))
-    if (countHeaderBytes(req) > routing.config.limits.headerBytes) return err(createFailure('headersTooLarge'))
+    if (countHeaderBytes(req) > routing.config.limits.headerBytes) return err(denials.check(createFailure('headersTooLarge')))
     const host = (req.headers.host ?? '').toLowerCase()
     const path = (req.url ?? '').split('?', 1)[0]!
-    return routes.find(host, path)
+    const route = routing.find(host, path)
+    return route === undefined ? err(denials.check(createFailure('unknownService'))) : ok(route)
   }
 
   private openScope ({ req, res, startMs }: Exchange, route: Route): RequestScope {
@@ -90,7 +91,7 @@
   }
 
   private async readRequest ({ req, id }: Exchange, route: Route, scope: RequestScope): Promise<Result<ServedRequest, Failure>> {
-    const { httpBinding, routing, picker } = this.context
+    const { httpBinding, routing, picker, denials } = this.context
     const limits = routing.config?.limits
     const contentLength = findHeader(req.rawHeaders, 'content-length')
     const isChunked = findHeader(req.rawHeaders, 'transfer-encoding') !== undefined
@@ -101,7 +102,7 @@
       scope,
       sendContinue: () => {}
     })
-    return body.map((value) => ({
+    return body.mapErr((failure) => failure.name === 'bodyTooLarge' ? denials.check(failure) : failure).map((value) => ({
       id,
       method: req.method ?? 'GET',
       path: req.url ?? '/',
