Share the policy of denials with the entry hosts and lookups

A service, a contract's service or a credential that was just added was refused for good there.

DenialPolicy is now the one decision, in common/, with the hosts' and the agents' knowledge as its two kinds (HostDenialPolicy, VersionDenialPolicy). It leaves a denial as it is when the request may have run, since a 503 promises that it has not. On the hosts of the platform all refusals pass it in one place.

--- a/src/entry/CallerHandler.ts
+++ b/src/entry/CallerHandler.ts
@@ -68,7 +68,7 @@
     if (isLookup(req)) return this.forwardLookup(req, res, labels)
     const routed = expectation === 'other' ? refuseExpectation() : this.route(req, labels)
     if (labels.id === '') labels.id = this.options.ids.create()
-    if (routed.isErr()) return this.refuse(req, res, labels, applyKeyOutcome(labels, routed.error))
+    if (routed.isErr()) return this.refuse(req, res, labels, applyKeyOutcome(labels, this.options.state.denials.check(routed.error)))
     if (this.options.state.refusesRequests) return this.refuse(req, res, labels, applyKeyOutcome(labels, createFailure('hostLeaving')))
     this.serve(req, res, labels, routed.value, startMs).catch((error: unknown) => this.handleError(req, res, labels, error))
   }
@@ -78,7 +78,7 @@
     const { ids, state, authenticator, lookup } = this.options
     labels.id = ids.create()
     const contract = state.config === undefined ? err(createFailure('notReady')) : authenticator.check(req, req.headers.authorization)
-    if (contract.isErr()) return this.refuse(req, res, labels, contract.error)
+    if (contract.isErr()) return this.refuse(req, res, labels, state.denials.check(contract.error))
     labels.customer = contract.value.customer
     lookup.forward(req, res, labels.id)
       .then((result) => { if (result.isErr()) this.refuse(req, res, labels, result.error) })
--- a/src/entry/EntryDaemon.ts
+++ b/src/entry/EntryDaemon.ts
@@ -159,6 +159,7 @@
     this.modules.share.setView(view)
     this.modules.claim.setView(view)
     this.modules.steer.setView(view)
+    this.gateway.setView(view)
   }
 
   private applyDrains (doc: ConfigDoc): void {
--- a/src/entry/EntryGateway.ts
+++ b/src/entry/EntryGateway.ts
@@ -8,6 +8,7 @@
 import type { Settings } from '../config/Settings.js'
 import type { RequestMetrics } from '../metrics/RequestMetrics.js'
 import type { ConfigDoc } from '../model/ConfigDoc.js'
+import type { View } from '../model/View.js'
 import type { AdmissionController } from '../share/AdmissionController.js'
 import type { Steering } from '../steer/Steering.js'
 import type { AttemptContext } from './AttemptContext.js'
@@ -81,6 +82,10 @@
     this.state.setConfig(doc)
   }
 
+  setView (view: View): void {
+    this.state.denials.setView(view)
+  }
+
   async listen (): Promise<void> {
     const { address, ports } = this.options
     await this.internalServer.listen(address, ports.internal)
--- a/src/entry/EntryState.ts
+++ b/src/entry/EntryState.ts
@@ -1,3 +1,4 @@
+import { VersionDenialPolicy } from '../common/VersionDenialPolicy.js'
 import type { ConfigDoc } from '../model/ConfigDoc.js'
 import { RouteTable } from './RouteTable.js'
 
@@ -6,6 +7,8 @@
 
 /** State shared by the request handlers of a process: the configuration in force and whether the host is leaving. */
 export class EntryState {
+  /** Decides whether the configuration in force may deny a request. */
+  readonly denials = new VersionDenialPolicy()
   private doc: ConfigDoc | undefined
   private table: RouteTable | undefined
   /** True once a planned stop or a drain of the host has begun. */
@@ -15,6 +18,7 @@
 
   setConfig (doc: ConfigDoc): void {
     this.doc = doc
+    this.denials.setVersion(doc.version)
     this.table = new RouteTable(doc)
   }
 
--- a/src/entry/InternalHandler.ts
+++ b/src/entry/InternalHandler.ts
@@ -49,7 +49,7 @@
     req.on('error', () => {})
     res.on('error', () => {})
     const forwarded = this.validate(req)
-    if (forwarded.isErr()) return this.refuse(req, res, '', forwarded.error, undefined)
+    if (forwarded.isErr()) return this.refuse(req, res, '', this.options.state.denials.check(forwarded.error), undefined)
     this.serve(req, res, forwarded.value).catch((error: unknown) => {
       this.options.logger.error('forwarded-request-failed', { error: error instanceof Error ? error.stack ?? error.message : String(error) })
       this.refuse(req, res, '', createFailure('internal', { outcome: Outcome.unknown }), undefined)
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -37,12 +37,12 @@
 import { RoutingTable } from '../routing/RoutingTable.js'
 import { WeightedPicker } from '../routing/WeightedPicker.js'
 import { ClusterState } from './ClusterState.js'
-import { DenialPolicy } from './DenialPolicy.js'
 import { GraceTime } from './GraceTime.js'
 import { HostRegistration } from './HostRegistration.js'
 import type { HttpBinding } from './HttpBinding.js'
 import { HealthChecker } from './HealthChecker.js'
 import { hostLimits } from './hostLimits.js'
+import { HostDenialPolicy } from './HostDenialPolicy.js'
 import { HostMetrics } from './HostMetrics.js'
 import type { RejectedInput } from '../metrics/RejectedInput.js'
 import type { HostSettings } from './HostSettings.js'
@@ -307,9 +307,9 @@
     })
   }
 
-  private createDenialPolicy (): DenialPolicy {
+  private createDenialPolicy (): HostDenialPolicy {
     const { clock } = this.options
-    return new DenialPolicy({
+    return new HostDenialPolicy({
       getUnconfirmedMs: () => this.readers.getTableAge(CatalogTable.orders, clock.nowMs()),
       getBehindMs: () => this.mesh.getBehindMs(CatalogTable.orders, clock.nowMs()),
       getMaxUnconfirmedMs: () => this.settings.bounds.configApplyMs
--- a/src/host/RequestHandler.ts
+++ b/src/host/RequestHandler.ts
@@ -56,13 +56,13 @@
   }
 
   private findRoute (req: IncomingMessage): Result<Route, Failure> {
-    const { routing, denials } = this.context
+    const { routing } = this.context
     if (routing.config === undefined || !this.context.isSynced()) return err(createFailure('notReady', { retryAfterMs: hostLimits.notReadyRetryMs }))
-    if (countHeaderBytes(req) > routing.config.limits.headerBytes) return err(denials.check(createFailure('headersTooLarge')))
+    if (countHeaderBytes(req) > routing.config.limits.headerBytes) return err(createFailure('headersTooLarge'))
     const host = (req.headers.host ?? '').toLowerCase()
     const path = (req.url ?? '').split('?', 1)[0]!
     const route = routing.find(host, path)
-    return route === undefined ? err(denials.check(createFailure('unknownService'))) : ok(route)
+    return route === undefined ? err(createFailure('unknownService')) : ok(route)
   }
 
   private openScope ({ req, res, startMs }: Exchange, route: Route): RequestScope {
@@ -91,7 +91,7 @@
   }
 
   private async readRequest ({ req, id }: Exchange, route: Route, scope: RequestScope): Promise<Result<ServedRequest, Failure>> {
-    const { httpBinding, routing, picker, denials } = this.context
+    const { httpBinding, routing, picker } = this.context
     const limits = routing.config?.limits
     const contentLength = findHeader(req.rawHeaders, 'content-length')
     const isChunked = findHeader(req.rawHeaders, 'transfer-encoding') !== undefined
@@ -102,7 +102,7 @@
       scope,
       sendContinue: () => {}
     })
-    return body.mapErr((failure) => failure.name === 'bodyTooLarge' ? denials.check(failure) : failure).map((value) => ({
+    return body.map((value) => ({
       id,
       method: req.method ?? 'GET',
       path: req.url ?? '/',
@@ -125,8 +125,9 @@
     this.log(exchange, 'answered', { ...fields, status, whole: isComplete })
   }
 
-  private refuse (exchange: Exchange, failure: Failure, route: string, fields: Record<string, string | number> = {}): void {
+  private refuse (exchange: Exchange, reason: Failure, route: string, fields: Record<string, string | number> = {}): void {
     const { req, res, id } = exchange
+    const failure = this.context.denials.check(reason)
     this.context.metrics.recordRefusal(failure.name, route)
     this.log(exchange, 'refused', {
       route,
--- a/src/host/hostLimits.ts
+++ b/src/host/hostLimits.ts
@@ -35,8 +35,6 @@
   maxRetryAfterShare: 0.75,
   /** Retry-After in ms until a configuration has been received. */
   notReadyRetryMs: 300,
-  /** Retry-After in ms while a newer configuration may have a route for the request; a change reaches most hosts within this time. */
-  unconfirmedRetryMs: 300,
   /** Retry-After in ms of a refusal by a host that is leaving; the other hosts can serve the request at once. */
   leavingRetryMs: 0
 } as const
--- a/src/lookup/LookupService.ts
+++ b/src/lookup/LookupService.ts
@@ -1,6 +1,7 @@
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import type { Clock } from '../common/Clock.js'
+import { VersionDenialPolicy } from '../common/VersionDenialPolicy.js'
 import { createFailure } from '../common/createFailure.js'
 import type { Failure } from '../common/Failure.js'
 import type { ConfigDoc } from '../model/ConfigDoc.js'
@@ -43,6 +44,7 @@
 
 /** Answers lookups from the latest configuration and view, regardless of their age. */
 export class LookupService {
+  private readonly denials = new VersionDenialPolicy()
   private index: LookupIndex | undefined
   private members: ReadonlyMap<string, Member> = new Map()
   private leavingHosts: ReadonlySet<string> = new Set()
@@ -59,11 +61,13 @@
 
   applyConfig (doc: ConfigDoc): void {
     this.index = new LookupIndex(doc, this.index)
+    this.denials.setVersion(doc.version)
     this.updateChanging()
   }
 
   applyView (view: View): void {
     this.view = view
+    this.denials.setView(view)
     this.members = new Map(view.members.map((member) => [member.host, member]))
     this.leavingHosts = new Set(view.leavingHosts)
     this.updateChanging()
@@ -81,7 +85,7 @@
     const { index, view } = this
     if (index === undefined || view === undefined) return err(createFailure('notReady', { retryAfterMs: notReadyRetryMs }))
     const refusal = checkService(index, contract, query.service)
-    if (refusal !== undefined) return err(refusal)
+    if (refusal !== undefined) return err(this.denials.check(refusal))
     const candidates = this.listCandidates(index, contract)
     if (candidates.length === 0) return err(createFailure('noCapacity', { message: 'No entry host is serving.', retryAfterMs: notReadyRetryMs }))
     const ranked = this.options.ranking.rank({
--- a/test/entry/CallerHandler.test.ts
+++ b/test/entry/CallerHandler.test.ts
@@ -80,3 +80,17 @@
   expect(keyed.headers['shunt-outcome']).toEqual('unknown')
   fixture.admission.refuse = undefined
 })
+
+// Guards against a final refusal for what a newer configuration allows, of a path, a contract or a credential (issue 44).
+test('nothing is refused for good while another host has a newer configuration', async () => {
+  const view = { seq: 1, contactAgeMs: 0, configVersion: 1_000, isFirstStart: false, members: [], leavingEndpoints: [], leavingHosts: [] }
+  const calls = async (): Promise<unknown[]> => [
+    (await call(address, '/nothing')).headers['shunt-code'],
+    (await call(address, '/other')).headers['shunt-code'],
+    (await call(address, '/stock', { headers: { authorization: 'Bearer x' } })).headers['shunt-code']
+  ]
+  fixture.gateway.setView(view)
+  expect(await calls()).toEqual(['3010', '3010', '3010'])
+  fixture.gateway.setView({ ...view, configVersion: 0 })
+  expect(await calls()).toEqual(['1005', '1006', '1003'])
+})
--- a/test/lookup/LookupService.test.ts
+++ b/test/lookup/LookupService.test.ts
@@ -119,3 +119,12 @@
   const empty = new LookupService({ clock: new ManualClock(), ranking: new NearestRanking(), zone: 'north-b', tls: false, findSite: () => undefined })
   expect(empty.lookUp(contract, { client: '10.0.0.1' })._unsafeUnwrapErr().name).toEqual('notReady')
 })
+
+// Guards against a final refusal for a service that a newer configuration adds to a contract (issue 44).
+test('nothing is refused for good while another host has a newer configuration', () => {
+  const contract = doc.contracts[5]!
+  const service = createService(doc, createView(doc, { 'south-a-1': { configVersion: doc.version + 1 } }))
+  expect(service.lookUp(contract, { client: '10.0.0.1', service: 'none' })._unsafeUnwrapErr().name).toEqual('configUnconfirmed')
+  service.applyConfig(createDoc({ version: doc.version + 1 }))
+  expect(service.lookUp(contract, { client: '10.0.0.1', service: 'none' })._unsafeUnwrapErr().name).toEqual('unknownService')
+})
