--- a/test/host/limitedLinks.test.ts
+++ b/test/host/limitedLinks.test.ts
@@ -1,6 +1,7 @@
 import { test } from 'node:test'
 import { expect } from 'earl'
 import { HostGroup } from '../support/HostGroup.js'
+import { createRouteDoc } from '../support/createRouteDoc.js'
 import { LimitedLinks } from '../support/LimitedLinks.js'
 
 /** Bytes that a host sends its peers in a second. With nine peers, each gets as much as one of 33 over a link of 10 Mbit/s. */
@@ -11,11 +12,9 @@
 /** Time in ms after the acknowledgement of a leaving from which requests may not reach the endpoint, as in the hosts' settings. */
 const drainMs = 2_500
 
-const route = { host: 'shop.example', kind: 'idempotent', timeout_s: 1, target_latency_s: 0.5, priority: 2, service: 'other', max_attempts: 2, session_affinity: false, allowed_regions: [] }
-
 /** Returns routes that no request uses. */
 function createRoutes (): Record<string, object> {
-  return Object.fromEntries(Array.from({ length: addedRoutes }, (_value, index) => [`r-added-${index}`, { ...route, prefix: `/added-${index.toString(36)}/` }]))
+  return Object.fromEntries(Array.from({ length: addedRoutes }, (_value, index) => [`r-added-${index}`, createRouteDoc(`/added-${index.toString(36)}/`, { service: 'other' })]))
 }
 
 /** Counts the requests that were sent, later than allowed, to an endpoint that is leaving. */
@@ -34,7 +33,7 @@
   for (const [index, endpoint] of group.endpoints.slice(0, 3).entries()) {
     await new Promise((resolve) => setTimeout(resolve, 500))
     group.store.tables.put('servers', endpoint.id, endpoint.describe('stock', 'north-a', { state: 'draining' }))
-    group.putConfig({ ...createRoutes(), 'r-other': { ...route, prefix: `/other-${index}/` } })
+    group.putConfig({ ...createRoutes(), 'r-other': createRouteDoc(`/other-${index}/`, { service: 'other' }) })
     await new Promise((resolve) => setTimeout(resolve, drainMs))
     late.push(await countLate(group, index))
   }
--- a/test/host/partialOutage.test.ts
+++ b/test/host/partialOutage.test.ts
@@ -3,6 +3,7 @@
 import type { CatalogTable } from '../../src/catalog/CatalogTable.js'
 import { chooseReaders } from '../../src/peers/chooseReaders.js'
 import { HostGroup } from '../support/HostGroup.js'
+import { createRouteDoc } from '../support/createRouteDoc.js'
 
 const hostCount = 4
 /** Time in ms after which a long poll without a response fails. */
@@ -13,7 +14,7 @@
 /** Time in ms in which all hosts of the test have a change. */
 const settleMs = 500
 
-const added = { host: 'shop.example', prefix: '/added/', kind: 'idempotent', timeout_s: 1, target_latency_s: 0.5, priority: 2, service: 'stock', max_attempts: 2, session_affinity: false, allowed_regions: [] }
+const added = createRouteDoc('/added/')
 
 /** Starts hosts whose readers' calls for a table get no response, and returns them with the indexes of the other hosts. */
 async function startWithoutReaders (table: CatalogTable): Promise<{ group: HostGroup, others: number[] }> {
--- a/test/host/pollsInStep.test.ts
+++ b/test/host/pollsInStep.test.ts
@@ -1,11 +1,12 @@
 import { test } from 'node:test'
 import { expect } from 'earl'
 import { HostGroup } from '../support/HostGroup.js'
+import { createRouteDoc } from '../support/createRouteDoc.js'
 
 /** Time in ms after connections fell silent from which hosts must be up to date again (`stable_window_s` of the platform). */
 const recoveryMs = 4_000
 
-const added = { host: 'shop.example', prefix: '/added/', kind: 'idempotent', timeout_s: 1, target_latency_s: 0.5, priority: 2, service: 'stock', max_attempts: 2, session_affinity: false, allowed_regions: [] }
+const added = createRouteDoc('/added/')
 
 // Guards against hosts deaf to the store for a whole poll because they started together and no change has spread their polls since.
 test('hosts that started together learn of a change within seconds after all connections to the store fell silent', async () => {
--- a/test/host/restoredStore.test.ts
+++ b/test/host/restoredStore.test.ts
@@ -2,12 +2,13 @@
 import { expect } from 'earl'
 import { catalogLimits } from '../../src/catalog/catalogLimits.js'
 import { HostGroup } from '../support/HostGroup.js'
+import { createRouteDoc } from '../support/createRouteDoc.js'
 
 /** Time in ms within which a change must be in force everywhere (`config_apply_s` of the platform). */
 const applyMs = 2_500
 const awayMs = 300
 
-const added = { host: 'shop.example', prefix: '/added/', kind: 'idempotent', timeout_s: 1, target_latency_s: 0.5, priority: 2, service: 'stock', max_attempts: 2, session_affinity: false, allowed_regions: [] }
+const added = createRouteDoc('/added/')
 
 async function sleep (ms: number): Promise<void> {
   await new Promise((resolve) => setTimeout(resolve, ms))
--- a/test/host/silentStore.test.ts
+++ b/test/host/silentStore.test.ts
@@ -1,18 +1,19 @@
 import { test } from 'node:test'
 import { expect } from 'earl'
 import { HostGroup } from '../support/HostGroup.js'
+import { createRouteDoc } from '../support/createRouteDoc.js'
 
 /** Time in ms after connections fell silent from which hosts must be up to date again (`stable_window_s` of the platform). */
 const recoveryMs = 4_000
 
-const added = { host: 'shop.example', prefix: '/added/', kind: 'idempotent', timeout_s: 1, target_latency_s: 0.5, priority: 2, service: 'stock', max_attempts: 2, session_affinity: false, allowed_regions: [] }
+const added = createRouteDoc('/added/')
 
 /** Returns the statuses of requests on a route that was added after all connections to the store fell silent. */
 async function sendAfterSilence (hosts: number): Promise<number[]> {
   const group = await HostGroup.start(hosts, 2)
   try {
     // All polls begin anew, so that the silence meets them early.
-    group.putConfig({ 'r-other': { ...added, prefix: '/other/' } })
+    group.putConfig({ 'r-other': createRouteDoc('/other/') })
     await new Promise((resolve) => setTimeout(resolve, 600))
     group.store.silenceOpenConnections()
     group.putConfig({ 'r-added': added })
--- a/test/host/unconfirmedConfig.test.ts
+++ b/test/host/unconfirmedConfig.test.ts
@@ -1,8 +1,9 @@
 import { test } from 'node:test'
 import { expect } from 'earl'
 import { HostGroup } from '../support/HostGroup.js'
+import { createRouteDoc } from '../support/createRouteDoc.js'
 
-const added = { host: 'shop.example', prefix: '/added/', kind: 'idempotent', timeout_s: 1, target_latency_s: 0.5, priority: 2, service: 'stock', max_attempts: 2, session_affinity: false, allowed_regions: [] }
+const added = createRouteDoc('/added/')
 /** Time in ms from which a change must be in force, as in the hosts' settings, and for how long the last call before it may have proved the copy. */
 const applyMs = 2_500
 const proofMs = 200
--- a/test/support/HostGroup.ts
+++ b/test/support/HostGroup.ts
@@ -12,6 +12,7 @@
 import { StoreServer } from '../../dev/store/StoreServer.js'
 import { CuttableStore } from './CuttableStore.js'
 import { createHostSettings } from './createHostSettings.js'
+import { createRouteDoc } from './createRouteDoc.js'
 import { findFreeAddresses } from './findFreeAddresses.js'
 import type { LimitedLinks } from './LimitedLinks.js'
 import { MemoryLogger } from './MemoryLogger.js'
@@ -38,8 +39,8 @@
 
 /** Routes of a group's initial configuration. */
 const routes = {
-  'r-read': { host: 'shop.example', prefix: '/read/', kind: 'idempotent', timeout_s: 1, target_latency_s: 0.5, priority: 2, service: 'stock', max_attempts: 2, session_affinity: true, allowed_regions: [] },
-  'r-order': { host: 'shop.example', prefix: '/order/', kind: 'non_idempotent', timeout_s: 1, target_latency_s: 0.5, priority: 1, service: 'stock', max_attempts: 2, session_affinity: true, allowed_regions: [] }
+  'r-read': createRouteDoc('/read/', { session_affinity: true }),
+  'r-order': createRouteDoc('/order/', { kind: 'non_idempotent', priority: 1, session_affinity: true })
 }
 
 /** Runs `HostProcess` instances in the test's own process, with stand-ins for the store and the endpoints, all on loopback ports. */
