Ask a busy host for a table again after a second at the latest

A host that names an endless time to wait, by a fault or in another release, was left out for that long by hosts that know no other source. The time is bounded by the longest backoff of a fetch now.

--- a/src/peers/TableFetcher.ts
+++ b/src/peers/TableFetcher.ts
@@ -142,7 +142,7 @@
     const nowMs = clock.nowMs()
     const { error } = result
     state.failures.set(error.kind, (state.failures.get(error.kind) ?? 0) + 1)
-    state.avoidedUntilMs.set(source.record.name, nowMs + (error.kind === 'busy' ? error.waitMs : peerLimits.maxFetchBackoffMs))
+    state.avoidedUntilMs.set(source.record.name, nowMs + (error.kind === 'busy' ? Math.min(error.waitMs, peerLimits.maxFetchBackoffMs) : peerLimits.maxFetchBackoffMs))
     if (error.kind === 'busy') return
     state.nextAtMs = nowMs + state.backoffMs * (0.5 + random())
     state.backoffMs = Math.min(peerLimits.maxFetchBackoffMs, state.backoffMs * 2)
--- a/test/peers/TableFetcher.test.ts
+++ b/test/peers/TableFetcher.test.ts
@@ -228,3 +228,14 @@
   for (let round = 0; round < 3; round++) await fixture.run()
   expect([fixture.asked, fixture.catalog.versionOf('orders')]).toEqual([['b', 'b', 'c'], 7])
 })
+
+// Guards against a host that is asked no more because it named an endless time to wait.
+test('a host that names a long time to wait is asked again after a second', async () => {
+  const fixture = new FetcherFixture()
+  fixture.reply = async () => ok({ t: 'page', table: 'orders', waitMs: 1e12 })
+  fixture.hear('b')
+  await fixture.run()
+  fixture.clock.advance(peerLimits.maxFetchBackoffMs)
+  await fixture.run()
+  expect(fixture.asked).toEqual(['b', 'b'])
+})
