Give the freshness of the tables one type

Followers, the status, the policy of denials, the metrics and the log each got the age of a copy, and for how long a host is behind, by functions of their own from HostProcess. TableFreshness has them in one place and decides what is stale. No logic changes; the tests keep their checks, with FixedFreshness in place of the functions.

--- a/src/catalog/CatalogFollower.ts
+++ b/src/catalog/CatalogFollower.ts
@@ -12,6 +12,7 @@
 import type { StoreFailure } from './StoreFailure.js'
 import type { StoreHealth } from './StoreHealth.js'
 import type { StorePosition } from './StorePosition.js'
+import type { TableFreshness } from './TableFreshness.js'
 
 /** Dependencies of a follower. */
 interface FollowerOptions {
@@ -23,10 +24,7 @@
   readonly random: () => number
   /** Returns false while other hosts read the store and this one receives the tables from its peers. */
   readonly shouldRead: (table: CatalogTable) => boolean
-  /** Returns for how long in ms the local copy of a table may miss changes, as far as this host knows of calls by any host. */
-  readonly getTableAge: (table: CatalogTable, nowMs: number) => number
-  /** Returns the time in ms after which the local copy of a table counts as stale. */
-  readonly getStaleAfterMs: (table: CatalogTable) => number
+  readonly freshness: TableFreshness
   /** Returns the place of this host among those of its region that read the store, and their number. */
   readonly getReaderPlace: () => { readonly index: number, readonly count: number }
 }
@@ -124,8 +122,8 @@
   }
 
   private get isStale (): boolean {
-    const { clock, getTableAge, getStaleAfterMs } = this.options
-    return getTableAge(this.table, clock.nowMs()) >= getStaleAfterMs(this.table)
+    const { clock, freshness } = this.options
+    return freshness.isStale(this.table, clock.nowMs())
   }
 
   private logDroppedRead ({ era, version }: StorePosition, held: StorePosition): void {
--- a/src/catalog/TableFreshnessSystem.ts
+++ b/src/catalog/TableFreshnessSystem.ts
@@ -1,14 +1,12 @@
 import type { Logger } from '../common/Logger.js'
 import { System } from '../common/System.js'
 import { CatalogTable } from './CatalogTable.js'
+import type { TableFreshness } from './TableFreshness.js'
 import { toReportedAge } from './toReportedAge.js'
 
 /** Inputs of the log lines. */
 interface TableFreshnessOptions {
-  /** Returns for how long in ms the local copy of a table may miss changes. */
-  readonly getAgeMs: (table: CatalogTable, nowMs: number) => number
-  /** Returns the time in ms after which the local copy of a table counts as stale. */
-  readonly getStaleAfterMs: (table: CatalogTable) => number
+  readonly freshness: TableFreshness
   readonly logger: Logger
 }
 
@@ -29,9 +27,9 @@
   }
 
   private check (table: CatalogTable, nowMs: number): void {
-    const ageMs = this.options.getAgeMs(table, nowMs)
-    if (ageMs < this.options.getStaleAfterMs(table)) this.recordFresh(table, nowMs)
-    else if (this.confirmed.delete(table)) this.recordStale(table, ageMs, nowMs)
+    const { freshness } = this.options
+    if (!freshness.isStale(table, nowMs)) this.recordFresh(table, nowMs)
+    else if (this.confirmed.delete(table)) this.recordStale(table, freshness.getUnconfirmedMs(table, nowMs), nowMs)
   }
 
   private recordFresh (table: CatalogTable, nowMs: number): void {
--- a/src/host/HostDenialPolicy.ts
+++ b/src/host/HostDenialPolicy.ts
@@ -1,14 +1,15 @@
+import { CatalogTable } from '../catalog/CatalogTable.js'
+import type { TableFreshness } from '../catalog/TableFreshness.js'
+import type { Clock } from '../common/Clock.js'
 import { DenialPolicy } from '../common/DenialPolicy.js'
 import type { ResultName } from '../common/ResultName.js'
 
 /** Inputs of the decision. */
 interface HostDenialPolicyOptions {
-  /** Returns for how long in ms the local copy of the configuration may miss changes. */
-  readonly getUnconfirmedMs: () => number
-  /** Returns for how long in ms another host is known to have a newer configuration; 0 when none is. */
-  readonly getBehindMs: () => number
-  /** Returns the time in ms after its acknowledgement from which a change must be in force. */
-  readonly getMaxUnconfirmedMs: () => number
+  readonly freshness: TableFreshness
+  readonly clock: Clock
+  /** Returns the time in ms after its acknowledgement from which a change of the configuration must be in force. */
+  readonly readMaxUnconfirmedMs: () => number
 }
 
 /** Denies requests while the newest call to the store whose changes this host has is recent, and no other host has a newer configuration. */
@@ -20,7 +21,8 @@
   }
 
   protected override isConfigComplete (): boolean {
-    const { getUnconfirmedMs, getBehindMs, getMaxUnconfirmedMs } = this.options
-    return getBehindMs() === 0 && getUnconfirmedMs() <= getMaxUnconfirmedMs()
+    const { freshness, clock, readMaxUnconfirmedMs } = this.options
+    const nowMs = clock.nowMs()
+    return freshness.getBehindMs(CatalogTable.orders, nowMs) === 0 && freshness.getUnconfirmedMs(CatalogTable.orders, nowMs) <= readMaxUnconfirmedMs()
   }
 }
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -7,7 +7,6 @@
 import { CatalogFollower } from '../catalog/CatalogFollower.js'
 import type { CatalogStore } from '../catalog/CatalogStore.js'
 import { CatalogTable } from '../catalog/CatalogTable.js'
-import { computeStaleAfterMs } from '../catalog/computeStaleAfterMs.js'
 import { TableFreshnessSystem } from '../catalog/TableFreshnessSystem.js'
 import { BehindTableLogSystem } from '../peers/BehindTableLogSystem.js'
 import type { HostRecord } from '../peers/HostRecord.js'
@@ -25,10 +24,11 @@
 import type { Logger } from '../common/Logger.js'
 import { Scheduler } from '../common/Scheduler.js'
 import { sleep } from '../common/sleep.js'
+import type { System } from '../common/System.js'
 import { AnnouncementLogSystem } from '../endpoints/AnnouncementLogSystem.js'
 import { EndpointTable } from '../endpoints/EndpointTable.js'
-import { DrainableHttpServer } from '../entry/DrainableHttpServer.js'
-import { HttpUpstreamClient } from '../entry/HttpUpstreamClient.js'
+import type { DrainableHttpServer } from '../entry/DrainableHttpServer.js'
+import type { HttpUpstreamClient } from '../entry/HttpUpstreamClient.js'
 import { SlowReaderSystem } from '../entry/SlowReaderSystem.js'
 import { ServiceRequestRate } from '../placing/ServiceRequestRate.js'
 import { EndpointSelector } from '../placing/EndpointSelector.js'
@@ -42,7 +42,10 @@
 import type { HttpBinding } from './HttpBinding.js'
 import { HealthChecker } from './HealthChecker.js'
 import { hostLimits } from './hostLimits.js'
+import { createCallerServer } from './createCallerServer.js'
+import { createEndpointClient } from './createEndpointClient.js'
 import { HostDenialPolicy } from './HostDenialPolicy.js'
+import { HostTableFreshness } from './HostTableFreshness.js'
 import { HostMetrics } from './HostMetrics.js'
 import type { RejectedInput } from '../metrics/RejectedInput.js'
 import type { HostSettings } from './HostSettings.js'
@@ -94,10 +97,15 @@
   private readonly auxiliaryPorts: AuxiliaryPorts
   private readonly followers: readonly CatalogFollower[]
   private readonly scheduler: Scheduler
+  private readonly freshness = new HostTableFreshness({
+    getUnconfirmedMs: (table, nowMs) => this.readers.getTableAge(table, nowMs),
+    getBehindMs: (table, nowMs) => this.mesh.getBehindMs(table, nowMs),
+    readBounds: () => this.settings.bounds
+  })
+
   private readonly graceTime: GraceTime
   private readonly registration: HostRegistration
   private isLeaving = false
-  private readonly getStaleAfterMs = (table: CatalogTable): number => computeStaleAfterMs(table, this.settings.bounds)
 
   constructor (private readonly options: HostProcessOptions) {
     const { settings, clock, createModuleLogger: createLog, httpBinding } = options
@@ -144,12 +152,11 @@
       state: this.state,
       requestRate: this.requestRate,
       shares: this.shares,
-      getTableAge: (table, nowMs) => this.readers.getTableAge(table, nowMs),
-      getBehindMs: (table, nowMs) => this.mesh.getBehindMs(table, nowMs),
+      freshness: this.freshness,
       isReady: () => this.isReady,
       isLeaving: () => this.isLeaving
     })
-    this.readers = new StoreReaders({ self: this.self, peers: this.peers, health: this.health, clock, getStaleAfterMs: this.getStaleAfterMs })
+    this.readers = new StoreReaders({ self: this.self, peers: this.peers, health: this.health, clock, getStaleAfterMs: (table) => this.freshness.getStaleAfterMs(table) })
     const traffic = new PeerTraffic(options.registry, clock)
     this.mesh = new PeerMesh({
       self: this.self,
@@ -166,12 +173,7 @@
       isReader: (host) => this.readers.isReader(host),
       describeSelf: (region) => status.describe(region)
     })
-    this.client = new HttpUpstreamClient({
-      dial,
-      clock,
-      maxIdle: hostLimits.maxIdlePerEndpoint,
-      policy: { connectTimeoutMs: hostLimits.connectTimeoutMs, maxBufferedBytes: hostLimits.maxHeldBytes, acceptsUnframedResponse: true, retriesStaleConnection: false, onRejectedResponse: (reason, address) => options.rejected.record(InputEdge.endpoint, reason, { address }) }
-    })
+    this.client = createEndpointClient(dial, clock, options.rejected)
     this.endpointSelector = this.createEndpointSelector()
     this.retryAllowance = new RetryAllowance({
       // At the very first start of the system there is no earlier process.
@@ -182,7 +184,7 @@
     this.retries = new ServiceRetryBudget(() => this.settings.bounds, (nowMs) => this.retryAllowance.get(nowMs))
     const metrics = new HostMetrics(options.registry, clock)
     this.handler = this.createHandler(metrics, status)
-    this.front = this.createFront(metrics)
+    this.front = createCallerServer({ clock, rejected: options.rejected, metrics, logger: this.log, isLeaving: () => this.isLeaving, onRequest: (req, res) => this.handler.handle(req, res) })
     this.auxiliaryPorts = new AuxiliaryPorts({
       listen: settings.listen,
       readMaxTtlMs: () => this.settings.bounds.maxTtlMs,
@@ -197,7 +199,7 @@
     const checker = new HealthChecker({ endpoints: this.endpoints, dial, routing: this.routing, httpBinding, notices: this.notices, clock, logger: createLog('endpoints') })
     this.scheduler = new Scheduler(
       clock,
-      [checker, this.registration, this.createMaintenanceSystem(), this.createShareSystem(), this.createFreshnessSystem(), this.createBehindTableSystem(), this.createRetryBudgetLogSystem(), new AnnouncementLogSystem(this.endpoints, createLog('endpoints')), new PeerTrafficLogSystem(traffic, createLog('peers')), this.createSlowReaderSystem()],
+      [checker, this.registration, this.createMaintenanceSystem(), this.createShareSystem(), ...this.createLogSystems(traffic), this.createSlowReaderSystem()],
       (system, error) => {
         this.log.error('tick-failed', { system: system.name, error: formatException(error) })
       }
@@ -209,8 +211,8 @@
       countPeers: () => this.peers.listAlive(clock.nowMs()).length,
       configVersion: () => this.routing.config?.version ?? 0,
       isStoreDown: () => this.health.isDown,
-      getTableAge: (table) => this.readers.getTableAge(table, clock.nowMs()),
-      getBehindMs: (table) => this.mesh.getBehindMs(table, clock.nowMs()),
+      getTableAge: (table) => this.freshness.getUnconfirmedMs(table, clock.nowMs()),
+      getBehindMs: (table) => this.freshness.getBehindMs(table, clock.nowMs()),
       getStoreEra: () => this.state.catalog.positionOf(CatalogTable.orders).era,
       countRetainedRows: (table) => this.state.catalog.countRetained(table),
       countLimitedEndpoints: () => [...this.endpoints].filter((row) => row.announced.rateLimit?.perSecond !== undefined).length,
@@ -274,8 +276,7 @@
       logger: createLog('store'),
       random,
       shouldRead: (table: CatalogTable) => this.readers.shouldRead(table),
-      getTableAge: (table: CatalogTable, nowMs: number) => this.readers.getTableAge(table, nowMs),
-      getStaleAfterMs: this.getStaleAfterMs,
+      freshness: this.freshness,
       getReaderPlace: () => this.readers.getPlace()
     }
     return Object.values(CatalogTable).map((table) => new CatalogFollower(table, options))
@@ -289,7 +290,7 @@
       clock,
       httpBinding,
       routing,
-      denials: this.createDenialPolicy(),
+      denials: new HostDenialPolicy({ freshness: this.freshness, clock, readMaxUnconfirmedMs: () => this.settings.bounds.configApplyMs }),
       picker: new WeightedPicker(),
       endpointSelector,
       requestRate,
@@ -307,15 +308,6 @@
     })
   }
 
-  private createDenialPolicy (): HostDenialPolicy {
-    const { clock } = this.options
-    return new HostDenialPolicy({
-      getUnconfirmedMs: () => this.readers.getTableAge(CatalogTable.orders, clock.nowMs()),
-      getBehindMs: () => this.mesh.getBehindMs(CatalogTable.orders, clock.nowMs()),
-      getMaxUnconfirmedMs: () => this.settings.bounds.configApplyMs
-    })
-  }
-
   private createEndpointSelector (): EndpointSelector {
     const { endpoints, routing, shares, state, peers } = this
     const { settings, random } = this.options
@@ -343,17 +335,15 @@
     return new LocalShareSystem({ region: this.self.region, isFirstStart, endpoints, peers, requestRate, shares, evacuated: state.evacuatedZones })
   }
 
-  private createFreshnessSystem (): TableFreshnessSystem {
-    const getAgeMs = (table: CatalogTable, nowMs: number): number => this.readers.getTableAge(table, nowMs)
-    return new TableFreshnessSystem({ getAgeMs, getStaleAfterMs: this.getStaleAfterMs, logger: this.options.createModuleLogger('store') })
-  }
-
-  private createBehindTableSystem (): BehindTableLogSystem {
-    return new BehindTableLogSystem({ listBehind: (nowMs) => this.mesh.listBehind(nowMs), logger: this.options.createModuleLogger('peers') })
-  }
-
-  private createRetryBudgetLogSystem (): RetryBudgetLogSystem {
-    return new RetryBudgetLogSystem({ retries: this.retries, getShares: (nowMs) => this.retryAllowance.get(nowMs), logger: this.options.createModuleLogger('request') })
+  private createLogSystems (traffic: PeerTraffic): System[] {
+    const { createModuleLogger: createLog } = this.options
+    return [
+      new TableFreshnessSystem({ freshness: this.freshness, logger: createLog('store') }),
+      new BehindTableLogSystem({ listBehind: (nowMs) => this.mesh.listBehind(nowMs), logger: createLog('peers') }),
+      new RetryBudgetLogSystem({ retries: this.retries, getShares: (nowMs) => this.retryAllowance.get(nowMs), logger: createLog('request') }),
+      new AnnouncementLogSystem(this.endpoints, createLog('endpoints')),
+      new PeerTrafficLogSystem(traffic, createLog('peers'))
+    ]
   }
 
   private createSlowReaderSystem (): SlowReaderSystem {
@@ -361,27 +351,6 @@
     return new SlowReaderSystem({ server: this.front, onClosed: (closed) => rejected.record(InputEdge.caller, 'responses-not-read', closed) })
   }
 
-  private createFront (metrics: HostMetrics): DrainableHttpServer {
-    return new DrainableHttpServer({
-      clock: this.options.clock,
-      closesConnections: () => this.isLeaving,
-      limits: {
-        maxConnections: hostLimits.maxConnections,
-        maxHeaderBytes: hostLimits.maxHeaderBytes,
-        headersTimeoutMs: hostLimits.defaultIdleTimeoutMs,
-        idleTimeoutMs: hostLimits.defaultIdleTimeoutMs
-      },
-      closesIdleSilently: true,
-      onRequest: (req, res) => this.handler.handle(req, res),
-      createRequestId: () => '',
-      onRefused: (name) => {
-        metrics.recordRefusal(name, '')
-        this.options.rejected.record(InputEdge.caller, 'request-malformed', { code: name })
-      },
-      onException: (error) => this.log.error('request-failed', { error: formatException(error) })
-    })
-  }
-
   private runInBackground (task: string, promise: Promise<void>): void {
     promise.catch((error: unknown) => this.log.error('task-failed', { task, error: formatException(error) }))
   }
--- a/src/host/HostStatus.ts
+++ b/src/host/HostStatus.ts
@@ -1,4 +1,5 @@
 import { CatalogTable } from '../catalog/CatalogTable.js'
+import type { TableFreshness } from '../catalog/TableFreshness.js'
 import { toReportedAge } from '../catalog/toReportedAge.js'
 import type { StoreHealth } from '../catalog/StoreHealth.js'
 import type { Clock } from '../common/Clock.js'
@@ -21,10 +22,7 @@
   readonly state: ClusterState
   readonly requestRate: ServiceRequestRate
   readonly shares: LocalShares
-  /** Returns for how long in ms the local copy of a table may miss changes. */
-  readonly getTableAge: (table: CatalogTable, nowMs: number) => number
-  /** Returns for how long in ms another host is known to have a newer copy of a table; 0 when none is. */
-  readonly getBehindMs: (table: CatalogTable, nowMs: number) => number
+  readonly freshness: TableFreshness
   readonly isReady: () => boolean
   readonly isLeaving: () => boolean
 }
@@ -57,12 +55,12 @@
    * newer one, and the age of the last successful call to the store.
    */
   describeConfigAge (): { configAgeMs: number, unconfirmedMs: number, behindMs: number, storeAgeMs: number } {
-    const { clock, state, getTableAge, getBehindMs } = this.options
+    const { clock, state, freshness } = this.options
     const nowMs = clock.nowMs()
     return {
       configAgeMs: Math.round(state.catalog.ageOf(CatalogTable.orders, nowMs)),
-      unconfirmedMs: toReportedAge(getTableAge(CatalogTable.orders, nowMs)),
-      behindMs: Math.round(getBehindMs(CatalogTable.orders, nowMs)),
+      unconfirmedMs: toReportedAge(freshness.getUnconfirmedMs(CatalogTable.orders, nowMs)),
+      behindMs: Math.round(freshness.getBehindMs(CatalogTable.orders, nowMs)),
       storeAgeMs: this.readStoreAge(nowMs)
     }
   }
--- a/test/catalog/CatalogFollower.test.ts
+++ b/test/catalog/CatalogFollower.test.ts
@@ -9,6 +9,7 @@
 import { StoreHealth } from '../../src/catalog/StoreHealth.js'
 import { SystemClock } from '../../src/common/SystemClock.js'
 import { createRejectedInput } from '../support/createRejectedInput.js'
+import { FixedFreshness } from '../support/FixedFreshness.js'
 import { MemoryLogger } from '../support/MemoryLogger.js'
 import { waitUntil } from '../support/waitUntil.js'
 
@@ -23,7 +24,7 @@
   const catalog = new Catalog(onChange)
   const health = new StoreHealth()
   const follower = new CatalogFollower(table, {
-    store: client, catalog, health, clock: new SystemClock(), logger, random: () => 0.5, shouldRead: () => true, getTableAge: (each, nowMs) => health.tableAgeMs(each, nowMs), getStaleAfterMs: (each) => catalogLimits.staleAfterMs[each], getReaderPlace: () => ({ index: 0, count: 1 })
+    store: client, catalog, health, clock: new SystemClock(), logger, random: () => 0.5, shouldRead: () => true, freshness: new FixedFreshness((each, nowMs) => health.tableAgeMs(each, nowMs)), getReaderPlace: () => ({ index: 0, count: 1 })
   })
   const running = follower.run()
   try {
--- a/test/host/HostDenialPolicy.test.ts
+++ b/test/host/HostDenialPolicy.test.ts
@@ -1,20 +1,24 @@
 import { test } from 'node:test'
 import { expect } from 'earl'
 import { createFailure } from '../../src/common/createFailure.js'
+import { ManualClock } from '../../src/common/ManualClock.js'
 import { Outcome } from '../../src/common/Outcome.js'
 import type { ResultName } from '../../src/common/ResultName.js'
 import { HostDenialPolicy } from '../../src/host/HostDenialPolicy.js'
+import { FixedFreshness } from '../support/FixedFreshness.js'
 
 const maxUnconfirmedMs = 2_500
 
-/** Returns the result code of a request on a path without a route. */
+/** A policy of a host with this state of its configuration. */
+function createPolicy ({ unconfirmedMs = 0, behindMs = 0 }: { unconfirmedMs?: number, behindMs?: number }): HostDenialPolicy {
+  const freshness = new FixedFreshness(unconfirmedMs)
+  freshness.behindMs = behindMs
+  return new HostDenialPolicy({ freshness, clock: new ManualClock(), readMaxUnconfirmedMs: () => maxUnconfirmedMs })
+}
+
+/** Returns the result code of a request that would be denied, by default for a path without a route. */
 function deny (state: { unconfirmedMs?: number, behindMs?: number }, name: ResultName = 'unknownService'): string {
-  const policy = new HostDenialPolicy({
-    getUnconfirmedMs: () => state.unconfirmedMs ?? 0,
-    getBehindMs: () => state.behindMs ?? 0,
-    getMaxUnconfirmedMs: () => maxUnconfirmedMs
-  })
-  return policy.check(createFailure(name)).name
+  return createPolicy(state).check(createFailure(name)).name
 }
 
 test('a request is denied by a confirmed configuration', () => {
@@ -33,6 +37,6 @@
 
 // Guards against a 503, which promises that a request has not run, for one that may have run.
 test('a denial of a request that may have run stays as it is', () => {
-  const policy = new HostDenialPolicy({ getUnconfirmedMs: () => Infinity, getBehindMs: () => 0, getMaxUnconfirmedMs: () => maxUnconfirmedMs })
+  const policy = createPolicy({ unconfirmedMs: Infinity })
   expect(policy.check(createFailure('bodyTooLarge', { outcome: Outcome.unknown })).name).toEqual('bodyTooLarge')
 })
