Name each attempt of a request and its connection in the log lines

A request's line named the last endpoint and the number of attempts only. With several attempts it now has the field tried: for each its endpoint and address, its status or the failure with its outcome, and the number of its connection with the request's place on it. That tells a second attempt on the same connection (hypothesis 1), a second request with one id (2) and a retry without a refusal of an endpoint (3) apart. No decision changes.

--- a/src/entry/HttpExchange.ts
+++ b/src/entry/HttpExchange.ts
@@ -18,6 +18,7 @@
 import type { ExchangePolicy } from './ExchangePolicy.js'
 import { findHeader } from './findHeader.js'
 import { BodyUploader } from './BodyUploader.js'
+import type { ConnectionUses } from './ConnectionUses.js'
 import { isResponseHeadValid } from './isResponseHeadValid.js'
 import { limitInterimResponses } from './limitInterimResponses.js'
 import type { UpstreamResponse } from './UpstreamResponse.js'
@@ -39,6 +40,7 @@
  */
 export class HttpExchange implements UpstreamCall {
   readonly response: Promise<ExchangeResult>
+  connection = ''
   private resolve!: (reply: ExchangeResult) => void
   private destination!: Destination
   private socket: Socket | undefined
@@ -61,7 +63,8 @@
     private readonly request: UpstreamRequest,
     resolveDestination: DestinationResolver,
     private readonly agent: Agent,
-    private readonly policy: ExchangePolicy
+    private readonly policy: ExchangePolicy,
+    private readonly connections: ConnectionUses
   ) {
     this.response = new Promise((resolve) => { this.resolve = resolve })
     this.guard(() => {
@@ -112,7 +115,10 @@
     outgoing.on('response', this.onResponse)
     outgoing.on('error', this.onError)
     outgoing.once('close', () => this.onClose(outgoing))
-    outgoing.once('socket', (connection) => this.limitFraming(connection))
+    outgoing.once('socket', (socket) => {
+      this.connection = this.connections.count(socket)
+      this.limitFraming(socket)
+    })
     limitInterimResponses(outgoing, this.onEndlessInterim)
     if (socket === undefined) outgoing.once('socket', this.checkAfterConnect)
     this.writeBody(outgoing)
--- a/src/entry/HttpUpstreamClient.ts
+++ b/src/entry/HttpUpstreamClient.ts
@@ -1,6 +1,7 @@
 import type { Agent } from 'node:http'
 import type { Clock } from '../common/Clock.js'
 import type { DialMap } from '../common/DialMap.js'
+import { ConnectionUses } from './ConnectionUses.js'
 import { defaultExchangePolicy } from './defaultExchangePolicy.js'
 import type { ExchangePolicy } from './ExchangePolicy.js'
 import { GuardedAgent } from './GuardedAgent.js'
@@ -25,6 +26,7 @@
 export class HttpUpstreamClient extends UpstreamClient {
   private readonly agent: Agent
   private readonly policy: ExchangePolicy
+  private readonly connections = new ConnectionUses()
 
   constructor (private readonly options: HttpUpstreamOptions) {
     super()
@@ -35,7 +37,7 @@
   }
 
   override start (request: UpstreamRequest): UpstreamCall {
-    return new HttpExchange(request, (address) => this.options.dial.resolve(address), this.agent, this.policy)
+    return new HttpExchange(request, (address) => this.options.dial.resolve(address), this.agent, this.policy, this.connections)
   }
 
   override close (): void {
--- a/src/host/AttemptSeries.ts
+++ b/src/host/AttemptSeries.ts
@@ -40,6 +40,8 @@
   /** Load of that endpoint and age in ms of its last load report when the attempt began. */
   private lastLoad = 0
   private lastReportAgeMs = 0
+  /** Endpoint, result and connection of each attempt. */
+  private readonly tried: string[] = []
 
   constructor (private readonly context: HostContext, private readonly request: ServedRequest) {}
 
@@ -48,7 +50,8 @@
     const { service } = this.request
     const endpoints = this.context.endpointsVersion()
     if (this.attempts === 0) return { service, attempts: 0, endpoints }
-    return { service, endpoint: this.lastEndpoint, attempts: this.attempts, load: this.lastLoad, reportAgeMs: this.lastReportAgeMs, endpoints }
+    const tried = this.attempts === 1 ? {} : { tried: this.tried.join(' ') }
+    return { service, endpoint: this.lastEndpoint, attempts: this.attempts, load: this.lastLoad, reportAgeMs: this.lastReportAgeMs, endpoints, ...tried }
   }
 
   async run (): Promise<Result<OpenResponse, Failure>> {
@@ -98,10 +101,13 @@
   private async runAttempt (row: EndpointRow): Promise<Awaited<EndpointAttempt['end']>> {
     this.recordChoice(row)
     this.attempts += 1
-    const end = await new EndpointAttempt(this.context, this.request, row).end
+    const attempt = new EndpointAttempt(this.context, this.request, row)
+    const end = await attempt.end
     this.excluded.add(row.record.id)
     this.lastFailure = end.kind === 'answer' ? { name: 'upstreamReset', outcome: Outcome.unknown } : { name: end.name, outcome: end.outcome }
     if (this.lastFailure.outcome === Outcome.unknown) this.possibleRuns += 1
+    const result = end.kind === 'answer' ? String(end.open.response.status) : `${end.name}:${end.outcome}`
+    this.tried.push(`${row.record.id}@${row.record.address}:${result}:${attempt.connection}`)
     return end
   }
 
--- a/src/host/EndpointAttempt.ts
+++ b/src/host/EndpointAttempt.ts
@@ -46,6 +46,11 @@
     this.end = this.complete()
   }
 
+  /** Connection of the attempt and its place there. */
+  get connection (): string {
+    return this.call.connection
+  }
+
   private startCall (): UpstreamCall {
     const { request, row, context } = this
     return context.client.start({
