--- a/src/host/HostMetrics.ts
+++ b/src/host/HostMetrics.ts
@@ -6,28 +6,7 @@
 import { resultCodes } from '../common/resultCodes.js'
 import type { ResultName } from '../common/ResultName.js'
 import { QuantileGauge } from '../metrics/QuantileGauge.js'
-
-/** Values that are read when metrics are scraped. */
-interface HostGauges {
-  readonly countInFlight: () => number
-  readonly countConnections: () => number
-  /** Returns how many requests were not handled since their callers had left. */
-  readonly countAbandoned: () => number
-  readonly countPeers: () => number
-  readonly configVersion: () => number
-  readonly isStoreDown: () => boolean
-  /** Returns for how long in ms the local copy of a table may miss changes. */
-  readonly getTableAge: (table: CatalogTable) => number
-  readonly getBehindMs: (table: CatalogTable) => number
-  /** Returns the era of the store that the local copy of the orders belongs to. */
-  readonly getStoreEra: () => number
-  /** Returns how many rows of a table hold although the store has lost them by a restore. */
-  readonly countRetainedRows: (table: CatalogTable) => number
-  readonly countLimitedEndpoints: () => number
-  readonly countLeavingEndpoints: () => number
-  readonly countBackingOffEndpoints: () => number
-  readonly listRetryBudgets: () => readonly RetryBudgetState[]
-}
+import type { HostGauges } from './HostGauges.js'
 
 /** Metrics of a host process. */
 export class HostMetrics {
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -44,6 +44,7 @@
 import { hostLimits } from './hostLimits.js'
 import { createCallerServer } from './createCallerServer.js'
 import { createEndpointClient } from './createEndpointClient.js'
+import { createHostGauges } from './createHostGauges.js'
 import { HostDenialPolicy } from './HostDenialPolicy.js'
 import { HostTableFreshness } from './HostTableFreshness.js'
 import { HostMetrics } from './HostMetrics.js'
@@ -204,22 +205,8 @@
         this.log.error('tick-failed', { system: system.name, error: formatException(error) })
       }
     )
-    metrics.registerGauges({
-      countInFlight: () => this.front.inFlight,
-      countConnections: () => this.front.connections,
-      countAbandoned: () => this.front.abandoned,
-      countPeers: () => this.peers.listAlive(clock.nowMs()).length,
-      configVersion: () => this.routing.config?.version ?? 0,
-      isStoreDown: () => this.health.isDown,
-      getTableAge: (table) => this.freshness.getUnconfirmedMs(table, clock.nowMs()),
-      getBehindMs: (table) => this.freshness.getBehindMs(table, clock.nowMs()),
-      getStoreEra: () => this.state.catalog.positionOf(CatalogTable.orders).era,
-      countRetainedRows: (table) => this.state.catalog.countRetained(table),
-      countLimitedEndpoints: () => [...this.endpoints].filter((row) => row.announced.rateLimit?.perSecond !== undefined).length,
-      countLeavingEndpoints: () => [...this.endpoints].filter((row) => row.announced.leavingSinceMs !== undefined).length,
-      countBackingOffEndpoints: () => [...this.endpoints].filter((row) => row.announced.backoffUntilMs > clock.nowMs()).length,
-      listRetryBudgets: () => this.retries.list(clock.nowMs())
-    })
+    const { front, peers, routing, health, freshness, state, endpoints, retries } = this
+    metrics.registerGauges(createHostGauges({ front, peers, routing, health, freshness, state, endpoints, retries, clock }))
   }
 
   get isReady (): boolean {
