--- a/src/entry/Attempt.ts
+++ b/src/entry/Attempt.ts
@@ -90,14 +90,12 @@
     const buildHeaders = (): string[] => this.buildHostHeaders()
     return context.hostClient.start({
       address: `${target.host.address}:${target.host.ports.internal}`,
-      id: request.id,
       method: request.method,
       path: request.path,
       get headers () { return buildHeaders() },
       body: request.body,
       needsNewConnection: !request.idempotent,
       isMatchingResponse: this.isMatchingResponse,
-      isRefusal: (_status, headers) => findHeader(headers, 'shunt-outcome') === Outcome.notRun,
       mayWrite: policy.mayWrite,
       reserveBytes: (bytes) => Math.max(
         policy.reserveUploadBytes(bytes),
