Take no unframed response as whole while its request is still being written

An endpoint answered a long upload at once with a head without length and part of the body, and its connection ended while the upload was still being written.

Cause: the end of the connection counted as the end of the response unless the socket had been reset. An endpoint that gives up during an upload may end its side in order, and a relay may pass a reset on as an end; a reset that follows is seen too late.

Evidence: the new tests send a buffered upload, one with a length, one in chunks and one whose last byte is still to come to an endpoint that doesn't read on (heads: plain, Connection: close, HTTP/1.0, 413 behind 100 Continue; fresh and pooled connections; end, reset or both at once or after 20 ms).

The end is now proven in one place: the connection has ended in order, and the whole request had been written before. A response with a length or in chunks proves its own end and is passed on during an upload as before (tests).

Price: an endpoint that answers early without length, and means it, is reported as 502. Nothing distinguishes that answer from a cut one.

--- a/src/entry/ExchangePolicy.ts
+++ b/src/entry/ExchangePolicy.ts
@@ -4,7 +4,7 @@
   readonly connectTimeoutMs: number
   /** Responses up to this many bytes are buffered completely before they are forwarded. */
   readonly maxBufferedBytes: number
-  /** Accepts a response without length or chunks as complete if its connection ended without a reset. */
+  /** Accepts a response without length or chunks as complete if its connection ended without a reset after the whole request was written. */
   readonly acceptsUnframedResponse: boolean
   /** Sends a request once more if a reused connection broke before any response. */
   readonly retriesStaleConnection: boolean
--- a/src/entry/HttpExchange.ts
+++ b/src/entry/HttpExchange.ts
@@ -58,7 +58,8 @@
   private hasRetriedStale = false
   /** True if the response has neither length nor chunks, so that it ends with its connection. */
   private isUnframed = false
-  private wasReset = false
+  /** True once it is known that an unframed response was received to its end. */
+  private isEndProven = false
 
   constructor (
     private readonly request: UpstreamRequest,
@@ -237,7 +238,7 @@
     // Without length or chunks, the end of the body cannot be distinguished from a broken connection.
     this.isUnframed = !isResponseFramed(incoming.rawHeaders)
     if (this.isUnframed && !this.policy.acceptsUnframedResponse) return this.reject('response-unframed', 'upstreamTruncated')
-    if (this.isUnframed) this.detectReset(incoming.socket)
+    if (this.isUnframed) this.proveEnd(incoming.socket)
     if (Number(length) > this.policy.maxBufferedBytes) {
       incoming.pause()
       return this.succeed(noBytes, incoming)
@@ -276,16 +277,18 @@
   })
 
   private readonly onEnd = this.guard(() => {
-    if (!this.incoming!.complete || (this.isUnframed && this.wasReset)) return this.fail('upstreamTruncated', AttemptResult.broken)
+    if (!this.incoming!.complete || (this.isUnframed && !this.isEndProven)) return this.fail('upstreamTruncated', AttemptResult.broken)
     this.succeed(this.received.take(), undefined)
   })
 
   /**
-   * The operating system reports a reset that arrives together with the last bytes as an ordinary end. After a reset the
-   * socket has no remote address, which distinguishes the two cases.
+   * The end of a connection proves the end of an unframed response if the endpoint ended it in order and the whole request had
+   * been written. An endpoint that gives up during an upload may also end in order, and a relay may pass its reset on as an end.
+   * The operating system reports a reset that arrives together with the last bytes as an ordinary end; the socket then has no
+   * remote address.
    */
-  private detectReset (socket: Socket): void {
-    socket.prependOnceListener('end', () => { this.wasReset = socket.remoteAddress === undefined })
+  private proveEnd (socket: Socket): void {
+    socket.prependOnceListener('end', () => { this.isEndProven = socket.remoteAddress !== undefined && this.outgoing!.writableFinished })
   }
 
   private succeed (body: Buffer, bodyStream: IncomingMessage | undefined): void {
--- a/test/entry/HttpExchange.test.ts
+++ b/test/entry/HttpExchange.test.ts
@@ -1,5 +1,7 @@
+import type { IncomingMessage } from 'node:http'
 import { createServer } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
+import { Readable } from 'node:stream'
 import { test } from 'node:test'
 import { expect } from 'earl'
 import { DialMap } from '../../src/common/DialMap.js'
@@ -179,6 +181,84 @@
   })
 })
 
+const uploadBytes = 16_000_000
+const uploadChunkBytes = 64_000
+
+/** Creates a caller's body that is still to be read; without an end, its last byte never comes. */
+function createUpload (length: number | undefined, hasEnd: boolean): RequestBody {
+  let leftBytes = uploadBytes
+  const stream = new Readable({
+    read () {
+      if (leftBytes === 0) return
+      leftBytes -= uploadChunkBytes
+      this.push(Buffer.alloc(uploadChunkBytes))
+      if (leftBytes === 0 && hasEnd) this.push(null)
+    }
+  })
+  return new RequestBody(Buffer.alloc(0), length, Object.assign(stream, { complete: true }) as unknown as IncomingMessage, uploadBytes)
+}
+
+const uploads: Record<string, () => RequestBody> = {
+  'a buffered upload': () => new RequestBody(Buffer.alloc(uploadBytes), uploadBytes, undefined, uploadBytes),
+  'an upload with a length': () => createUpload(uploadBytes, true),
+  'an upload in chunks': () => createUpload(undefined, true),
+  'an upload whose last byte is still to come': () => createUpload(uploadBytes + 1, false)
+}
+
+// Guards against the first part of a response that counts as complete since its connection ended while the upload was being written (issue 47).
+for (const [name, createBody] of Object.entries(uploads)) {
+  test(`an unframed response that ends during ${name} is a failure`, async () => {
+    const endings: Record<string, (socket: Socket) => void> = {
+      end: (socket) => socket.end(),
+      reset: (socket) => socket.resetAndDestroy(),
+      endAndReset: (socket) => socket.end(() => socket.resetAndDestroy())
+    }
+    const heads = ['HTTP/1.1 200 OK\r\n', 'HTTP/1.1 200 OK\r\nConnection: close\r\n', 'HTTP/1.0 200 OK\r\n', 'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 413 Full\r\n']
+    const wrong: string[] = []
+    for (const head of heads) {
+      for (const [ending, finish] of Object.entries(endings)) {
+        for (const delayMs of [0, 20]) {
+          for (const needsNewConnection of [true, false]) {
+            await withServer((socket) => socket.once('data', () => {
+              socket.pause()
+              socket.write(`${head}\r\npart`, () => { setTimeout(() => finish(socket), delayMs) })
+            }), async (start) => {
+              const result = await describeResult(start('a', { method: 'POST', body: createBody(), needsNewConnection }))
+              if (!/^upstream(Truncated|Reset) unknown$/.test(result)) wrong.push(`${head.split('\r', 1)[0]!} ${ending} ${delayMs} ${result}`)
+            })
+          }
+        }
+      }
+    }
+    expect(wrong).toEqual([])
+  })
+
+  // Guards against refusing an early answer that states its length, and so is known to be whole.
+  test(`a response with a length that comes during ${name} is passed on`, async () => {
+    for (const needsNewConnection of [true, false]) {
+      await withServer((socket) => socket.once('data', () => {
+        socket.pause()
+        socket.end('HTTP/1.1 413 Full\r\nContent-Length: 5\r\n\r\nwhole')
+      }), async (start) => {
+        expect(await describeResult(start('a', { method: 'POST', body: createBody(), needsNewConnection }))).toEqual('whole')
+      })
+    }
+  })
+
+  // Guards against refusing an unframed response only because it answers an upload.
+  if (!name.includes('to come')) {
+    test(`an unframed response that ends after ${name} is complete`, async () => {
+      let receivedBytes = 0
+      await withServer((socket) => socket.on('data', (chunk) => {
+        receivedBytes += chunk.length
+        if (receivedBytes > uploadBytes) setTimeout(() => socket.end('HTTP/1.1 200 OK\r\n\r\nwhole'), 50)
+      }), async (start) => {
+        expect(await describeResult(start('a', { method: 'POST', body: createBody() }))).toEqual('whole')
+      })
+    })
+  }
+}
+
 const endlessResponses: Record<string, { readonly first: string, readonly more: string }> = {
   'bytes that are no response': { first: '\0\x01', more: 'x'.repeat(1_000) },
   'a status line': { first: 'HTTP/1.1 200 O', more: 'K'.repeat(1_000) },
