--- a/src/host/MaintenanceSystem.ts
+++ b/src/host/MaintenanceSystem.ts
@@ -2,6 +2,7 @@
 import { System } from '../common/System.js'
 import { applyBackoffReport } from '../endpoints/applyBackoffReport.js'
 import { applyBreakReports } from '../endpoints/applyBreakReports.js'
+import { rateLimitCodec } from '../endpoints/rateLimitCodec.js'
 import { recordRateLimit } from '../endpoints/recordRateLimit.js'
 import type { EndpointTable } from '../endpoints/EndpointTable.js'
 import type { PeerTable } from '../peers/PeerTable.js'
@@ -45,9 +46,9 @@
   private applyRateLimits (nowMs: number): void {
     const { endpoints, peers } = this.options
     for (const { rateLimits, lastHeartbeatAtMs } of peers.listAlive(nowMs)) {
-      for (const [endpoint, perSecond, ageMs] of rateLimits) {
-        const row = endpoints.get(endpoint)
-        if (row !== undefined) recordRateLimit(row, { perSecond: perSecond < 0 ? undefined : perSecond, heardAtMs: lastHeartbeatAtMs! - ageMs })
+      for (const report of rateLimits) {
+        const row = endpoints.get(report[0])
+        if (row !== undefined) recordRateLimit(row, rateLimitCodec.decode(report, lastHeartbeatAtMs!))
       }
     }
   }
--- a/src/peers/readHeartbeat.ts
+++ b/src/peers/readHeartbeat.ts
@@ -1,5 +1,6 @@
 import * as z from 'zod/mini'
 import { CatalogTable } from '../catalog/CatalogTable.js'
+import { rateLimitCodec } from '../endpoints/rateLimitCodec.js'
 import { forwardedPageSchema } from './forwardedPageSchema.js'
 import type { Heartbeat } from './Heartbeat.js'
 import { hostRecordSchema } from './hostRecordSchema.js'
@@ -25,7 +26,7 @@
   loads: namedNumbers,
   // Absent from heartbeats of an earlier release too.
   breaks: z._default(namedNumbers, []),
-  rateLimits: z._default(z.array(z.tuple([z.string(), z.number().check(z.gte(-1)), z.number().check(z.gte(0))])), []),
+  rateLimits: z._default(z.array(rateLimitCodec.schema), []),
   backoffs: z._default(z.array(z.tuple([z.string(), z.number(), z.number().check(z.gte(0))])), []),
   demands: namedNumbers,
   localShares: namedNumbers,
