--- a/src/peers/PeerTable.ts
+++ b/src/peers/PeerTable.ts
@@ -60,15 +60,12 @@
 
   /** Lists the hosts whose last heartbeat is recent. */
   listAlive (nowMs: number): PeerRow[] {
-    return [...this.rows].filter((row) => row.lastHeartbeatAtMs !== undefined && nowMs - row.lastHeartbeatAtMs < computeDeadAfterMs(row.heartbeatIntervalMs))
+    return this.listHeard(nowMs, ({ heartbeatIntervalMs }) => computeDeadAfterMs(heartbeatIntervalMs))
   }
 
   /** Lists the hosts that may still send requests: live ones, and silent ones that may only be cut off. */
   listRecent (nowMs: number): PeerRow[] {
-    return [...this.rows].filter(({ lastHeartbeatAtMs, heartbeatIntervalMs, isLeaving }) => {
-      const keptMs = isLeaving ? computeDeadAfterMs(heartbeatIntervalMs) : peerLimits.recentMs
-      return lastHeartbeatAtMs !== undefined && nowMs - lastHeartbeatAtMs < keptMs
-    })
+    return this.listHeard(nowMs, ({ heartbeatIntervalMs, isLeaving }) => isLeaving ? computeDeadAfterMs(heartbeatIntervalMs) : peerLimits.recentMs)
   }
 
   /** Sums the requests in flight of the other live hosts by endpoint. */
@@ -91,6 +88,11 @@
     }
     return sums
   }
+
+  /** Lists the hosts whose last heartbeat is younger than the time in ms for which it counts. */
+  private listHeard (nowMs: number, getValidMs: (row: PeerRow) => number): PeerRow[] {
+    return [...this.rows].filter((row) => row.lastHeartbeatAtMs !== undefined && nowMs - row.lastHeartbeatAtMs < getValidMs(row))
+  }
 }
 
 function createRow (record: HostRecord): PeerRow {
