Compute the permit of a limited endpoint once a selection

The permits that were found are now spent without a second look. The result is the same, since a second computation at the same time adds nothing: test/budget and test/placing pass unchanged.

--- a/src/budget/SharedRateLimiter.ts
+++ b/src/budget/SharedRateLimiter.ts
@@ -53,11 +53,16 @@
   /** Takes a permit to send one request to an endpoint; returns false when none is available. */
   take (endpoint: string, perSecond: number, nowMs: number): boolean {
     if (!this.mayTake(endpoint, perSecond, nowMs)) return false
-    const row = this.rows.get(endpoint)!
-    row.permits = Math.max(0, row.permits - 1)
+    this.spend(endpoint)
     return true
   }
 
+  /** Takes the permit that `mayTake` has just found, for a request that needs permits of several limiters. */
+  spend (endpoint: string): void {
+    const row = this.rows.get(endpoint)
+    if (row !== undefined) row.permits = Math.max(0, row.permits - 1)
+  }
+
   private refreshSender (row: LimitedEndpointRow, endpoint: string, perSecond: number, nowMs: number): void {
     if (nowMs < row.nextSenderRefreshMs) return
     const senders = rankByRendezvous(endpoint, this.listHosts()).slice(0, this.countSenders(perSecond))
--- a/src/placing/EndpointSelector.ts
+++ b/src/placing/EndpointSelector.ts
@@ -169,7 +169,8 @@
   private acquirePermit (row: EndpointRow, nowMs: number): boolean {
     const rates = this.listRates(row, nowMs)
     if (!rates.every(([limiter, perSecond]) => limiter.mayTake(row.record.id, perSecond, nowMs))) return false
-    return rates.every(([limiter, perSecond]) => limiter.take(row.record.id, perSecond, nowMs))
+    for (const [limiter] of rates) limiter.spend(row.record.id)
+    return true
   }
 
   /** Lists the rates in requests a second that bind an endpoint now, with the limiters that divide them among the hosts. */
