Test that no response without a usable status is passed on

It doesn't happen here: isResponseHeadValid admits 200 to 599, and the parser refuses what isn't three digits. The test sends 18 statuses (000, 099, 199, 0200, 600, 2O0 and others) alone and behind interim responses, on new and reused connections, under the policies of hosts and entry daemons.

--- a/test/entry/HttpExchange.test.ts
+++ b/test/entry/HttpExchange.test.ts
@@ -7,6 +7,7 @@
 import { DialMap } from '../../src/common/DialMap.js'
 import { SystemClock } from '../../src/common/SystemClock.js'
 import { entryLimits } from '../../src/entry/entryLimits.js'
+import { defaultExchangePolicy } from '../../src/entry/defaultExchangePolicy.js'
 import type { ExchangePolicy } from '../../src/entry/ExchangePolicy.js'
 import { HttpUpstreamClient } from '../../src/entry/HttpUpstreamClient.js'
 import { RequestBody } from '../../src/entry/RequestBody.js'
@@ -94,7 +95,7 @@
 })
 
 /** Starts a server on a free port and runs `use` with a client and a function that starts requests to it. */
-async function withServer (onConnection: (socket: Socket) => void, use: (start: StartRequest) => Promise<void>): Promise<void> {
+async function withServer (onConnection: (socket: Socket) => void, use: (start: StartRequest) => Promise<void>, policy: Partial<ExchangePolicy> = {}): Promise<void> {
   const sockets: Socket[] = []
   const server = createServer((socket) => {
     sockets.push(socket)
@@ -106,7 +107,7 @@
     dial: new DialMap(),
     clock: new SystemClock(),
     maxIdle: 2,
-    policy: { connectTimeoutMs: 500, maxBufferedBytes: 100_000, acceptsUnframedResponse: true, retriesStaleConnection: false }
+    policy: { connectTimeoutMs: 500, maxBufferedBytes: 100_000, acceptsUnframedResponse: true, retriesStaleConnection: false, ...policy }
   })
   const start: StartRequest = (id, options = {}) => client.start(Object.defineProperties({
     address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
@@ -190,6 +191,38 @@
   })
 })
 
+const unusableStatuses = ['000', '001', '099', '199', '600', '999', '0200', '2000', '-200', '+200', '20', '2', '', '2O0', 'abc', '0x1', ' 200', '200.5']
+
+// Guards against an answer of an endpoint in trouble that is passed on although its status is none (issue 47).
+test('a response without a usable status is a failure', async () => {
+  const passedOn: string[] = []
+  for (const status of unusableStatuses) {
+    const response = `HTTP/1.1 ${status} X\r\nX-Request-Id: b\r\nContent-Length: 5\r\n\r\nwhole`
+    for (const interim of ['', 'HTTP/1.1 100 Continue\r\n\r\n', 'HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n']) {
+      for (const policy of [{ acceptsUnframedResponse: true }, defaultExchangePolicy]) {
+        for (const ends of [true, false]) {
+          for (const isReused of [true, false]) {
+            let requests = 0
+            await withServer((socket) => socket.on('data', () => {
+              requests += 1
+              socket.write(isReused && requests === 1 ? formatResponse('a', 'first') : `${interim}${response}`)
+              if (ends && requests > (isReused ? 1 : 0)) socket.end()
+            }), async (start) => {
+              if (isReused) await start('a').response
+              const call = start('b')
+              const timer = setTimeout(() => call.cancel('timeout'), 200)
+              const result = await describeResult(call)
+              clearTimeout(timer)
+              if (!/^upstream(Reset|Timeout) unknown$/.test(result)) passedOn.push(`${interim}${status}: ${result}`)
+            }, policy)
+          }
+        }
+      }
+    }
+  }
+  expect(passedOn).toEqual([])
+})
+
 const uploadBytes = 16_000_000
 const uploadChunkBytes = 64_000
 
