--- a/test/platformAdapter/StoreServices.test.ts
+++ b/test/platformAdapter/StoreServices.test.ts
@@ -70,6 +70,20 @@
   })
 })
 
+// Guards against a store in trouble whose answer with status 000 counts as a write that succeeded, or as one that can't have taken effect.
+test('a response without a usable status tells nothing of a write', async () => {
+  await withStore(async (store, { table, objects }) => {
+    for (const status of ['000', '099', '999']) {
+      store.intercept = (_, res) => {
+        res.socket!.end(`HTTP/1.1 ${status} X\r\nContent-Length: 2\r\n\r\n{}`)
+        return true
+      }
+      const results = [await objects.write('config/1-w', Buffer.from('doc')), await table.write({ row: 'r', ifVersion: 0, value: 1 })]
+      expect(results.map((result) => result.isErr() ? result.error.outcome : 'written')).toEqual(['unknown', 'unknown'])
+    }
+  })
+})
+
 // Guards against a response that exhausts the agent's memory or never ends.
 test('an endless response is aborted', async () => {
   await withStore(async (store, { objects }) => {
