Report a request that was sent on a stale connection as unknown

What callers saw: an idempotent request was answered `Shunt-Outcome: not-run` (5001, at another host 5006) although its endpoint or owner had received it.

Cause: on entry hosts, a request whose kept connection breaks before a response is sent again on a new connection. When that connect failed, or the request might no longer be written, the exchange cleared its record that the request had been sent, and so forgot the first try. For another host, `forwardFailed` was created with the default outcome `not-run` whatever the exchange had reported.

Ruled out: requests that aren't idempotent. They use a new connection on every path of the entry hosts and are never sent again there; the hosts of the platform don't send again at all (`retriesStaleConnection` is false).

Why this works: the only two places that take the record back now keep it if an earlier try was made, which is made only after a request was sent.

--- a/src/entry/Attempt.ts
+++ b/src/entry/Attempt.ts
@@ -138,7 +138,7 @@
   private mapForwardFailure (failed: AttemptFailure): AttemptFailure {
     if (this.target.kind === 'endpoint') return failed
     const { name, outcome } = failed.failure
-    if (name === 'upstreamRefused') return { ...failed, failure: createFailure('forwardFailed') }
+    if (name === 'upstreamRefused') return { ...failed, failure: createFailure('forwardFailed', { outcome }) }
     if (name === 'upstreamReset' || name === 'upstreamTruncated') return { ...failed, failure: createFailure('forwardBroken', { outcome }) }
     return failed
   }
--- a/src/entry/HttpExchange.ts
+++ b/src/entry/HttpExchange.ts
@@ -132,7 +132,7 @@
   }
 
   private failUnsent (): void {
-    this.mayHaveSent = false
+    this.recordUnsent()
     this.fail('claimExpired', AttemptResult.cancelled)
     this.destroy()
   }
@@ -182,7 +182,7 @@
 
   private readonly onError = this.guard((error: Error & { syscall?: string, code?: string }) => {
     if (error.syscall === 'connect') {
-      this.mayHaveSent = false
+      this.recordUnsent()
       return this.fail('upstreamRefused', AttemptResult.refused)
     }
     if (this.isStale()) return this.retryStale()
@@ -200,6 +200,11 @@
     this.send(undefined)
   }
 
+  /** Records that nothing was sent on the last connection. The request may still have run on the stale one before it. */
+  private recordUnsent (): void {
+    this.mayHaveSent = this.hasRetriedStale
+  }
+
   /** A response that switches protocols closes the connection without an error. */
   private readonly onClose = this.guard((outgoing: ClientRequest) => {
     if (outgoing === this.outgoing && this.incoming === undefined) this.fail('upstreamReset', AttemptResult.broken)
