Count the validity of a forwarded claim from the head of the request

What callers could see: an order with a key that is sent to its endpoint after its claim ran out.

Cause: the owner computed the time until which it may write after it had read the body, from the remaining time that the sender stated in the head. The wait for the body (a slow link, a pause of a process) was added to the claim.

Evidence: the test, failing before, 3 of 3 runs: a claim of 200 ms, the last byte of the body after 300 ms; the order ran (200 instead of 503).

Why this works: the time is taken when the head is checked, together with the delay of the signature; the check at the write stays where it was.

--- a/src/entry/InternalHandler.ts
+++ b/src/entry/InternalHandler.ts
@@ -36,7 +36,8 @@
   readonly service: string
   readonly headers: RequestHeaders
   readonly remainingMs: number
-  readonly writeWithinMs: number
+  /** Monotonic time in ms after which the sender's claim must not be used. */
+  readonly writeUntilMs: number
 }
 
 const noBytes = Buffer.alloc(0)
@@ -73,8 +74,8 @@
     if (remainingMs.isErr()) return err(remainingMs.error)
     // The request may have been delayed on its way, or may have waited in the socket while this process was paused.
     const delayMs = Math.max(0, sender.ageMs - entryLimits.maxClockDifferenceMs)
-    const writeWithinMs = Number(shunt.get('shunt-claim-ms') ?? Infinity) - delayMs
-    return ok({ sender: sender.host, route, service: service.name, headers: read.value, remainingMs: remainingMs.value, writeWithinMs })
+    const writeUntilMs = context.clock.nowMs() + Number(shunt.get('shunt-claim-ms') ?? Infinity) - delayMs
+    return ok({ sender: sender.host, route, service: service.name, headers: read.value, remainingMs: remainingMs.value, writeUntilMs })
   }
 
   private async serve (req: IncomingMessage, res: ServerResponse, forwarded: ForwardedRequest): Promise<void> {
@@ -112,7 +113,7 @@
 
   private createPolicy (request: EntryRequest, forwarded: ForwardedRequest, attemptedEndpoints: string[]): AttemptPolicy {
     const { steering, clock } = this.options.context
-    const writeUntilMs = clock.nowMs() + forwarded.writeWithinMs
+    const { writeUntilMs } = forwarded
     const excluded = (forwarded.headers.shunt.get('shunt-excluded') ?? '').split(',')
     return {
       choose: async (steerRequest) => {
--- a/test/entry/InternalHandler.test.ts
+++ b/test/entry/InternalHandler.test.ts
@@ -1,4 +1,4 @@
-import { createServer as createTcpServer } from 'node:net'
+import { connect, createServer as createTcpServer } from 'node:net'
 import { after, before, beforeEach, test } from 'node:test'
 import { expect } from 'earl'
 import { InternalAuth } from '../../src/entry/InternalAuth.js'
@@ -127,3 +127,21 @@
   expect([await send(3_000), runs]).toEqual(['not-run', 0])
   expect([await send(0), runs]).toEqual([undefined, 1])
 })
+
+// Guards against counting the validity of a claim from the end of the body, which may arrive long after the head.
+test('a forwarded order whose body arrives after its claim has expired is not sent', async () => {
+  setTarget(9_001)
+  const signature = new InternalAuth(clusterKey, clock).sign('h', { method: 'POST', path: '/orders', requestId: 'i' })
+  const head = ['POST /orders HTTP/1.1', 'Host: g', 'Shunt-Request-Id: i', `Shunt-Internal: ${signature}`, 'Shunt-Claim-Ms: 200', 'Shunt-Once: 1', 'Content-Length: 2', 'Connection: close']
+  const send = async (delayMs: number): Promise<string> => await new Promise((resolve, reject) => {
+    const socket = connect(8_081, owner.address)
+    let received = ''
+    socket.write(`${head.join('\r\n')}\r\n\r\n{`)
+    setTimeout(() => socket.write('}'), delayMs)
+    socket.on('data', (chunk) => { received += chunk.toString() })
+    socket.on('error', reject)
+    socket.on('close', () => resolve(/^HTTP\/1.1 (\d+)/.exec(received)?.[1] ?? received))
+  })
+  expect([await send(20), runs]).toEqual(['200', 1])
+  expect([await send(300), runs]).toEqual(['503', 1])
+})
