Accept responses without an id on new connections only

What callers of entry hosts could get: the late copy of an earlier response in place of their own, with status 200, or the copy of an earlier refusal as `not-run`. Only idempotent requests use kept connections there.

Cause: entry hosts took a response without `Shunt-Request-Id` for any request. The design says that endpoints should repeat the id, so a copy without one can't be told from a response. The hosts of the platform refuse it already.

Change: a response without an id is accepted as the first one on a connection only. A connection on which one came is not kept, so an endpoint that repeats no ids goes on being served, at the price of a connection for each request (also to the hosts of the platform, which kept the connection and then refused the next response on it). Other hosts repeat the id always. The stand-in of an endpoint now repeats the id in refusals as in its other responses.

Why this works: the first response on a new connection has no earlier one of which it could be a copy, and all others must name their request.

--- a/dev/upstream/Endpoint.ts
+++ b/dev/upstream/Endpoint.ts
@@ -159,7 +159,7 @@
     const url = new URL(req.url ?? '/', 'http://endpoint')
     if (url.pathname === '/health' && req.method === 'GET' && req.headers['shunt-customer'] === undefined) return this.respondToProbe(res)
     const { workClass, idempotent } = classifyRequest(this.options.service, req.method ?? 'GET', url.pathname)
-    if (this.busySlots + this.overheadSlots >= this.spec.slots && this.queue.length >= this.spec.slots) return this.shed(res)
+    if (this.busySlots + this.overheadSlots >= this.spec.slots && this.queue.length >= this.spec.slots) return this.shed(req, res)
     const arrival = {
       customer: readHeader(req, 'shunt-customer') ?? 'unnamed',
       requestId: readHeader(req, 'shunt-request-id') ?? 'unnamed',
@@ -296,10 +296,10 @@
     this.startQueued()
   }
 
-  private shed (res: ServerResponse): void {
+  private shed (req: IncomingMessage, res: ServerResponse): void {
     this.options.truth.recordShed({ region: this.options.region, service: this.spec.service })
     this.setLoadHeader(res)
-    res.writeHead(503, { 'content-length': 0, 'upstream-not-run': '1' })
+    res.writeHead(503, { 'content-length': 0, 'upstream-not-run': '1', 'shunt-request-id': readHeader(req, 'shunt-request-id') ?? 'unnamed' })
     res.end()
   }
 
--- a/src/entry/Attempt.ts
+++ b/src/entry/Attempt.ts
@@ -106,10 +106,13 @@
     })
   }
 
-  /** Receivers that echo the request id show by it that a response isn't a late copy of an earlier one on the connection. */
-  private readonly isMatchingResponse = (headers: readonly string[]): boolean => {
+  /**
+   * A response that repeats the request's id isn't a late copy of an earlier one on the connection. Without an id only the
+   * first response on a connection is certainly not one.
+   */
+  private readonly isMatchingResponse = (headers: readonly string[], isReusedConnection: boolean): boolean => {
     const echoedId = findHeader(headers, 'shunt-request-id')
-    return echoedId === undefined || echoedId === this.request.id
+    return echoedId === undefined ? !isReusedConnection : echoedId === this.request.id
   }
 
   private buildHostHeaders (): string[] {
--- a/src/entry/ConnectionRecords.ts
+++ b/src/entry/ConnectionRecords.ts
@@ -7,6 +7,8 @@
   requests: number
   /** Ids of the requests that were refused on it. */
   readonly refusedIds: Set<string>
+  /** True if a response came on it that doesn't name its request. */
+  hasUnnamedResponse: boolean
 }
 
 /** Records of the open connections of a client: numbers for log lines, and what was refused on each. */
@@ -34,14 +36,21 @@
     return connections.some((connection) => this.records.get(connection)?.refusedIds.has(requestId) === true)
   }
 
-  /** Returns false for a connection on which so many requests were refused that no more are recorded. */
+  /** Records a response that doesn't name its request, after which a copy of it couldn't be told from the next response. */
+  recordUnnamed (connection: Socket): void {
+    const record = this.records.get(connection)
+    if (record !== undefined) record.hasUnnamedResponse = true
+  }
+
+  /** Returns false for a connection on which responses can't be told apart, or so many requests were refused that no more are recorded. */
   isReusable (connection: Socket): boolean {
-    return (this.records.get(connection)?.refusedIds.size ?? 0) < entryLimits.maxRefusedIds
+    const record = this.records.get(connection)
+    return record === undefined || (!record.hasUnnamedResponse && record.refusedIds.size < entryLimits.maxRefusedIds)
   }
 
   private add (connection: Socket): ConnectionRecord {
     this.connections += 1
-    const record = { number: this.connections, requests: 0, refusedIds: new Set<string>() }
+    const record = { number: this.connections, requests: 0, refusedIds: new Set<string>(), hasUnnamedResponse: false }
     this.records.set(connection, record)
     return record
   }
--- a/src/entry/HttpExchange.ts
+++ b/src/entry/HttpExchange.ts
@@ -232,6 +232,7 @@
     if (!isResponseHeadValid(incoming)) return this.reject('response-head-invalid', 'upstreamReset')
     if (!this.isMatching(incoming)) return this.reject('response-of-other-request', 'upstreamReset')
     this.recordRefusal(incoming)
+    this.recordUnnamed(incoming)
     incoming.on('error', () => this.fail('upstreamTruncated', AttemptResult.broken))
     if (this.hasNoBody(incoming)) {
       incoming.resume()
@@ -260,6 +261,11 @@
     if (id !== undefined && isRefusal?.(statusCode!, rawHeaders) === true) this.connections.recordRefusal(socket, id)
   }
 
+  /** A response that would not be accepted on a reused connection shows that the next one there could not be told from a copy. */
+  private recordUnnamed ({ socket, rawHeaders }: IncomingMessage): void {
+    if (this.request.isMatchingResponse?.(rawHeaders, true) === false) this.connections.recordUnnamed(socket)
+  }
+
   private hasNoBody (incoming: IncomingMessage): boolean {
     return this.request.method === 'HEAD' || bodylessStatuses.has(incoming.statusCode!) || findHeader(incoming.rawHeaders, 'content-length') === '0'
   }
