Send health checks on connections of their own

What operators could see: an endpoint whose health check failed although it answered it. Callers got that endpoint less.

Cause: health checks shared kept connections with requests, and take every response, as theirs have no ids: a late copy of a request's response became the result of the check.

Evidence: the test, failing before with the shared client, 3 of 3 runs (`failed` instead of the report).

Why this works: a connection that carries only health checks can carry copies of their responses only. The price is one idle connection to each endpoint from its owner.

--- a/src/entry/EntryDaemon.ts
+++ b/src/entry/EntryDaemon.ts
@@ -217,7 +217,7 @@
       new ModuleSystem('share', share),
       new ModuleSystem('claim', claim),
       new ModuleSystem('steer', steer),
-      new ProbeSystem(steer, this.gateway.endpointClient),
+      new ProbeSystem(steer, this.gateway.probeClient),
       new OperationSystem(steer, this.options.metrics),
       new SlowReaderSystem({ server: this.gateway.callerServer, onClosed: (closed) => this.log.warn('responses-not-read', closed) }),
       this.digest
--- a/src/entry/EntryGateway.ts
+++ b/src/entry/EntryGateway.ts
@@ -55,6 +55,8 @@
   readonly callerServer: DrainableHttpServer
   readonly internalServer: DrainableHttpServer
   readonly endpointClient: UpstreamClient
+  /** Client for health checks. Their responses have no ids, so they get connections of their own. */
+  readonly probeClient: UpstreamClient
   private readonly hostClient: UpstreamClient
   private readonly lookupClient: HttpUpstreamClient
   private readonly authenticator: Authenticator
@@ -63,6 +65,7 @@
   constructor (private readonly options: EntryGatewayOptions) {
     const { clock, dial } = options
     this.endpointClient = new HttpUpstreamClient({ dial, clock, maxIdle: maxIdlePerEndpoint })
+    this.probeClient = new HttpUpstreamClient({ dial, clock, maxIdle: 1 })
     this.hostClient = new HttpUpstreamClient({ dial, clock, maxIdle: maxIdlePerHost })
     this.lookupClient = new HttpUpstreamClient({ dial, clock, maxIdle: maxIdlePerHost, isOwnHostTls: options.tls !== undefined })
     this.authenticator = new Authenticator(new CredentialThrottle(clock))
@@ -96,6 +99,7 @@
     this.callerServer.closeAll()
     this.internalServer.closeAll()
     this.endpointClient.close()
+    this.probeClient.close()
     this.hostClient.close()
     this.lookupClient.close()
   }
--- a/test/entry/unnamedResponses.test.ts
+++ b/test/entry/unnamedResponses.test.ts
@@ -3,7 +3,8 @@
 import { after, before, beforeEach, test } from 'node:test'
 import { expect } from 'earl'
 import type { EndpointSpec } from '../../src/model/EndpointSpec.js'
-import { GatewayFixture, call, createEndpoint, pause } from './fakes.js'
+import { ProbeSystem } from '../../src/entry/ProbeSystem.js'
+import { GatewayFixture, call, createEndpoint, createModules, pause } from './fakes.js'
 
 const address = '127.22.7.1'
 const fixture = new GatewayFixture(address)
@@ -58,3 +59,19 @@
   }
   expect(connections).toEqual(3)
 })
+
+// Guards against a health check that reads a copy of a request's response on its connection.
+test('a copy of a response is not the result of a health check', async () => {
+  const health = JSON.stringify({ state: 'ready', used: 2, slots: 4 })
+  const endpoint = await startEndpoint(9_004, (count, id) => {
+    const response = id === '' ? format('200 OK', undefined, health) : format('200 OK', id, 'own')
+    return count === 1 ? response : `${format('200 OK', 'earlier', 'own')}${response}`
+  })
+  fixture.steering.targets = [endpoint]
+  expect((await call(address, '/stock')).body).toEqual('own')
+  const { steer } = createModules()
+  steer.probes = [endpoint]
+  new ProbeSystem(steer, fixture.gateway.probeClient).run(0)
+  await pause(50)
+  expect(steer.reports).toEqual(['e9004 2 true'])
+})
