--- a/src/entry/Attempt.ts
+++ b/src/entry/Attempt.ts
@@ -104,10 +104,13 @@
     })
   }
 
-  /** Receivers that echo the request id show by it that a response isn't a late copy of an earlier one on the connection. */
-  private readonly isMatchingResponse = (headers: readonly string[]): boolean => {
+  /**
+   * A response that repeats the request's id isn't a late copy of an earlier one on the connection. Without an id only the
+   * first response on a connection is certainly not one.
+   */
+  private readonly isMatchingResponse = (headers: readonly string[], isReusedConnection: boolean): boolean => {
     const echoedId = findHeader(headers, 'shunt-request-id')
-    return echoedId === undefined || echoedId === this.request.id
+    return echoedId === undefined ? !isReusedConnection : echoedId === this.request.id
   }
 
   private buildHostHeaders (): string[] {
@@ -136,7 +139,7 @@
   private mapForwardFailure (failed: AttemptFailure): AttemptFailure {
     if (this.target.kind === 'endpoint') return failed
     const { name, outcome } = failed.failure
-    if (name === 'upstreamRefused') return { ...failed, failure: createFailure('forwardFailed') }
+    if (name === 'upstreamRefused') return { ...failed, failure: createFailure('forwardFailed', { outcome }) }
     if (name === 'upstreamReset' || name === 'upstreamTruncated') return { ...failed, failure: createFailure('forwardBroken', { outcome }) }
     return failed
   }
--- a/src/entry/HttpExchange.ts
+++ b/src/entry/HttpExchange.ts
@@ -134,7 +134,7 @@
   }
 
   private failUnsent (): void {
-    this.mayHaveSent = false
+    this.recordUnsent()
     this.fail('claimExpired', AttemptResult.cancelled)
     this.destroy()
   }
@@ -184,7 +184,7 @@
 
   private readonly onError = this.guard((error: Error & { syscall?: string, code?: string }) => {
     if (error.syscall === 'connect') {
-      this.mayHaveSent = false
+      this.recordUnsent()
       return this.fail('upstreamRefused', AttemptResult.refused)
     }
     if (this.isStale()) return this.retryStale()
@@ -202,6 +202,11 @@
     this.send(undefined)
   }
 
+  /** Records that nothing was sent on the last connection. The request may still have run on the stale one before it. */
+  private recordUnsent (): void {
+    this.mayHaveSent = this.hasRetriedStale
+  }
+
   /** A response that switches protocols closes the connection without an error. */
   private readonly onClose = this.guard((outgoing: ClientRequest) => {
     if (outgoing === this.outgoing && this.incoming === undefined) this.fail('upstreamReset', AttemptResult.broken)
@@ -229,6 +234,7 @@
     if (!isResponseHeadValid(incoming)) return this.reject('response-head-invalid', 'upstreamReset')
     if (!this.isMatching(incoming)) return this.reject('response-of-other-request', 'upstreamReset')
     this.recordRefusal(incoming)
+    this.recordUnnamed(incoming)
     incoming.on('error', () => this.fail('upstreamTruncated', AttemptResult.broken))
     if (this.hasNoBody(incoming)) {
       incoming.resume()
@@ -257,6 +263,11 @@
     if (id !== undefined && isRefusal?.(statusCode!, rawHeaders) === true) this.connections.recordRefusal(socket, id)
   }
 
+  /** A response that would not be accepted on a reused connection shows that the next one there could not be told from a copy. */
+  private recordUnnamed ({ socket, rawHeaders }: IncomingMessage): void {
+    if (this.request.isMatchingResponse?.(rawHeaders, true) === false) this.connections.recordUnnamed(socket)
+  }
+
   private hasNoBody (incoming: IncomingMessage): boolean {
     return this.request.method === 'HEAD' || bodylessStatuses.has(incoming.statusCode!) || findHeader(incoming.rawHeaders, 'content-length') === '0'
   }
