Give the new entry tests addresses that no other test uses

staleConnections failed with EADDRINUSE beside TlsReloader when the folder ran as a whole (1 run). With addresses of their own, test/entry passes as a whole, 2 of 2 runs.

--- a/test/entry/staleConnections.test.ts
+++ b/test/entry/staleConnections.test.ts
@@ -7,8 +7,8 @@
 import { RequestBody } from '../../src/entry/RequestBody.js'
 import { GatewayFixture, call, clock, createEndpoint, createHost } from './fakes.js'
 
-const address = '127.22.6.1'
-const receiver = '127.22.6.2'
+const address = '127.22.16.1'
+const receiver = '127.22.16.2'
 const fixture = new GatewayFixture(address)
 const { steering } = fixture
 const id = /shunt-request-id: (.*)\r/i
--- a/test/entry/unnamedResponses.test.ts
+++ b/test/entry/unnamedResponses.test.ts
@@ -6,7 +6,7 @@
 import { ProbeSystem } from '../../src/entry/ProbeSystem.js'
 import { GatewayFixture, call, createEndpoint, createModules, pause } from './fakes.js'
 
-const address = '127.22.7.1'
+const address = '127.22.17.1'
 const fixture = new GatewayFixture(address)
 const servers: Server[] = []
 let connections = 0
--- a/test/entry/unsentAttempts.test.ts
+++ b/test/entry/unsentAttempts.test.ts
@@ -4,8 +4,8 @@
 import { createFailure } from '../../src/common/createFailure.js'
 import { GatewayFixture, call, createEndpoint, createHost, pause } from './fakes.js'
 
-const first = new GatewayFixture('127.22.8.1')
-const owner = new GatewayFixture('127.22.8.2', {}, 'g')
+const first = new GatewayFixture('127.22.18.1')
+const owner = new GatewayFixture('127.22.18.2', {}, 'g')
 let requests = 0
 const connections = new Set<unknown>()
 
