End the hosts of a group whose start fails

HostGroup.start threw without ending the hosts, the store and the endpoints it had started, so a file whose hosts weren't ready within 8 s stayed until the runner ended it after 240 s (lostReaders at, load 13 to 19).

--- a/test/support/HostGroup.ts
+++ b/test/support/HostGroup.ts
@@ -62,14 +62,23 @@
   /** Starts a store with a configuration, endpoints of service `stock`, and hosts, and waits until all hosts are ready. */
   static async start (hostCount = 1, endpointCount = 2, regions: readonly string[] = ['north'], links?: LimitedLinks): Promise<HostGroup> {
     const group = new HostGroup(regions, links)
-    group.storeAddress = await group.store.listen()
-    group.putConfig({})
-    for (let index = 0; index < endpointCount; index++) await group.addEndpoint(`e-${index}`)
-    for (let index = 0; index < hostCount; index++) await group.addHost()
-    await group.waitUntil(() => group.hosts.every((host) => host.isReady))
+    try {
+      await group.startAll(hostCount, endpointCount)
+    } catch (error) {
+      await group.stop()
+      throw error
+    }
     return group
   }
 
+  private async startAll (hostCount: number, endpointCount: number): Promise<void> {
+    this.storeAddress = await this.store.listen()
+    this.putConfig({})
+    for (let index = 0; index < endpointCount; index++) await this.addEndpoint(`e-${index}`)
+    for (let index = 0; index < hostCount; index++) await this.addHost()
+    await this.waitUntil(() => this.hosts.every((host) => host.isReady))
+  }
+
   /** Writes a new configuration version with changed, added or (`undefined`) removed routes. */
   putConfig (change: Record<string, object | undefined>): void {
     this.version += 1
