Count windows with one function in the model of retries and the check of limits

countFrom of dev/limits was written after that of test/model/retryBudget and is the same. The test uses it now; its three properties pass unchanged.

--- a/test/model/retryBudget.test.ts
+++ b/test/model/retryBudget.test.ts
@@ -1,6 +1,7 @@
 import { test } from 'node:test'
 import { expect } from 'earl'
 import fc from 'fast-check'
+import { countFrom } from '../../dev/limits/countFrom.js'
 import { RetryAllowance } from '../../src/budget/RetryAllowance.js'
 import type { RetryShares } from '../../src/budget/RetryShares.js'
 import { ServiceRetryBudget } from '../../src/budget/ServiceRetryBudget.js'
@@ -94,23 +95,6 @@
   }
 }
 
-/** Counts the sorted times from `startMs` until before the end of the window. */
-function countFrom (times: readonly number[], startMs: number, windowMs: number): number {
-  return findFirst(times, startMs + windowMs) - findFirst(times, startMs)
-}
-
-/** Returns the index of the first of the sorted times that isn't before `limitMs`. */
-function findFirst (times: readonly number[], limitMs: number): number {
-  let low = 0
-  let high = times.length
-  while (low < high) {
-    const middle = (low + high) >> 1
-    if (times[middle]! < limitMs) low = middle + 1
-    else high = middle
-  }
-  return low
-}
-
 const createAllowance: CreateShares = (startMs) => {
   const allowance = new RetryAllowance({ startMs, readWindowMs: () => bounds.retryWindowMs, countHosts: () => hostCount })
   return (nowMs) => allowance.get(nowMs)
