--- a/dev/callers/CallRecord.ts
+++ b/dev/callers/CallRecord.ts
@@ -32,6 +32,10 @@
 /** An attempt whose connection broke. */
 interface CallBreak {
   readonly host: string
+  /** The caller's side of the connection, `a.b.c.d:port`. */
+  readonly client: string
+  /** Wall time in ms at which the attempt began. */
+  readonly sentAtMs: number
   /** Wall time in ms at which the connection broke. */
   readonly atMs: number
   readonly reason: string
--- a/dev/callers/Caller.ts
+++ b/dev/callers/Caller.ts
@@ -26,7 +26,7 @@
   readonly body: Buffer | undefined
   readonly intendedMs: number
   readonly deadlineMs: number
-  readonly breaks: { host: string, atMs: number, reason: string }[]
+  readonly breaks: Array<CallRecord['breaks'][number]>
   key: string | undefined
   attempts: number
   host: string
@@ -101,6 +101,7 @@
     // All attempts use the same idempotency key, so that an order or upload runs at most once.
     if (this.options.stream.kind !== CallKind.read) call.key ??= `${entry.keyPrefix}${call.requestId}`
     const leftMs = Math.max(1, Math.round(call.intendedMs + call.deadlineMs - performance.now()))
+    const sentAtMs = Date.now()
     const result = await exchange({
       address: this.options.dial(entry.url.replace(/^http:\/\//, '')),
       method: call.body === undefined ? 'GET' : 'POST',
@@ -110,7 +111,7 @@
       timeoutMs: leftMs + answerGraceMs,
       agent: this.agent
     })
-    if (result.kind === 'failure') return this.decideAfterFailure(call, result)
+    if (result.kind === 'failure') return this.decideAfterFailure(call, sentAtMs, result)
     if (result.headers['shunt-leaving'] !== undefined) this.directory.avoid(entry.host)
     return this.decideAfterAnswer(call, result)
   }
@@ -131,14 +132,14 @@
     }
   }
 
-  private decideAfterFailure (call: Call, { sent, reason }: { readonly sent: boolean, readonly reason: string }): RetryDecision {
+  private decideAfterFailure (call: Call, sentAtMs: number, { sent, reason, client }: { readonly sent: boolean, readonly reason: string, readonly client: string }): RetryDecision {
     this.directory.avoid(call.host)
     if (!sent) {
       // No request with this key was sent, so the next host may assign a new key.
       if (call.attempts === 1) call.key = undefined
       return { kind: 'repeat', result: 'broken', code: 0, waitMs: 0 }
     }
-    call.breaks.push({ host: call.host, atMs: Date.now(), reason })
+    call.breaks.push({ host: call.host, client, sentAtMs, atMs: Date.now(), reason })
     if (this.options.stream.kind === CallKind.read) return { kind: 'repeat', result: 'broken', code: 0, waitMs: 0 }
     return { kind: 'end', result: 'broken', code: 0 }
   }
--- a/dev/callers/exchange.ts
+++ b/dev/callers/exchange.ts
@@ -13,10 +13,10 @@
   readonly agent: Agent
 }
 
-/** A complete answer, or a failure and whether any part of the request may have reached the host. */
+/** A complete answer, or a failure, whether any part of the request may have reached the host, and the caller's address `a.b.c.d:port`. */
 type ExchangeResult =
   | { readonly kind: 'answer', readonly status: number, readonly headers: IncomingHttpHeaders, readonly body: Buffer }
-  | { readonly kind: 'failure', readonly sent: boolean, readonly reason: string }
+  | { readonly kind: 'failure', readonly sent: boolean, readonly reason: string, readonly client: string }
 
 /** Sends one request; returns a failure instead of throwing. */
 export async function exchange (options: ExchangeOptions): Promise<ExchangeResult> {
@@ -25,6 +25,7 @@
     const [host, port] = address.split(':')
     const req = request({ host, port, method, path, headers: body === undefined ? headers : { ...headers, 'content-length': body.length }, agent })
     let sent = false
+    let client = ''
     let hasEnded = false
     const end = (result: ExchangeResult): void => {
       hasEnded = true
@@ -34,13 +35,17 @@
     const fail = (reason: string): void => {
       if (hasEnded) return
       req.destroy()
-      end({ kind: 'failure', sent, reason })
+      end({ kind: 'failure', sent, reason, client })
     }
     // After a stall of this process the timer fires before the answer that arrived meanwhile has been read.
     const timer = setTimeout(() => setImmediate(fail, 'timeout'), timeoutMs)
     req.on('socket', (socket) => {
-      if (socket.connecting) socket.once('connect', () => { sent = true })
-      else sent = true
+      const recordSent = (): void => {
+        sent = true
+        client = `${socket.localAddress ?? ''}:${socket.localPort ?? 0}`
+      }
+      if (socket.connecting) socket.once('connect', recordSent)
+      else recordSent()
     })
     let answered = false
     req.on('error', (err: NodeJS.ErrnoException) => { if (!answered) fail(err.code ?? err.message) })
--- a/dev/cluster/StandInClient.ts
+++ b/dev/cluster/StandInClient.ts
@@ -1,5 +1,6 @@
 import { callControl } from '../common/callControl.js'
 import type { LinkFaults } from '../proxy/LinkFaults.js'
+import type { ProxyCounts } from '../proxy/ProxyCounts.js'
 import type { LinkSelection } from '../proxy/LinkSelection.js'
 import type { EndpointFaults } from '../upstream/EndpointFaults.js'
 import type { TruthReport } from '../upstream/TruthReport.js'
@@ -76,7 +77,7 @@
     await callControl(this.addresses.proxy, 'bandwidth', { group, bytesPerSecond })
   }
 
-  async readProxyCounts (): Promise<{ groups: Record<string, number>, connections: number }> {
+  async readProxyCounts (): Promise<ProxyCounts> {
     return await callControl(this.addresses.proxy, 'counts')
   }
 }
--- a/dev/proxy/Link.ts
+++ b/dev/proxy/Link.ts
@@ -4,6 +4,7 @@
 import type { LinkFaults } from './LinkFaults.js'
 import type { LinkPlan } from './LinkPlan.js'
 import { Pipe } from './Pipe.js'
+import type { RefusedConnection } from './RefusedConnection.js'
 import { resetSocket } from './resetSocket.js'
 
 /** One proxied connection. */
@@ -20,6 +21,8 @@
 export class Link {
   /** Number of connections accepted since startup. */
   connections = 0
+  /** Connections that the target refused. */
+  readonly refused: RefusedConnection[] = []
   private readonly faults: LinkFaults = {
     cut: false, refuse: false, silentForward: false, silentBackward: false, silencesOpen: false, loseAnswers: 0, extraDelayMs: 0
   }
@@ -107,6 +110,10 @@
 
   private connectToTarget (clientSocket: Socket): void {
     const targetSocket = connect({ ...splitAddress(this.plan.target), allowHalfOpen: true, noDelay: true })
+    const client = `${clientSocket.remoteAddress ?? ''}:${clientSocket.remotePort ?? 0}`
+    targetSocket.once('error', (err: NodeJS.ErrnoException) => {
+      if (err.code === 'ECONNREFUSED') this.refused.push({ client, atMs: Date.now() })
+    })
     // A real connection needs a round trip before the client can send its first byte.
     const notBeforeMs = performance.now() + 3 * this.delayMs()
     const connection: ProxiedConnection = {
--- a/dev/soak/SoakCluster.ts
+++ b/dev/soak/SoakCluster.ts
@@ -1,6 +1,7 @@
 import { Guard } from '../cluster/Guard.js'
 import { SeededRandom } from '../common/SeededRandom.js'
 import { sendRequest } from '../common/sendRequest.js'
+import { StallWatch } from '../common/StallWatch.js'
 import { BandwidthGroup } from '../proxy/BandwidthGroup.js'
 import { Link } from '../proxy/Link.js'
 import type { LinkFaults } from '../proxy/LinkFaults.js'
@@ -13,7 +14,6 @@
 import { soakLimits } from './soakLimits.js'
 import type { SoakOptions } from './SoakOptions.js'
 import { soakPorts } from './soakPorts.js'
-import { StallWatch } from './StallWatch.js'
 
 /** Options of a cluster in addition to its size. */
 interface SoakClusterOptions extends SoakOptions {
@@ -77,7 +77,7 @@
   private readonly bandwidthGroups = new Map<string, BandwidthGroup>()
   private callerRuns: Promise<unknown> = Promise.resolve()
   private exitTimer: NodeJS.Timeout | undefined
-  private readonly stallWatch = new StallWatch((fromMs, untilMs) => this.history.recordStall(this.hosts.map((host) => host.name), fromMs, untilMs))
+  private readonly stallWatch = new StallWatch(soakLimits.stallMs, (fromMs, untilMs) => this.history.recordStall(this.hosts.map((host) => host.name), fromMs, untilMs))
 
   constructor (private readonly options: SoakClusterOptions) {
     this.random = new SeededRandom(options.seed)
--- a/test/dev/ProxyServer.test.ts
+++ b/test/dev/ProxyServer.test.ts
@@ -5,6 +5,7 @@
 import { expect } from 'earl'
 import { callControl } from '../../dev/common/callControl.js'
 import { sendRequest } from '../../dev/common/sendRequest.js'
+import type { ProxyCounts } from '../../dev/proxy/ProxyCounts.js'
 import { ProxyServer } from '../../dev/proxy/ProxyServer.js'
 
 const address = '127.23.0.3'
@@ -49,7 +50,7 @@
   proxy = new ProxyServer({
     address,
     controlPort: 8073,
-    links: [createLink(7_001, 0), createLink(7_002, 30), createLink(7_003, 0, 'g'), createLink(7_004, 0), createLink(7_005, 0)],
+    links: [createLink(7_001, 0), createLink(7_002, 30), createLink(7_003, 0, 'g'), createLink(7_004, 0), createLink(7_005, 0), { ...createLink(7_006, 0), target: `${address}:1` }],
     groups: { 'g>': 1_000_000, '<g': 1_000_000 }
   })
   await proxy.start()
@@ -113,3 +114,23 @@
   await setFaults(7_005, { refuse: false })
   await timeRequest(7_005)
 })
+
+// Guards against a caller's reset that is put down to a host although the host's port was closed.
+test('a proxy reports the connections that their target refused', async () => {
+  const socket = connect(7_006, address)
+  await new Promise((resolve) => socket.on('connect', resolve))
+  const client = `${socket.localAddress!}:${socket.localPort!}`
+  await new Promise((resolve) => socket.on('error', () => {}).on('close', resolve))
+  const { refused } = await callControl<ProxyCounts>(control, 'counts')
+  expect(refused.map((row) => row.client)).toEqual([client])
+})
+
+// Guards against a stall of the proxy that is put down to the hosts behind it.
+test('a proxy reports when it stood still', async () => {
+  const fromMs = Date.now()
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 600)
+  const untilMs = Date.now()
+  await new Promise((resolve) => setTimeout(resolve, 100))
+  const { stalls } = await callControl<ProxyCounts>(control, 'counts')
+  expect(stalls.some(([stallFromMs, stallUntilMs]) => stallFromMs <= fromMs + 50 && stallUntilMs >= untilMs - 50)).toEqual(true)
+})
--- a/test/soak/StallWatch.test.ts
+++ b/test/soak/StallWatch.test.ts
@@ -1,9 +1,9 @@
 import { test } from 'node:test'
 import { expect } from 'earl'
+import { StallWatch } from '../../dev/common/StallWatch.js'
 import { checkSoakPromises } from '../../dev/soak/checkSoakPromises.js'
 import { SoakHistory } from '../../dev/soak/SoakHistory.js'
 import { soakLimits } from '../../dev/soak/soakLimits.js'
-import { StallWatch } from '../../dev/soak/StallWatch.js'
 import type { SoakRequest } from '../../dev/soak/SoakRequest.js'
 import { sleep } from '../../src/common/sleep.js'
 
@@ -54,7 +54,7 @@
 // Guards against findings about hosts when the process that plays the callers, links and endpoints had no processor time.
 test('a stall of the process is noticed and work in short turns is not', async () => {
   const stalls: number[] = []
-  const watch = new StallWatch((fromMs, untilMs) => stalls.push(untilMs - fromMs))
+  const watch = new StallWatch(soakLimits.stallMs, (fromMs, untilMs) => stalls.push(untilMs - fromMs))
   watch.start()
   await sleep(settleMs)
   standStill(soakLimits.stallMs / 2)
