Record refused requests by a hash of their id

With 32 refusals on each kept connection a caller with long ids could fill the memory of a host beside endpoints that refuse, and end the requests of all others.

Now the 32-bit hash of the id is kept. Two ids with the same hash only cost a new connection.

--- a/src/entry/ConnectionRecords.ts
+++ b/src/entry/ConnectionRecords.ts
@@ -1,12 +1,13 @@
 import type { Socket } from 'node:net'
+import { hashName } from '../common/hashName.js'
 import { entryLimits } from './entryLimits.js'
 
 /** What is known of one connection. */
 interface ConnectionRecord {
   readonly number: number
   requests: number
-  /** Ids of the requests that were refused on it. */
-  readonly refusedIds: Set<string>
+  /** Hashes of the ids of the requests that were refused on it; the ids themselves are as long as callers make them. */
+  readonly refusedIds: Set<number>
   /** True if a response came on it that doesn't name its request. */
   hasUnnamedResponse: boolean
 }
@@ -28,12 +29,15 @@
    * of the request it couldn't be told from the response to a second attempt.
    */
   recordRefusal (connection: Socket, requestId: string): void {
-    this.records.get(connection)?.refusedIds.add(requestId)
+    this.records.get(connection)?.refusedIds.add(hashName(requestId))
   }
 
-  /** Returns true when a request was refused on one of the connections. */
+  /** Returns true when a request was refused on one of the connections, and rarely for another request whose id has the same hash. */
   hasRefused (connections: readonly Socket[], requestId: string): boolean {
-    return connections.some((connection) => this.records.get(connection)?.refusedIds.has(requestId) === true)
+    const refusedIds = connections.map((connection) => this.records.get(connection)?.refusedIds).filter((ids) => ids !== undefined && ids.size > 0)
+    if (refusedIds.length === 0) return false
+    const hash = hashName(requestId)
+    return refusedIds.some((ids) => ids!.has(hash))
   }
 
   /** Records a response that doesn't name its request, after which a copy of it couldn't be told from the next response. */
@@ -50,7 +54,7 @@
 
   private add (connection: Socket): ConnectionRecord {
     this.connections += 1
-    const record = { number: this.connections, requests: 0, refusedIds: new Set<string>(), hasUnnamedResponse: false }
+    const record = { number: this.connections, requests: 0, refusedIds: new Set<number>(), hasUnnamedResponse: false }
     this.records.set(connection, record)
     return record
   }
