--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -1,8 +1,8 @@
 import { randomBytes } from 'node:crypto'
 import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { Deployment, runCase, verdicts } from '../stand-ins-2/Deployment.mjs'
-import { PipeliningClient } from '../stand-ins-2/PipeliningClient.mjs'
+import { Deployment, runCase, verdicts } from './Deployment.mjs'
+import { PipeliningClient } from './PipeliningClient.mjs'
 
 const hasTrouble = process.env.TROUBLE !== '0'
 const clients = 20
@@ -11,7 +11,7 @@
 const leaveAfterMs = 300
 const pipeliningShare = 0.5
 /** Time for which clients leave; after it they stay. */
-const leavingMs = 5_500
+const leavingMs = 5_000
 const playMs = 9_000
 /** Work of a lookup, which most endpoints drop when its connection closes, and of a short request with an answer of 20 KB. */
 const lookupMs = 1_100
@@ -21,24 +21,24 @@
 /** The bound of the rule: time after a client has left, and share of the requests at which endpoints may still be at work then. */
 const leftMs = 500
 const allowedShare = 0.25
-const host = 'glove.example'
+const host = 'power.example'
 
 await runCase(async () => {
-  const route = { host, kind: 'idempotent', timeout_s: 1.5, target_latency_s: 0.6, priority: 2, max_attempts: 2, session_affinity: false, allowed_regions: [] }
+  const route = { host, kind: 'idempotent', timeout_s: 1.5, target_latency_s: 0.5, priority: 2, max_attempts: 2, session_affinity: false, allowed_regions: [] }
   const deployment = new Deployment({
     folder: dirname(fileURLToPath(import.meta.url)),
-    zones: { 'north-a': 'north-tt', 'north-b': 'north-tt' },
-    routes: { 'r-lookup': { ...route, prefix: '/stock/', service: 'inventory-desk' }, 'r-short': { ...route, prefix: '/list/', service: 'catalogue-intake' } },
-    services: ['inventory-desk', 'catalogue-intake']
+    zones: { 'akl-a': 'akl', 'akl-b': 'akl' },
+    routes: { 'r-quote': { ...route, prefix: '/quote/', service: 'hire-desk' }, 'r-short': { ...route, prefix: '/list/', service: 'dispatch-yard' } },
+    services: ['hire-desk', 'dispatch-yard']
   })
   const body = randomBytes(answerBytes)
   const respond = (_req, res, _run, headers) => { if (!res.destroyed) res.writeHead(200, { ...headers, 'Content-Length': answerBytes }).end(body) }
   for (let index = 0; index < 8; index++) {
-    const zone = index % 2 === 0 ? 'north-a' : 'north-b'
-    await deployment.addEndpoint({ service: 'inventory-desk', slots: 12, zone, respond, fields: { workMs: lookupMs } })
-    await deployment.addEndpoint({ service: 'catalogue-intake', slots: 12, zone, respond, fields: { workMs: shortMs } })
+    const zone = index % 2 === 0 ? 'akl-a' : 'akl-b'
+    await deployment.addEndpoint({ service: 'hire-desk', slots: 12, zone, respond, fields: { workMs: lookupMs } })
+    await deployment.addEndpoint({ service: 'dispatch-yard', slots: 12, zone, respond, fields: { workMs: shortMs } })
   }
-  await deployment.start({ hosts: ['north-a', 'north-b'] })
+  await deployment.start({ hosts: ['akl-a', 'akl-b'] })
   const since = (ms) => Math.round(ms - deployment.startMs)
   const startMs = performance.now()
   const seen = []
@@ -53,14 +53,14 @@
       const ask = (path) => {
         const id = `c${seen.length}`
         ids.push(id)
-        const answered = client.send({ path, host, id, deadlineMs: 4_000 })
+        const answered = client.send({ path, host, id, deadlineMs: 3_000 })
         seen.push(answered.then((result) => ({ ...result, body: undefined })))
         return answered
       }
-      const answers = [ask('/stock/1')]
+      const answers = [ask('/quote/1')]
       if (pipelines) answers.push(ask('/list/1'))
       await new Promise((resolve) => setTimeout(resolve, furtherAfterMs))
-      if (pipelines) answers.push(ask('/stock/2'))
+      if (pipelines) answers.push(ask('/quote/2'))
       if (leaves) {
         await new Promise((resolve) => setTimeout(resolve, leaveAfterMs - furtherAfterMs))
         for (const id of ids) leftAt.set(id, performance.now())
@@ -79,7 +79,7 @@
   for (const { id, path, outcome, sentAtMs } of results) {
     const run = runs.get(id)
     const leftMsAt = leftAt.get(id)
-    const work = path.startsWith('/stock/') ? lookupMs : shortMs
+    const work = path.startsWith('/quote/') ? lookupMs : shortMs
     const workEndMs = run === undefined ? 0 : Math.min(run.startMs + work, run.cancelledMs ?? Infinity)
     const text = run === undefined ? 'not run' : `at work ${since(run.startMs)} to ${since(workEndMs)} at ${run.endpoint}`
     deployment.note(`${id} ${path} sent ${since(sentAtMs)}, ${text}, ${leftMsAt === undefined ? outcome : `client left at ${since(leftMsAt)}`}`)
