--- a/src/entry/DrainableHttpServer.ts
+++ b/src/entry/DrainableHttpServer.ts
@@ -92,6 +92,11 @@
     return this.tracked.size
   }
 
+  /** Number of connections that are not read at the moment, so that the end of the caller would not be noticed. */
+  get unreadConnections (): number {
+    return [...this.tracked.keys()].filter((socket) => socket.isPaused()).length
+  }
+
   /**
    * Closes the connections with most bytes that their callers have not taken yet until at most `maxBytes` are left, and returns what
    * was closed. Callers who don't read must not take the memory that the others need.
--- a/src/host/HostGauges.ts
+++ b/src/host/HostGauges.ts
@@ -5,6 +5,8 @@
 export interface HostGauges {
   readonly countInFlight: () => number
   readonly countConnections: () => number
+  /** Returns how many of them are not read, so that the end of the caller would not be noticed. */
+  readonly countUnreadConnections: () => number
   /** Returns how many requests were not handled since their callers had left. */
   readonly countAbandoned: () => number
   readonly countPeers: () => number
--- a/src/host/HostMetrics.ts
+++ b/src/host/HostMetrics.ts
@@ -56,6 +56,7 @@
   registerGauges (gauges: HostGauges): void {
     this.addGauge('shunt_in_flight', 'Requests without a complete answer', gauges.countInFlight)
     this.addGauge('shunt_caller_connections', 'Open connections of callers', gauges.countConnections)
+    this.addGauge('shunt_caller_connections_unread', 'Open connections of callers that are not read at the moment, so that their end would not be noticed', gauges.countUnreadConnections)
     this.addGauge('shunt_requests_abandoned', 'Requests since the start whose callers had left before they were handled, as the process was busy', gauges.countAbandoned)
     this.addGauge('shunt_peers_alive', 'Other hosts whose last heartbeat is recent', gauges.countPeers)
     this.addGauge('shunt_config_version', 'Version of the configuration in force', gauges.configVersion)
--- a/src/host/createHostGauges.ts
+++ b/src/host/createHostGauges.ts
@@ -30,6 +30,7 @@
   return {
     countInFlight: () => front.inFlight,
     countConnections: () => front.connections,
+    countUnreadConnections: () => front.unreadConnections,
     countAbandoned: () => front.abandoned,
     countPeers: () => peers.listAlive(clock.nowMs()).length,
     configVersion: () => routing.config?.version ?? 0,
