Notice that a caller has left while its responses wait for their turn

What callers saw: a caller that sends further requests before its first one is answered, and then leaves, goes unnoticed.

Cause: a response that was ready before its turn was handed to Node.js at once. Node.js stops reading a connection when a request arrives while more than its high-water mark (16 KiB) of such bytes waits, and a connection that isn't read doesn't tell its end: neither an orderly one nor a reset. Many short responses add up to the same.

The fix, on the path that hosts and entry hosts share: PipelinedResponse takes turns, and ResponseWriter, the proxy of lookups and replayed answers write only when the turn has come, so nothing waits in Node.js but refusals (16 at most, under 1 KiB each). The pause also bounded the memory of waiting responses. What waits counts for the guard against slow readers as before.

--- a/src/entry/CallerHandler.ts
+++ b/src/entry/CallerHandler.ts
@@ -1,4 +1,4 @@
-import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { IncomingMessage } from 'node:http'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import type { Clock } from '../common/Clock.js'
@@ -10,12 +10,14 @@
 import type { Contract } from '../model/Contract.js'
 import type { RouteSpec } from '../model/RouteSpec.js'
 import type { Authenticator } from './Authenticator.js'
+import { closeUntaken } from './closeUntaken.js'
 import type { EntryRequest } from './EntryRequest.js'
 import type { EntryState } from './EntryState.js'
 import { findHeader } from './findHeader.js'
 import type { LookupProxy } from './LookupProxy.js'
 import { parseDeadline } from './parseDeadline.js'
 import { parsePath } from './parsePath.js'
+import type { PipelinedResponse } from './PipelinedResponse.js'
 import { readRequestHeaders } from './readRequestHeaders.js'
 import { RequestBody } from './RequestBody.js'
 import type { RequestHeaders } from './RequestHeaders.js'
@@ -60,8 +62,7 @@
 export class CallerHandler {
   constructor (private readonly options: CallerHandlerOptions) {}
 
-  handle (req: IncomingMessage, res: ServerResponse, expectation: 'none' | 'continue' | 'other'): void {
-    const startMs = this.options.clock.nowMs()
+  handle (req: IncomingMessage, res: PipelinedResponse, expectation: 'none' | 'continue' | 'other'): void {
     const labels: RequestLabels = { id: '', service: '', customer: '', hasKey: false }
     req.on('error', () => {})
     res.on('error', () => {})
@@ -70,11 +71,11 @@
     if (labels.id === '') labels.id = this.options.ids.create()
     if (routed.isErr()) return this.refuse(req, res, labels, applyKeyOutcome(labels, this.options.state.denials.check(routed.error)))
     if (this.options.state.refusesRequests) return this.refuse(req, res, labels, applyKeyOutcome(labels, createFailure('hostLeaving')))
-    this.serve(req, res, labels, routed.value, startMs).catch((error: unknown) => this.handleError(req, res, labels, error))
+    this.serve(req, res, labels, routed.value).catch((error: unknown) => this.handleError(req, res, labels, error))
   }
 
   // The credential is checked here, since the lookup process sees the address of this host for all callers.
-  private forwardLookup (req: IncomingMessage, res: ServerResponse, labels: RequestLabels): void {
+  private forwardLookup (req: IncomingMessage, res: PipelinedResponse, labels: RequestLabels): void {
     const { ids, state, authenticator, lookup } = this.options
     labels.id = ids.create()
     const contract = state.config === undefined ? err(createFailure('notReady')) : authenticator.check(req, req.headers.authorization)
@@ -85,16 +86,16 @@
       .catch((error: unknown) => this.handleError(req, res, labels, error))
   }
 
-  private async serve (req: IncomingMessage, res: ServerResponse, labels: RequestLabels, routed: RoutedRequest, startMs: number): Promise<void> {
+  private async serve (req: IncomingMessage, res: PipelinedResponse, labels: RequestLabels, routed: RoutedRequest): Promise<void> {
     const { clock, pipeline, metrics, logger } = this.options
-    const scope = new RequestScope(clock, startMs + routed.remainingMs)
+    const scope = new RequestScope(clock, res.arrivedAtMs + routed.remainingMs)
     res.once('close', () => {
-      if (res.writableFinished) metrics.completed(labels.service, labels.customer, clock.nowMs() - startMs)
+      if (res.writableFinished) metrics.completed(labels.service, labels.customer, clock.nowMs() - res.arrivedAtMs)
       else scope.cancel('caller')
       scope.close()
     })
     // A caller that does not read the response must not hold its permit beyond the deadline.
-    scope.addHook(() => { if (res.writableEnded) res.destroy() })
+    scope.addHook(() => closeUntaken(res))
     const request = createRequest(req, labels.id, routed, scope)
     const { route, headers } = routed
     const result = await pipeline.run({ request, req, res, maxBodyBytes: route.maxBodyBytes, expectsContinue: headers.expectsContinue })
@@ -130,7 +131,7 @@
     return ok({ contract: contract.value, service: service.name, route, headers, remainingMs: remainingMs.value })
   }
 
-  private refuse (req: IncomingMessage, res: ServerResponse, labels: RequestLabels, failure: Failure): void {
+  private refuse (req: IncomingMessage, res: PipelinedResponse, labels: RequestLabels, failure: Failure): void {
     const { metrics, logger, state } = this.options
     metrics.refused(failure.name, labels.service, labels.customer)
     logger.debug('request-refused', { id: labels.id, reason: failure.name, outcome: failure.outcome, service: labels.service, customer: labels.customer })
@@ -138,7 +139,7 @@
     writeRefusal(req, res, failure, { requestId: labels.id, close, headers: state.isLeaving ? ['Shunt-Leaving', '1'] : [] })
   }
 
-  private handleError (req: IncomingMessage, res: ServerResponse, labels: RequestLabels, error: unknown): void {
+  private handleError (req: IncomingMessage, res: PipelinedResponse, labels: RequestLabels, error: unknown): void {
     this.options.logger.error('request-failed', { id: labels.id, error: error instanceof Error ? error.stack ?? error.message : String(error) })
     this.refuse(req, res, labels, createFailure('internal', { outcome: Outcome.unknown }))
   }
--- a/src/entry/DrainableHttpServer.ts
+++ b/src/entry/DrainableHttpServer.ts
@@ -10,9 +10,11 @@
 import { guardCallback } from '../common/guardCallback.js'
 import { Outcome } from '../common/Outcome.js'
 import type { ResultName } from '../common/ResultName.js'
+import type { ArrivedRequest } from './ArrivedRequest.js'
 import { checkRequestSyntax } from './checkRequestSyntax.js'
 import { entryLimits } from './entryLimits.js'
 import { formatRefusal } from './formatRefusal.js'
+import { isHoldable } from './isHoldable.js'
 import { PipelinedResponse } from './PipelinedResponse.js'
 import { TrackedConnection } from './TrackedConnection.js'
 import { writeRefusal } from './writeRefusal.js'
@@ -29,7 +31,7 @@
   /** Certificate and key; without them the server uses plain HTTP. */
   readonly tls?: { readonly cert: string, readonly key: string } | undefined
   /** Handles a request; `expectation` describes its `Expect` header. */
-  readonly onRequest: (req: IncomingMessage, res: PipelinedResponse, expectation: 'none' | 'continue' | 'other') => void
+  readonly onRequest: (req: IncomingMessage, res: PipelinedResponse, expectation: ArrivedRequest['expectation']) => void
   /** Returns true while responses must close their connections, so that callers move to other hosts. */
   readonly closesConnections: () => boolean
   readonly createRequestId: () => string
@@ -72,9 +74,9 @@
       this.acceptedConnections += 1
       this.droppedConnections += 1
     })
-    this.server.on('request', (req, res) => this.receive(req, res, 'none'))
-    this.server.on('checkContinue', (req, res) => this.receive(req, res, 'continue'))
-    this.server.on('checkExpectation', (req, res) => this.receive(req, res, 'other'))
+    this.server.on('request', (req, res) => this.receive({ req, res, expectation: 'none' }))
+    this.server.on('checkContinue', (req, res) => this.receive({ req, res, expectation: 'continue' }))
+    this.server.on('checkExpectation', (req, res) => this.receive({ req, res, expectation: 'other' }))
     this.server.on('clientError', (error: Error & { code?: string }, socket) => this.refuseUnparsed(error, socket as Socket))
   }
 
@@ -210,35 +212,52 @@
     })
   }
 
-  private receive (req: IncomingMessage, res: PipelinedResponse, expectation: 'none' | 'continue' | 'other'): void {
-    const connection = this.tracked.get(req.socket)
+  private receive (arrived: ArrivedRequest): void {
+    const connection = this.tracked.get(arrived.req.socket)
     if (connection === undefined || connection.isRefusingRequests) return
+    arrived.res.arrivedAtMs = this.options.clock.nowMs()
+    if (!connection.mustHold) return this.open(connection, arrived)
+    if (!isHoldable(arrived.req)) {
+      for (const earlier of connection.held.splice(0)) this.open(connection, earlier)
+      return this.open(connection, arrived)
+    }
+    if (connection.held.length >= entryLimits.maxHeldRequests) connection.isRefusingRequests = true
+    else connection.held.push(arrived)
+  }
+
+  /** Takes a request on to be handled, unless the connection may have no further open request. */
+  private open (connection: TrackedConnection, arrived: ArrivedRequest): void {
+    if (connection.isRefusingRequests) return
     if (connection.openResponses.size >= entryLimits.maxPipelinedRequests || this.isLastRequestOpen(connection)) {
       connection.isRefusingRequests = true
       return
     }
+    const { req, res } = arrived
     const syntax = checkRequestSyntax(req)
     if (syntax.isErr()) {
       req.resume()
       return this.refuseHead(connection, syntax.error)
     }
-    connection.openResponses.add(res)
+    connection.open(res)
     this.openRequests += 1
     res.settleKeepAlive = (wantsKeepAlive) => connection.settleKeepAlive(res, wantsKeepAlive && !this.options.closesConnections())
-    res.once('close', () => {
-      this.openRequests -= 1
-      connection.openResponses.delete(res)
-      connection.idleSinceMs = this.options.clock.nowMs()
-      if (connection.openResponses.size > 0) return
-      if (connection.finalRefusal !== undefined) this.endWithRefusal(connection.socket, connection.finalRefusal)
-      else if (connection.isRefusingRequests) connection.socket.end()
-      else if (this.isClosingIdle) this.endIdle(connection)
-    })
+    res.once('close', () => this.onResponseClose(connection, res))
     // A busy process accepts connections late, when the caller may have given up and closed its connection behind the request.
-    afterNextPoll(() => this.handle(req, res, expectation))
+    afterNextPoll(() => this.handle(arrived))
+  }
+
+  private onResponseClose (connection: TrackedConnection, res: PipelinedResponse): void {
+    this.openRequests -= 1
+    connection.openResponses.delete(res)
+    connection.idleSinceMs = this.options.clock.nowMs()
+    if (connection.socket.writable) while (connection.canReleaseHeld) this.open(connection, connection.held.shift()!)
+    if (connection.openResponses.size > 0) return
+    if (connection.finalRefusal !== undefined) this.endWithRefusal(connection.socket, connection.finalRefusal)
+    else if (connection.isRefusingRequests) connection.socket.end()
+    else if (this.isClosingIdle) this.endIdle(connection)
   }
 
-  private handle (req: IncomingMessage, res: PipelinedResponse, expectation: 'none' | 'continue' | 'other'): void {
+  private handle ({ req, res, expectation }: ArrivedRequest): void {
     if (req.socket.destroyed) {
       this.abandonedRequests += 1
       return
@@ -308,6 +327,8 @@
   private refuseHead (connection: TrackedConnection, failure: Failure): void {
     this.options.onRefused(failure.name)
     connection.isRefusingRequests = true
+    // A refusal would be taken for the response to the first of the held requests, which are not handled any more.
+    if (connection.held.length > 0) return
     connection.finalRefusal = failure
     if (connection.openResponses.size === 0) this.endWithRefusal(connection.socket, failure)
   }
--- a/src/entry/EntryGateway.ts
+++ b/src/entry/EntryGateway.ts
@@ -1,4 +1,3 @@
-import type { ServerResponse } from 'node:http'
 import type { Claims } from '../claim/Claims.js'
 import type { Clock } from '../common/Clock.js'
 import { formatException } from '../common/formatException.js'
@@ -143,7 +142,7 @@
       clock: this.options.clock,
       limits: internalLimits,
       closesConnections: () => this.state.isLeaving,
-      onRequest: (req, res: ServerResponse) => handler.handle(req, res),
+      onRequest: (req, res) => handler.handle(req, res),
       createRequestId: () => '',
       onRefused: () => {},
       onException: (error) => this.options.logger.error('request-failed', { error: formatException(error) })
--- a/src/entry/InternalHandler.ts
+++ b/src/entry/InternalHandler.ts
@@ -1,4 +1,4 @@
-import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { IncomingMessage } from 'node:http'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import { createFailure } from '../common/createFailure.js'
@@ -10,11 +10,13 @@
 import type { AttemptContext } from './AttemptContext.js'
 import { AttemptLoop } from './AttemptLoop.js'
 import type { AttemptPolicy } from './AttemptPolicy.js'
+import { closeUntaken } from './closeUntaken.js'
 import type { EntryRequest } from './EntryRequest.js'
 import { entryLimits } from './entryLimits.js'
 import type { EntryState } from './EntryState.js'
 import { parseDeadline } from './parseDeadline.js'
 import { parsePath } from './parsePath.js'
+import type { PipelinedResponse } from './PipelinedResponse.js'
 import { readRequestBody } from './readRequestBody.js'
 import { readRequestHeaders } from './readRequestHeaders.js'
 import { RequestBody } from './RequestBody.js'
@@ -46,7 +48,7 @@
 export class InternalHandler {
   constructor (private readonly options: InternalHandlerOptions) {}
 
-  handle (req: IncomingMessage, res: ServerResponse): void {
+  handle (req: IncomingMessage, res: PipelinedResponse): void {
     req.on('error', () => {})
     res.on('error', () => {})
     const forwarded = this.validate(req)
@@ -78,7 +80,7 @@
     return ok({ sender: sender.host, route, service: service.name, headers: read.value, remainingMs: remainingMs.value, writeUntilMs })
   }
 
-  private async serve (req: IncomingMessage, res: ServerResponse, forwarded: ForwardedRequest): Promise<void> {
+  private async serve (req: IncomingMessage, res: PipelinedResponse, forwarded: ForwardedRequest): Promise<void> {
     const { context } = this.options
     const { headers, remainingMs } = forwarded
     const scope = new RequestScope(context.clock, context.clock.nowMs() + remainingMs)
@@ -86,7 +88,7 @@
       if (!res.writableFinished) scope.cancel('caller')
       scope.close()
     })
-    scope.addHook(() => { if (res.writableEnded) res.destroy() })
+    scope.addHook(() => closeUntaken(res))
     const request = this.createRequest(req, forwarded, scope)
     const attemptedEndpoints: string[] = []
     const result = await this.attempt(req, res, request, forwarded, attemptedEndpoints)
@@ -94,7 +96,7 @@
   }
 
   private async attempt (
-    req: IncomingMessage, res: ServerResponse, request: EntryRequest, forwarded: ForwardedRequest, attemptedEndpoints: string[]
+    req: IncomingMessage, res: PipelinedResponse, request: EntryRequest, forwarded: ForwardedRequest, attemptedEndpoints: string[]
   ): Promise<Result<void, Failure>> {
     const body = await readRequestBody(req, { length: request.body.length, maxBytes: forwarded.route.maxBodyBytes, scope: request.scope, sendContinue: () => {} })
     if (body.isErr()) return err(body.error)
@@ -165,7 +167,7 @@
     return doc?.zones.find((candidate) => candidate.name === zone)?.region
   }
 
-  private refuse (req: IncomingMessage, res: ServerResponse, requestId: string, failure: Failure, endpoint: string | undefined): void {
+  private refuse (req: IncomingMessage, res: PipelinedResponse, requestId: string, failure: Failure, endpoint: string | undefined): void {
     const headers = endpoint === undefined ? [] : ['Shunt-Endpoint', endpoint]
     writeRefusal(req, res, failure, { requestId, close: false, headers })
   }
--- a/src/entry/LookupProxy.ts
+++ b/src/entry/LookupProxy.ts
@@ -1,10 +1,11 @@
-import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { IncomingMessage } from 'node:http'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import type { Failure } from '../common/Failure.js'
 import { createFailure } from '../common/createFailure.js'
 import { copyResponseHeaders } from './copyResponseHeaders.js'
 import type { EntryState } from './EntryState.js'
+import type { PipelinedResponse } from './PipelinedResponse.js'
 import { RequestBody } from './RequestBody.js'
 import type { UpstreamClient } from './UpstreamClient.js'
 
@@ -24,7 +25,7 @@
   constructor (private readonly options: LookupProxyOptions) {}
 
   /** Writes the response. Returns `notReady` if the lookup process does not respond, and `internal` if the response is too long. */
-  async forward (req: IncomingMessage, res: ServerResponse, requestId: string): Promise<Result<void, Failure>> {
+  async forward (req: IncomingMessage, res: PipelinedResponse, requestId: string): Promise<Result<void, Failure>> {
     const call = this.options.client.start({
       address: this.options.address,
       method: 'GET',
@@ -44,6 +45,7 @@
       return err(createFailure('internal', { message: 'The lookup response is too long.' }))
     }
     const { status, headers, body } = reply.value
+    if (!await res.waitForTurn(body.length)) return ok()
     res.writeHead(status, [...copyLookupHeaders(headers), 'Shunt-Request-Id', requestId, ...this.options.state.responseHeaders])
     res.end(body)
     return ok()
--- a/src/entry/RequestPipeline.ts
+++ b/src/entry/RequestPipeline.ts
@@ -1,4 +1,4 @@
-import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { IncomingMessage } from 'node:http'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import type { Claims } from '../claim/Claims.js'
@@ -15,6 +15,7 @@
 import type { EntryRequest } from './EntryRequest.js'
 import { entryLimits } from './entryLimits.js'
 import type { OpenResponse } from './OpenResponse.js'
+import type { PipelinedResponse } from './PipelinedResponse.js'
 import { readRequestBody } from './readRequestBody.js'
 
 /** Dependencies of the pipeline. */
@@ -30,7 +31,7 @@
 interface CallerExchange {
   readonly request: EntryRequest
   readonly req: IncomingMessage
-  readonly res: ServerResponse
+  readonly res: PipelinedResponse
   readonly maxBodyBytes: number
   readonly expectsContinue: boolean
 }
@@ -68,10 +69,10 @@
     // Bulk requests may wait longer for a slot than a claim is valid, so they request the claim after they have a slot.
     const claimsBeforeTarget = request.workClass !== WorkClass.bulk
     const claimed = claimsBeforeTarget && claim.isRequired ? await claim.ensure() : undefined
-    if (claimed?.isErr() === true) return this.replayOrFail(exchange, claim, claimed.error)
+    if (claimed?.isErr() === true) return await this.replayOrFail(exchange, claim, claimed.error)
     const loop = new AttemptLoop(this.options.context, request, this.createPolicy(request, claim, permit, claimsBeforeTarget))
     const answered = await loop.run()
-    if (answered.isErr()) return this.replayOrFail(exchange, claim, answered.error)
+    if (answered.isErr()) return await this.replayOrFail(exchange, claim, answered.error)
     await this.writeResponse(exchange, claim, answered.value)
     return ok()
   }
@@ -111,9 +112,9 @@
     }
   }
 
-  private replayOrFail (exchange: CallerExchange, claim: RequestClaim, failure: Failure): Result<void, Failure> {
+  private async replayOrFail (exchange: CallerExchange, claim: RequestClaim, failure: Failure): Promise<Result<void, Failure>> {
     if (claim.replay === undefined) return err(failure)
-    writeReplay(exchange, claim.replay, this.createExtraHeaders(exchange))
+    if (await exchange.res.waitForTurn(claim.replay.body.length)) writeReplay(exchange, claim.replay, this.createExtraHeaders(exchange))
     return ok()
   }
 
--- a/src/entry/ResponseWriter.ts
+++ b/src/entry/ResponseWriter.ts
@@ -1,9 +1,10 @@
-import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { IncomingMessage } from 'node:http'
 import { AttemptResult } from '../steer/AttemptResult.js'
 import { copyResponseHeaders } from './copyResponseHeaders.js'
 import { endAfterDiscardingBody } from './endAfterDiscardingBody.js'
 import { hasUnreadBody } from './hasUnreadBody.js'
 import type { OpenResponse } from './OpenResponse.js'
+import type { PipelinedResponse } from './PipelinedResponse.js'
 
 /** Options for writing a response. */
 interface ResponseOptions {
@@ -16,7 +17,7 @@
 
 const maxStringBytes = 8_192
 
-/** Writes one response: at once if it is buffered, otherwise as a stream with back-pressure and at most one chunk in memory. */
+/** Writes one response when its turn has come: at once if it is buffered, otherwise as a stream with back-pressure and at most one chunk in memory. */
 export class ResponseWriter {
   private resolve!: (isComplete: boolean) => void
   private timer: NodeJS.Timeout | undefined
@@ -25,7 +26,7 @@
   private isDelayed = false
 
   constructor (
-    private readonly res: ServerResponse,
+    private readonly res: PipelinedResponse,
     private readonly openResponse: OpenResponse,
     private readonly options: ResponseOptions
   ) {}
@@ -36,6 +37,7 @@
     const headers = copyResponseHeaders(answer.headers)
     // The rest of the request body would follow on the connection.
     if (hasUnreadBody(this.res.req)) this.res.shouldKeepAlive = false
+    if (!this.res.hasTurn && !await this.waitForTurn()) return this.abandon()
     if (answer.stream === undefined) return this.writeBuffered(headers)
     headers.push(...this.options.headers)
     this.res.writeHead(answer.status, headers)
@@ -46,6 +48,22 @@
     })
   }
 
+  private async waitForTurn (): Promise<boolean> {
+    const { body, stream } = this.openResponse.response
+    // The end of the caller's connection is noticed only while the connection is read.
+    if (stream === undefined && hasUnreadBody(this.res.req)) this.res.req.resume()
+    return await this.res.waitForTurn(body.length)
+  }
+
+  /** Gives up a response whose caller left before its turn. */
+  private abandon (): boolean {
+    if (this.openResponse.response.stream !== undefined) {
+      this.openResponse.finish(AttemptResult.cancelled)
+      this.openResponse.abort()
+    }
+    return false
+  }
+
   private writeBuffered (headers: string[]): boolean {
     const { status, body } = this.openResponse.response
     const hasBody = !this.options.isHead && status !== 204 && status !== 304
@@ -68,6 +86,8 @@
     source.on('end', () => this.onSourceEnd(source))
     source.on('close', () => this.onSourceEnd(source))
     source.on('error', () => this.end(false))
+    // The endpoint may have broken off while the response waited for its turn.
+    if (source.destroyed) return this.end(false)
     this.res.on('drain', () => { if (!this.isDelayed) source.resume() })
     this.res.on('close', () => this.end(false))
     source.resume()
--- a/src/entry/entryLimits.ts
+++ b/src/entry/entryLimits.ts
@@ -24,6 +24,10 @@
   claimValidMs: 2_000,
   /** Maximum number of open requests on one connection; a pipelined request beyond it is not read, and the connection ends. */
   maxPipelinedRequests: 16,
+  /** Bytes of responses waiting for their turn on one connection from which on further requests are held; as in Node.js. */
+  maxWaitingBytes: 16_384,
+  /** Maximum number of requests that are read and held on one connection; one beyond it is not read, and the connection ends. */
+  maxHeldRequests: 32,
   /** Time in ms and number of bytes for which an unread body is discarded after a response, so that the caller can read the response. */
   lingerMs: 1_000,
   maxLingerBytes: 1_048_576,
--- a/src/host/RequestHandler.ts
+++ b/src/host/RequestHandler.ts
@@ -1,4 +1,4 @@
-import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { IncomingMessage } from 'node:http'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import { createFailure } from '../common/createFailure.js'
@@ -7,6 +7,7 @@
 import { Outcome } from '../common/Outcome.js'
 import { ResponseWriter } from '../entry/ResponseWriter.js'
 import type { OpenResponse } from '../entry/OpenResponse.js'
+import type { PipelinedResponse } from '../entry/PipelinedResponse.js'
 import { findHeader } from '../entry/findHeader.js'
 import { readRequestBody } from '../entry/readRequestBody.js'
 import { RequestScope } from '../entry/RequestScope.js'
@@ -21,7 +22,7 @@
 /** A caller's request while it is being served. */
 interface Exchange {
   readonly req: IncomingMessage
-  readonly res: ServerResponse
+  readonly res: PipelinedResponse
   readonly id: string
   readonly startMs: number
 }
@@ -33,8 +34,8 @@
 export class RequestHandler {
   constructor (private readonly context: HostContext) {}
 
-  handle (req: IncomingMessage, res: ServerResponse): void {
-    const exchange = { req, res, id: this.context.httpBinding.readRequestId(req.rawHeaders), startMs: this.context.clock.nowMs() }
+  handle (req: IncomingMessage, res: PipelinedResponse): void {
+    const exchange = { req, res, id: this.context.httpBinding.readRequestId(req.rawHeaders), startMs: res.arrivedAtMs }
     this.serve(exchange).catch((error: unknown) => this.failInternally(exchange, error))
   }
 
--- a/src/host/createCallerServer.ts
+++ b/src/host/createCallerServer.ts
@@ -1,9 +1,10 @@
-import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { IncomingMessage } from 'node:http'
 import type { Clock } from '../common/Clock.js'
 import { formatException } from '../common/formatException.js'
 import { InputEdge } from '../common/InputEdge.js'
 import type { Logger } from '../common/Logger.js'
 import { DrainableHttpServer } from '../entry/DrainableHttpServer.js'
+import type { PipelinedResponse } from '../entry/PipelinedResponse.js'
 import type { RejectedInput } from '../metrics/RejectedInput.js'
 import { hostLimits } from './hostLimits.js'
 import type { HostMetrics } from './HostMetrics.js'
@@ -15,7 +16,7 @@
   readonly metrics: HostMetrics
   readonly logger: Logger
   readonly isLeaving: () => boolean
-  readonly onRequest: (req: IncomingMessage, res: ServerResponse) => void
+  readonly onRequest: (req: IncomingMessage, res: PipelinedResponse) => void
 }
 
 /** Creates the server for callers' requests, with limits that hold until a configuration has been received. */
