End the requests of a caller that leaves in the middle of a further one

What callers saw: a caller that leaves after it has sent a part of a further request goes unnoticed, and endpoints work on for it until its requests are done or their deadline passes.

Cause: the parser reports an end of the connection within a request as an error, in place of the end that Node.js acts on. DrainableHttpServer took it for a request that can't be read, to be refused after the responses before it, and waited for these, although nobody does any more.

The fix: an end within a head ends the connection as one between requests does, on hosts and entry hosts; an end within a body did so already. Without open requests a half head is refused as before.

--- a/src/entry/DrainableHttpServer.ts
+++ b/src/entry/DrainableHttpServer.ts
@@ -54,6 +54,9 @@
 /** Time in ms for which a connection must have been idle before it is closed without a refusal. */
 const minIdleMs = 300
 
+/** Error code of the parser when a connection ends in the middle of a request. */
+const endWithinRequest = 'HPE_INVALID_EOF_STATE'
+
 /** An HTTP server that tracks open requests per connection, so that a planned stop interrupts none of them. */
 export class DrainableHttpServer {
   private readonly server: FrontServer
@@ -304,11 +307,13 @@
       return
     }
     connection.isRefusingRequests = true
+    connection.finalRefusal = undefined
     connection.socket.end()
   }
 
   private refuseUnparsed (error: Error & { code?: string }, socket: Socket): void {
     const connection = this.tracked.get(socket)
+    if (error.code === endWithinRequest && connection !== undefined && connection.openResponses.size > 0 && !connection.isReadingBody) return this.endWithCaller(connection)
     // What arrives behind a refused head is discarded, since a reset could take the refusal from the caller.
     if (connection?.finalRefusal !== undefined && error.code !== 'ECONNRESET') return
     if (connection === undefined || !socket.writable || error.code === 'ECONNRESET' || connection.isReadingBody) {
@@ -320,6 +325,13 @@
     this.refuseHead(connection, createFailure(getResultName(error.code), { message: describe(error.code) }))
   }
 
+  /** Ends a connection whose caller has ended it in the middle of a request, as Node.js does after an end between requests. */
+  private endWithCaller (connection: TrackedConnection): void {
+    connection.isRefusingRequests = true
+    connection.finalRefusal = undefined
+    connection.socket.end()
+  }
+
   /**
    * Answers a head that the parser or this server refuses, after the responses to the requests before it, and closes the
    * connection: what follows such a head may be framed otherwise than it seems.
--- a/test/entry/unreadConnections.test.ts
+++ b/test/entry/unreadConnections.test.ts
@@ -41,16 +41,30 @@
   return socket.resume()
 }
 
-// Guards against upstreams that work on for a caller that has left, because its connection isn't read while responses wait.
-test('a caller that leaves while a response waits for its turn ends its requests at an entry host', async () => {
-  const socket = open()
-  for (const kind of ['slow', '20000', 'slow']) await ask(socket, kind)
-  expect([working.length, fixture.gateway.callerServer.unreadConnections]).toEqual([2, 0])
+/** Closes the connection and checks that upstreams stop working for it in time. */
+async function expectEnd (socket: Socket): Promise<void> {
   const leftAtMs = performance.now()
   socket.destroy()
   await waitUntil(() => working.length === 0)
   expect(performance.now() - leftAtMs).toBeLessThan(leftMs)
   await waitUntil(() => fixture.admission.permits.every(({ released }) => released > 0))
+}
+
+// Guards against upstreams that work on for a caller that has left, because its connection isn't read while responses wait.
+test('a caller that leaves while a response waits for its turn ends its requests at an entry host', async () => {
+  const socket = open()
+  for (const kind of ['slow', '20000', 'slow']) await ask(socket, kind)
+  expect([working.length, fixture.gateway.callerServer.unreadConnections]).toEqual([2, 0])
+  await expectEnd(socket)
+})
+
+// Guards against the end of such a caller in the middle of a further request, which looks like a request that can't be read.
+test('a caller that leaves in the middle of a request ends those before it at an entry host', async () => {
+  const socket = open()
+  await ask(socket, 'slow')
+  socket.write('GET /stock HTTP/1.1\r\nHo')
+  await pause(settleMs)
+  await expectEnd(socket)
 })
 
 // Guards against a permit that is held by a caller that doesn't take a response whose deadline passed while it waited for its turn.
--- a/test/host/unreadConnections.test.ts
+++ b/test/host/unreadConnections.test.ts
@@ -114,6 +114,21 @@
   })
 })
 
+// Guards against a caller's end that counts as an unreadable request, after which the requests before it go on.
+for (const [name, kind] of [['a further request', '2'], ['a further request behind waiting responses', '20000']] as const) {
+  test(`a caller that leaves in the middle of ${name} ends its requests`, async () => {
+    await Play.run(async (play) => {
+      play.caller.send('a', '/read/slow')
+      play.caller.send('b', `/read/${kind}`)
+      await play.waitForArrivals(2)
+      play.caller.sendBytes('GET /read/2 HTTP/1.1\r\nHost: sho')
+      await sleep(settleMs)
+      play.caller.close()
+      await play.expectEnd()
+    })
+  })
+}
+
 // Guards against requests that are read ahead and passed on: they would fill the memory with responses, and run for nobody.
 test('a request that is held behind waiting responses is not passed on after its caller has left', async () => {
   await Play.run(async (play) => {
