Read on behind requests that a connection may not add

And a caller that goes on to send fills the memory: each request beyond the limit, of 30 bytes, took some 600 bytes until the connection ended.

Cause: such a request is not handled, so nobody takes its body, and Node.js stops reading the connection. Without a body the parser goes on, and Node.js keeps a request and a response object for each further request.

The fix: TrackedConnection.refuse is the one way to turn requests away that arrive behind the last one, on hosts and entry hosts. It lets the body pass and takes the connection from the parser; what arrives is dropped until it ends.

--- a/src/entry/DrainableHttpServer.ts
+++ b/src/entry/DrainableHttpServer.ts
@@ -217,24 +217,22 @@
 
   private receive (arrived: ArrivedRequest): void {
     const connection = this.tracked.get(arrived.req.socket)
-    if (connection === undefined || connection.isRefusingRequests) return
+    if (connection === undefined) return
+    if (connection.isRefusingRequests) return connection.refuse(arrived)
     arrived.res.arrivedAtMs = this.options.clock.nowMs()
     if (!connection.mustHold) return this.open(connection, arrived)
     if (!isHoldable(arrived.req)) {
       for (const earlier of connection.held.splice(0)) this.open(connection, earlier)
       return this.open(connection, arrived)
     }
-    if (connection.held.length >= entryLimits.maxHeldRequests) connection.isRefusingRequests = true
+    if (connection.held.length >= entryLimits.maxHeldRequests) connection.refuse(arrived)
     else connection.held.push(arrived)
   }
 
   /** Takes a request on to be handled, unless the connection may have no further open request. */
   private open (connection: TrackedConnection, arrived: ArrivedRequest): void {
-    if (connection.isRefusingRequests) return
-    if (connection.openResponses.size >= entryLimits.maxPipelinedRequests || this.isLastRequestOpen(connection)) {
-      connection.isRefusingRequests = true
-      return
-    }
+    const isFull = connection.openResponses.size >= entryLimits.maxPipelinedRequests
+    if (connection.isRefusingRequests || isFull || this.isLastRequestOpen(connection)) return connection.refuse(arrived)
     const { req, res } = arrived
     const syntax = checkRequestSyntax(req)
     if (syntax.isErr()) {
--- a/src/entry/TrackedConnection.ts
+++ b/src/entry/TrackedConnection.ts
@@ -1,6 +1,7 @@
 import type { Socket } from 'node:net'
 import type { Failure } from '../common/Failure.js'
 import type { ArrivedRequest } from './ArrivedRequest.js'
+import { discardInput } from './discardInput.js'
 import { entryLimits } from './entryLimits.js'
 import { hasUnreadBody } from './hasUnreadBody.js'
 import type { PipelinedResponse } from './PipelinedResponse.js'
@@ -17,6 +18,7 @@
   /** True once a response was to close the connection but left that to the pipelined responses behind it. */
   private mustClose = false
   private isHolding = false
+  private isDiscarding = false
 
   constructor (
     readonly socket: Socket,
@@ -67,6 +69,16 @@
     return this.held.length > 0 && !this.isRefusingRequests && !this.hasManyWaiting && this.openResponses.size < entryLimits.maxPipelinedRequests
   }
 
+  /** Runs neither this request nor those that are held or still arrive; the connection ends after its open responses. */
+  refuse ({ req }: ArrivedRequest): void {
+    this.isRefusingRequests = true
+    // Nothing behind a body that nobody takes would be read, not even the end of the caller.
+    req.resume()
+    if (this.isDiscarding) return
+    this.isDiscarding = true
+    discardInput(this.socket)
+  }
+
   /** Adds the response to a request that is handled from now on. */
   open (res: PipelinedResponse): void {
     this.isHolding ||= this.hasManyWaiting
--- a/test/host/unreadConnections.test.ts
+++ b/test/host/unreadConnections.test.ts
@@ -129,6 +129,19 @@
   })
 }
 
+// Guards against the body of a request that isn't run, which nobody takes, so that what follows it isn't read.
+test('a caller that leaves behind a request beyond the limit ends its requests', async () => {
+  await Play.run(async (play) => {
+    for (let index = 0; index < entryLimits.maxPipelinedRequests; index++) play.caller.send(`a-${index}`, '/read/slow')
+    await play.waitForArrivals(entryLimits.maxPipelinedRequests)
+    play.caller.send('b', '/read/2', { contentLength: 200_000 })
+    play.caller.sendBytes('x'.repeat(100_000))
+    await sleep(settleMs)
+    play.caller.close()
+    await play.expectEnd()
+  })
+})
+
 // Guards against requests that are read ahead and passed on: they would fill the memory with responses, and run for nobody.
 test('a request that is held behind waiting responses is not passed on after its caller has left', async () => {
   await Play.run(async (play) => {
