Read short bodies while their requests wait to be admitted

What callers saw, on the entry hosts of the other deployment: a caller whose request waits for a token or a permit of its customer leaves, and the request keeps its place in the queue and is passed on when its turn comes.

Cause: the body was read after admission. Node.js stops reading a connection with more than 16 KiB of a body that nobody takes, unless the whole body comes in one read, and the end of the caller lies behind it.

The fix: a body of up to 64 KiB, which is kept whole anyway, is read while the request waits. Longer ones still aren't, since that would take memory for requests that may be refused; nor are those whose callers wait for 100 Continue.

Test: test/entry/unreadConnections, a body of 60,000 bytes in two parts; the signal that takes the request out of the queue wasn't given before.

--- a/src/entry/RequestPipeline.ts
+++ b/src/entry/RequestPipeline.ts
@@ -48,6 +48,7 @@
   async run (exchange: CallerExchange): Promise<Result<void, Failure>> {
     const { request, res } = exchange
     const claim = new RequestClaim(this.options.claims, this.options.context.clock, request)
+    const body = mayReadEarly(exchange) ? this.readBody(exchange) : undefined
     const admitted = await this.options.admission.admit({
       customer: request.customer,
       workClass: request.workClass,
@@ -58,14 +59,14 @@
     const permit = admitted.value
     if (res.closed || exchange.req.socket.destroyed) permit.release()
     else res.once('close', () => permit.release())
-    const result = await this.serve(exchange, claim, permit)
+    const result = await this.serve(exchange, claim, permit, body)
     return result.mapErr((failure) => claim.settleFailure(failure))
   }
 
-  private async serve (exchange: CallerExchange, claim: RequestClaim, permit: Permit): Promise<Result<void, Failure>> {
+  private async serve (exchange: CallerExchange, claim: RequestClaim, permit: Permit, earlyBody: Promise<Result<void, Failure>> | undefined): Promise<Result<void, Failure>> {
     const { request } = exchange
-    const body = request.body.length === 0 ? undefined : await this.readBody(exchange)
-    if (body?.isErr() === true) return err(body.error)
+    const body = request.body.length === 0 ? ok() : await (earlyBody ?? this.readBody(exchange))
+    if (body.isErr()) return err(body.error)
     // Bulk requests may wait longer for a slot than a claim is valid, so they request the claim after they have a slot.
     const claimsBeforeTarget = request.workClass !== WorkClass.bulk
     const claimed = claimsBeforeTarget && claim.isRequired ? await claim.ensure() : undefined
@@ -133,6 +134,15 @@
   }
 }
 
+/**
+ * Returns true when a body is short enough to be read while the request waits to be admitted. Otherwise the connection is not read
+ * meanwhile, and the end of the caller is not noticed. A caller that expects `100 Continue` sends its body only after that.
+ */
+function mayReadEarly ({ request, expectsContinue }: CallerExchange): boolean {
+  const { length } = request.body
+  return !expectsContinue && length !== undefined && length > 0 && length <= entryLimits.maxBufferedBytes
+}
+
 function allowsRegion (permit: Permit, region: string): boolean {
   if (!permit.enterRegion(region)) return false
   permit.leaveRegion(region)
--- a/test/entry/fakes.ts
+++ b/test/entry/fakes.ts
@@ -20,6 +20,7 @@
 import type { EndpointSpec } from '../../src/model/EndpointSpec.js'
 import type { HostSpec } from '../../src/model/HostSpec.js'
 import { AdmissionController } from '../../src/share/AdmissionController.js'
+import type { AdmissionRequest } from '../../src/share/AdmissionRequest.js'
 import { Permit } from '../../src/share/Permit.js'
 import { Steering } from '../../src/steer/Steering.js'
 import type { SteerRequest } from '../../src/steer/SteerRequest.js'
@@ -57,7 +58,13 @@
   retries = Infinity
   uploadWaitMs = 0
   readonly permits: FakePermit[] = []
-  async admit (): Promise<Result<Permit, Failure>> {
+  /** Resolves when waiting requests are admitted; none waits if absent. */
+  admits: Promise<void> | undefined
+  /** Signals of the requests, aborted when their callers leave. */
+  readonly signals: AbortSignal[] = []
+  async admit ({ signal }: AdmissionRequest): Promise<Result<Permit, Failure>> {
+    if (signal !== undefined) this.signals.push(signal)
+    await this.admits
     if (this.refuse !== undefined) return err(createFailure(this.refuse, { retryAfterMs: 1_500 }))
     const permit = new FakePermit(this.uploadWaitMs)
     permit.regionRefusals = this.regionRefusals
--- a/test/entry/unreadConnections.test.ts
+++ b/test/entry/unreadConnections.test.ts
@@ -67,6 +67,27 @@
   await expectEnd(socket)
 })
 
+// Guards against a request that waits to be admitted and is passed on, although its caller has left and its body hid that.
+test('a caller that leaves while its request with a body waits to be admitted is noticed', async () => {
+  const { admission } = fixture
+  let admit = (): void => {}
+  admission.admits = new Promise((resolve) => { admit = resolve })
+  const socket = open()
+  socket.write(`POST /stock?kind=2 HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer ${credential}\r\nContent-Length: 60000\r\n\r\n${'x'.repeat(30_000)}`)
+  await pause(settleMs)
+  socket.write('x'.repeat(30_000))
+  await pause(settleMs)
+  const signal = admission.signals.at(-1)!
+  expect(signal.aborted).toEqual(false)
+  socket.destroy()
+  await pause(settleMs)
+  expect(signal.aborted).toEqual(true)
+  admit()
+  admission.admits = undefined
+  await pause(settleMs)
+  expect(arrivals).toEqual([])
+})
+
 // Guards against a permit that is held by a caller that doesn't take a response whose deadline passed while it waited for its turn.
 test('a late response is written in its turn, and frees its permit when it is not taken', async () => {
   const socket = open()
