Close the newest of connections with equally many waiting bytes

The guard against slow readers closes the connections with most bytes; among equals that order came from the lengths of heads, which no longer count.

The change: of equal ones the newest connection is closed first.

Test: test/entry/closeSlowReaders, second test, failed before.

--- a/src/entry/DrainableHttpServer.ts
+++ b/src/entry/DrainableHttpServer.ts
@@ -104,10 +104,11 @@
 
   /**
    * Closes the connections with most bytes that their callers have not taken yet until at most `maxBytes` are left, and returns what
-   * was closed. Callers who don't read must not take the memory that the others need.
+   * was closed. Callers who don't read must not take the memory that the others need. Of connections with equally many bytes the
+   * newest are closed first, so that callers who come in a burst don't displace those who were served before.
    */
   closeSlowReaders (maxBytes: number): { readonly connections: number, readonly bytes: number } {
-    const rows = [...this.tracked.values()].map((connection) => ({ connection, bytes: connection.unsentBytes }))
+    const rows = [...this.tracked.values()].reverse().map((connection) => ({ connection, bytes: connection.unsentBytes }))
     let leftBytes = rows.reduce((sum, { bytes }) => sum + bytes, 0)
     const closed = { connections: 0, bytes: 0 }
     if (leftBytes <= maxBytes) return closed
--- a/test/entry/closeSlowReaders.test.ts
+++ b/test/entry/closeSlowReaders.test.ts
@@ -54,3 +54,35 @@
     server.closeAll()
   }
 })
+
+// Guards against callers who are served well and are closed for those who come in a burst, when equally many bytes wait for both.
+test('of connections with equally many waiting bytes the newest is closed', async () => {
+  const server = new DrainableHttpServer({
+    clock: new SystemClock(),
+    limits: { maxConnections: 10, maxHeaderBytes: 16_384, headersTimeoutMs: 5_000, idleTimeoutMs: 5_000 },
+    closesConnections: () => false,
+    createRequestId: () => '',
+    onRefused: () => {},
+    onException: () => {},
+    onRequest: (req, res) => { if (req.url === '/waiting') res.waitForTurn(entryLimits.maxUnsentBytes / 2).catch(() => {}) }
+  })
+  const system = new SlowReaderSystem({ server, onClosed: () => {} })
+  await server.listen(address, port)
+  const sockets: Socket[] = []
+  try {
+    for (let count = 1; count <= 3; count++) {
+      const socket = await open(0)
+      socket.write('GET /waiting HTTP/1.1\r\nHost: x\r\n\r\n')
+      sockets.push(socket.resume())
+      await waitUntil(() => server.inFlight === 2 * count, () => '')
+    }
+    await new Promise((resolve) => setTimeout(resolve, 50))
+    system.run()
+    await waitUntil(() => server.connections === 2, () => '')
+    await waitUntil(() => sockets[2]!.destroyed, () => '')
+    expect(sockets.map(({ destroyed }) => destroyed)).toEqual([false, false, true])
+  } finally {
+    for (const socket of sockets) socket.destroy()
+    server.closeAll()
+  }
+})
