Name the state in which the end of a connection is the caller's

TrackedConnection.isWithinHead replaces a long condition, and endSilently, which has no refusal to drop, no longer drops one. No change of what callers see.

--- a/src/entry/DrainableHttpServer.ts
+++ b/src/entry/DrainableHttpServer.ts
@@ -306,13 +306,12 @@
       return
     }
     connection.isRefusingRequests = true
-    connection.finalRefusal = undefined
     connection.socket.end()
   }
 
   private refuseUnparsed (error: Error & { code?: string }, socket: Socket): void {
     const connection = this.tracked.get(socket)
-    if (error.code === endWithinRequest && connection !== undefined && connection.openResponses.size > 0 && !connection.isReadingBody) return this.endWithCaller(connection)
+    if (error.code === endWithinRequest && connection?.isWithinHead === true) return this.endWithCaller(connection)
     // What arrives behind a refused head is discarded, since a reset could take the refusal from the caller.
     if (connection?.finalRefusal !== undefined && error.code !== 'ECONNRESET') return
     if (connection === undefined || !socket.writable || error.code === 'ECONNRESET' || connection.isReadingBody) {
--- a/src/entry/TrackedConnection.ts
+++ b/src/entry/TrackedConnection.ts
@@ -31,6 +31,11 @@
     return this.newest !== undefined && hasUnreadBody(this.newest.req)
   }
 
+  /** True when bytes that arrive belong to the head of a request behind open ones. */
+  get isWithinHead (): boolean {
+    return this.newest !== undefined && !this.isReadingBody
+  }
+
   /** True while the response to the newest request can announce that the connection closes, since its head is not written. */
   get canCloseWithNewest (): boolean {
     return this.newest?.headersSent === false
