Send further requests until a test's connection isn't read

The test of the gauge sent one further request 100 ms after the first one and expected that Node.js had stopped reading by then. The test sends up to ten now; what it expects is the same.

--- a/test/entry/unreadConnections.test.ts
+++ b/test/entry/unreadConnections.test.ts
@@ -103,7 +103,9 @@
 test('a connection whose caller takes nothing counts as not read', async () => {
   const socket = open()
   socket.pause()
-  for (const kind of ['9000000', 'slow']) await ask(socket, kind)
+  await ask(socket, '9000000')
+  // Node.js decides whether it reads on when a further request arrives.
+  for (let count = 0; count < 10 && fixture.gateway.callerServer.unreadConnections === 0; count++) await ask(socket, 'slow')
   expect(fixture.gateway.callerServer.unreadConnections).toEqual(1)
   socket.destroy()
   await waitUntil(() => fixture.gateway.callerServer.connections === 0)
