Create a test's caller before its endpoint

A health check that arrives before the caller exists would throw in the endpoint of test/host/unreadConnections. Seen by reading; no run failed.

--- a/test/host/unreadConnections.test.ts
+++ b/test/host/unreadConnections.test.ts
@@ -23,11 +23,10 @@
 
   static async run (play: (play: Play) => Promise<void>): Promise<void> {
     const group = await HostGroup.start(1, 0)
-    const endpoint = new RawEndpoint('e', (socket, head) => current?.receive(socket, head))
-    await group.addRawEndpoint(endpoint)
     const socket = group.connect()
     const current = new Play(group, socket, new RawCaller(socket))
     try {
+      await group.addRawEndpoint(new RawEndpoint('e', (socket, head) => current.receive(socket, head)))
       await play(current)
     } finally {
       current.caller.close()
