Name objects by hashes of fixed length

Cause: AffinityRanking and RecentObjects bound the number of their keys, not the length, and both kept the affinity key itself.

RequestHandler now names an object by 128 bits of its key's SHA-1 before anything keeps it, so every table that uses the name is covered. Objects move to other endpoints once, while hosts of both versions run.

--- a/src/host/RequestHandler.ts
+++ b/src/host/RequestHandler.ts
@@ -12,10 +12,12 @@
 import { readRequestBody } from '../entry/readRequestBody.js'
 import { RequestScope } from '../entry/RequestScope.js'
 import { writeRefusal } from '../entry/writeRefusal.js'
+import { hashObject } from '../placing/hashObject.js'
 import type { Route } from '../routing/Route.js'
 import { AttemptSeries } from './AttemptSeries.js'
 import { copyRequestHeaders } from './copyRequestHeaders.js'
 import type { HostContext } from './HostContext.js'
+import type { HttpBinding } from './HttpBinding.js'
 import { hostLimits } from './hostLimits.js'
 import type { ServedRequest } from './ServedRequest.js'
 
@@ -112,7 +114,7 @@
       body: value,
       route,
       service: picker.pick(route),
-      object: route.hasAffinity ? httpBinding.readObject(req.rawHeaders) : undefined,
+      object: route.hasAffinity ? readObject(httpBinding, req.rawHeaders) : undefined,
       scope
     }))
   }
@@ -152,6 +154,12 @@
   }
 }
 
+/** Returns the name of the object that a request concerns. */
+function readObject (binding: HttpBinding, headers: readonly string[]): string | undefined {
+  const affinityKey = binding.readObject(headers)
+  return affinityKey === undefined ? undefined : hashObject(affinityKey)
+}
+
 /** Counts the bytes of the request's header lines. */
 function countHeaderBytes (req: IncomingMessage): number {
   let bytes = 0
--- a/src/host/ServedRequest.ts
+++ b/src/host/ServedRequest.ts
@@ -13,6 +13,7 @@
   readonly body: RequestBody
   readonly route: Route
   readonly service: string
+  /** Object that the request concerns, as named by `hashObject`; undefined when it names none. */
   readonly object: string | undefined
   readonly scope: RequestScope
 }
--- a/src/placing/SelectionRequest.ts
+++ b/src/placing/SelectionRequest.ts
@@ -4,7 +4,7 @@
 export interface SelectionRequest {
   readonly route: Route
   readonly service: string
-  /** Object that the request concerns; undefined when the request names none. */
+  /** Object that the request concerns, as named by `hashObject`; undefined when the request names none. */
   readonly object: string | undefined
   /** Time in ms until the caller's deadline or the route's timeout, whichever is earlier. */
   readonly remainingMs: number
