Read on for a time behind a response that closes its connection

Cause: Node.js destroys the socket (`destroySoon`) once the kernel has taken the response that closes the connection. What arrives later is answered by a reset, and the kernel drops what it has not sent. The planned stop did the same to connections that were still ending.

`endAndLinger` ends the sending side and discards what arrives until the caller has ended as well, for `lingerMs` at most. The server uses it in place of `destroySoon`, for refusals that end a connection, and for connections that end after their open responses. Both planned stops wait for these connections, within the grace time.

--- a/src/entry/DrainableHttpServer.ts
+++ b/src/entry/DrainableHttpServer.ts
@@ -12,6 +12,7 @@
 import type { ResultName } from '../common/ResultName.js'
 import type { ArrivedRequest } from './ArrivedRequest.js'
 import { checkRequestSyntax } from './checkRequestSyntax.js'
+import { endAndLinger } from './endAndLinger.js'
 import { entryLimits } from './entryLimits.js'
 import { formatRefusal } from './formatRefusal.js'
 import { isHoldable } from './isHoldable.js'
@@ -45,9 +46,6 @@
 
 type FrontServer = Server<typeof IncomingMessage, typeof PipelinedResponse>
 
-/** Time in ms after which a connection that ended with a refusal is destroyed; until then the caller can read the refusal. */
-const lingerMs = 1_000
-
 /** Maximum time in ms for accepting the connections that wait when the listener is to be closed. */
 const maxDrainMs = 500
 
@@ -88,11 +86,7 @@
     return this.openRequests
   }
 
-  /** Number of connections on which a request would be answered. */
-  get openConnections (): number {
-    return [...this.tracked.values()].filter((connection) => !connection.isRefusingRequests).length
-  }
-
+  /** Number of connections that are not closed, also of those that have ended and whose callers may still send. */
   get connections (): number {
     return this.tracked.size
   }
@@ -209,6 +203,8 @@
   private track (socket: Socket): void {
     const connection = new TrackedConnection(socket, this.options.clock.nowMs())
     this.tracked.set(socket, connection)
+    // Node.js calls this after a response that closes the connection, and would destroy the socket.
+    socket.destroySoon = () => endAndLinger(socket)
     socket.once('close', () => {
       this.tracked.delete(socket)
       // Node.js closes the response that is being written, but not those of pipelined requests behind it.
@@ -255,7 +251,7 @@
     if (connection.socket.writable) while (connection.canReleaseHeld) this.open(connection, connection.held.shift()!)
     if (connection.openResponses.size > 0) return
     if (connection.finalRefusal !== undefined) this.endWithRefusal(connection.socket, connection.finalRefusal)
-    else if (connection.isRefusingRequests) connection.socket.end()
+    else if (connection.isRefusingRequests) endAndLinger(connection.socket)
     else if (this.isClosingIdle) this.endIdle(connection)
   }
 
@@ -347,9 +343,7 @@
     const { status, headers, body } = formatRefusal(failure, this.options.createRequestId())
     const lines = [`HTTP/1.1 ${status} Refused`, 'Connection: close']
     for (let index = 0; index < headers.length; index += 2) lines.push(`${headers[index]}: ${headers[index + 1]}`)
-    socket.end(`${lines.join('\r\n')}\r\n\r\n${body}`)
-    socket.resume()
-    setTimeout(() => socket.destroy(), lingerMs).unref()
+    endAndLinger(socket, `${lines.join('\r\n')}\r\n\r\n${body}`)
   }
 }
 
--- a/src/entry/PlannedStop.ts
+++ b/src/entry/PlannedStop.ts
@@ -4,6 +4,7 @@
 import { lookupTtl } from '../model/lookupTtl.js'
 import { DrainKind } from '../model/DrainKind.js'
 import type { EntryGateway } from './EntryGateway.js'
+import { entryLimits } from './entryLimits.js'
 import type { EntryModules } from './EntryModules.js'
 import type { OperationMetrics } from './OperationMetrics.js'
 
@@ -67,6 +68,7 @@
     if (isIdle) await this.waitUntilIdle(stopTimeoutMs)
     await gateway.callerServer.drainListener()
     await sleep(closeDelayMs)
+    await waitUntil(() => gateway.callerServer.connections === 0, entryLimits.lingerMs)
     logger.info('left', { inFlight: gateway.inFlight })
   }
 
@@ -78,10 +80,15 @@
   }
 
   private async waitUntilIdle (timeoutMs: number): Promise<boolean> {
-    for (let waitedMs = 0; this.options.gateway.inFlight > 0; waitedMs += pollMs) {
-      if (waitedMs >= timeoutMs) return false
-      await sleep(pollMs)
-    }
-    return true
+    return await waitUntil(() => this.options.gateway.inFlight === 0, timeoutMs)
+  }
+}
+
+/** Waits for a condition; returns false when it does not hold within the time. */
+async function waitUntil (condition: () => boolean, timeoutMs: number): Promise<boolean> {
+  for (let waitedMs = 0; !condition(); waitedMs += pollMs) {
+    if (waitedMs >= timeoutMs) return false
+    await sleep(pollMs)
   }
+  return true
 }
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -242,7 +242,7 @@
     await sleep(hostLimits.listenerCloseDelayMs)
     await this.front.drainListener()
     this.front.closeIdle()
-    while (this.front.inFlight + this.front.openConnections > 0 && !this.graceTime.hasEnded) await sleep(drainPollMs)
+    while (this.front.inFlight + this.front.connections > 0 && !this.graceTime.hasEnded) await sleep(drainPollMs)
     this.log.info('left', { inFlight: this.front.inFlight, ms: Math.round(this.options.clock.nowMs() - startMs) })
     this.scheduler.stop()
     for (const follower of this.followers) follower.stop()
--- a/test/host/plannedStop.test.ts
+++ b/test/host/plannedStop.test.ts
@@ -3,8 +3,14 @@
 import { hostLimits } from '../../src/host/hostLimits.js'
 import { HostGroup } from '../support/HostGroup.js'
 import { RawCaller } from '../support/RawCaller.js'
+import { RawEndpoint } from '../support/RawEndpoint.js'
+import { waitUntil } from '../support/waitUntil.js'
 
 const callerCount = 12
+/** Time in ms between the caller's request and the closing of the listener. */
+const beforeCloseMs = 200
+/** More than fits into the receive buffer of a caller that doesn't read; the kernel takes it all the same. */
+const longBodyBytes = 400_000
 
 /** Connects callers shortly before a host closes its listener, lets them send after `pause`, and returns the statuses they get. */
 async function sendDuringStop (pause: () => Promise<void> | void): Promise<number[]> {
@@ -50,3 +56,27 @@
   await group.stop()
   expect(elapsedMs < hostLimits.listenerCloseDelayMs + 1_000).toEqual(true)
 })
+
+// Guards against a stop that ends the process, and resets connections, while callers still take their last responses.
+test('a planned stop leaves callers the time to take their responses', async () => {
+  const group = await HostGroup.start(1, 0)
+  await group.addRawEndpoint(new RawEndpoint('long', (socket, head) => {
+    const id = /^X-Request-Id: (.*)\r$/im.exec(head)?.[1]
+    const answer = `HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\nX-Request-Id: ${id}\r\nContent-Length: ${longBodyBytes}\r\n\r\n${'x'.repeat(longBodyBytes)}`
+    if (id !== undefined) setTimeout(() => socket.write(answer), 2 * beforeCloseMs)
+  }))
+  const socket = group.connect()
+  const caller = new RawCaller(socket)
+  socket.pause()
+  const stopped = group.hosts[0]!.stop()
+  await new Promise((resolve) => setTimeout(resolve, hostLimits.listenerCloseDelayMs - beforeCloseMs))
+  caller.send('long', '/read/1')
+  await waitUntil(() => group.logger.lines.some((line) => line.includes('answered') && line.includes('id=long')), () => '; the response was not written')
+  await new Promise((resolve) => setTimeout(resolve, 100))
+  caller.send('late', '/read/2')
+  await new Promise((resolve) => setTimeout(resolve, 50))
+  socket.resume()
+  await Promise.all([caller.ended, stopped])
+  await group.stop()
+  expect([caller.responses.map(({ status }) => status), caller.received.length > longBodyBytes]).toEqual([[200], true])
+})
