--- a/test/entry/lingeringConnections.test.ts
+++ b/test/entry/lingeringConnections.test.ts
@@ -1,12 +1,14 @@
 import { connect } from 'node:net'
 import type { Socket } from 'node:net'
 import { test } from 'node:test'
+import { connect as connectTls } from 'node:tls'
 import { expect } from 'earl'
 import { SystemClock } from '../../src/common/SystemClock.js'
 import { DrainableHttpServer } from '../../src/entry/DrainableHttpServer.js'
 import { entryLimits } from '../../src/entry/entryLimits.js'
 import { RawCaller } from '../support/RawCaller.js'
 import { waitUntil } from '../support/waitUntil.js'
+import { testCertificates } from './testCertificates.js'
 
 const address = '127.22.5.9'
 const port = 8_085
@@ -20,10 +22,11 @@
 }
 
 /** Starts a server that closes each connection with its first response. */
-async function startServer (): Promise<Started> {
+async function startServer (tls?: typeof testCertificates[number]): Promise<Started> {
   let written = 0
   const server = new DrainableHttpServer({
     clock: new SystemClock(),
+    tls,
     limits: { maxConnections: 10, maxHeaderBytes: 16_384, headersTimeoutMs: 5_000, idleTimeoutMs: 5_000 },
     closesConnections: () => true,
     createRequestId: () => '',
@@ -40,8 +43,7 @@
 }
 
 /** Sends a request, and one more when its response has been written; reads only then, and returns the number of bytes received. */
-async function readLate ({ countWritten }: Started): Promise<number> {
-  const socket = connect(port, address)
+async function readLate ({ countWritten }: Started, socket: Socket): Promise<number> {
   const caller = new RawCaller(socket)
   socket.pause()
   caller.send('first', '/read')
@@ -58,7 +60,17 @@
 test('a request behind a response that closes the connection takes no response from the caller', async () => {
   const started = await startServer()
   try {
-    expect(await readLate(started)).toBeGreaterThan(bodyBytes)
+    expect(await readLate(started, connect(port, address))).toBeGreaterThan(bodyBytes)
+  } finally {
+    started.server.closeAll()
+  }
+})
+
+// Guards against the same over TLS, where Node.js closes the connection by another class.
+test('a request behind a response that closes a TLS connection takes no response from the caller', async () => {
+  const started = await startServer(testCertificates[0])
+  try {
+    expect(await readLate(started, connectTls({ host: address, port, rejectUnauthorized: false }))).toBeGreaterThan(bodyBytes)
   } finally {
     started.server.closeAll()
   }
