--- a/test/entry/EntryDaemon.test.ts
+++ b/test/entry/EntryDaemon.test.ts
@@ -1,4 +1,5 @@
 import { Agent, request as httpRequest } from 'node:http'
+import { connect } from 'node:net'
 import { after, before, test } from 'node:test'
 import { expect } from 'earl'
 import { Registry } from 'prom-client'
@@ -8,12 +9,16 @@
 import { lookupTtl } from '../../src/model/lookupTtl.js'
 import { FrameServer } from '../../src/wire/FrameServer.js'
 import type { FrameConnection } from '../../src/wire/FrameConnection.js'
+import { RawCaller } from '../support/RawCaller.js'
 import { GatewayFixture, call, clock, clusterKey, createDoc, createHost, createModules, createSettings, credential, FakeMetrics, pause, QuietLogger } from './fakes.js'
 
 const address = '127.22.4.1'
 const modules = createModules()
 const upstreams = new GatewayFixture('127.22.4.2')
+/** More than fits into the receive buffer of a caller that doesn't read; the kernel takes it all the same. */
+const longBody = Buffer.alloc(400_000, 'x')
 const digests: Digest[] = []
+let longResponses = 0
 let daemon: EntryDaemon
 let agent: FrameServer
 let toEntry: FrameConnection
@@ -52,6 +57,10 @@
   await agent.listen(address, 8_084)
   const endpoint = await upstreams.startUpstream(9_001, (req, res) => {
     req.resume()
+    if (req.url === '/stock/long') {
+      setTimeout(() => res.end(longBody, () => { longResponses += 1 }), lookupTtl.settledMs + 600)
+      return
+    }
     req.on('end', () => setTimeout(() => res.end(req.url === '/health' ? '{"state":"ready","used":2,"slots":4}' : 'whole'), 5))
   })
   modules.steer.targets = [endpoint]
@@ -138,6 +147,30 @@
   expect(modules.stoppedModules.sort()).toEqual(['claim', 'share', 'steer'])
 })
 
+// Guards against a stop that ends the process, and resets connections, while callers still take their last responses.
+test('a planned stop leaves callers the time to take their responses', async () => {
+  daemon = createDaemon()
+  await daemon.start()
+  await pause(300)
+  publish(3)
+  await pause(100)
+  const socket = connect(8_080, address)
+  const caller = new RawCaller(socket)
+  socket.pause()
+  caller.sendBytes(`GET /stock/long HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer ${credential}\r\n\r\n`)
+  await pause(100)
+  const stopped = daemon.stop()
+  await pause(lookupTtl.settledMs)
+  await waitUntil(() => longResponses === 1)
+  // Later than the stop ends when no caller still takes a response.
+  await pause(700)
+  caller.sendBytes('GET /stock/late HTTP/1.1\r\nHost: x\r\n\r\n')
+  await pause(50)
+  socket.resume()
+  await Promise.all([caller.ended, stopped])
+  expect([caller.responses.map(({ status }) => status), caller.received.length > longBody.length]).toEqual([[200], true])
+})
+
 // Guards against a drained host that exits or continues to serve, and against an ignored cancellation of the drain.
 test('a drained host stays up and idle', async () => {
   daemon = createDaemon()
