Measure the heap of long keys when ended connections are no longer kept

Cause: not the keys. Each request of the test has a connection of its own, and endAndLinger's timer keeps a connection for lingerMs after the caller has closed it; those of the last second were still counted.

The test now waits for lingerMs before it reads the heap.

--- a/test/host/longObjects.test.ts
+++ b/test/host/longObjects.test.ts
@@ -2,6 +2,7 @@
 import { setFlagsFromString } from 'node:v8'
 import { runInNewContext } from 'node:vm'
 import { expect } from 'earl'
+import { entryLimits } from '../../src/entry/entryLimits.js'
 import { HostGroup } from '../support/HostGroup.js'
 
 const requests = 2_000
@@ -13,7 +14,9 @@
 setFlagsFromString('--expose-gc')
 const collectGarbage = runInNewContext('gc') as () => void
 
-function readHeapBytes (): number {
+/** Returns the bytes of heap in use once connections that have ended are no longer kept. */
+async function readHeapBytes (): Promise<number> {
+  await new Promise((resolve) => setTimeout(resolve, entryLimits.lingerMs + 200))
   collectGarbage()
   collectGarbage()
   return process.memoryUsage().heapUsed
@@ -37,9 +40,9 @@
   const group = await HostGroup.start(1, 2)
   try {
     await sendAll(group, 'first')
-    const beforeBytes = readHeapBytes()
+    const beforeBytes = await readHeapBytes()
     const statuses = await sendAll(group, 'second')
-    expect((readHeapBytes() - beforeBytes) / requests).toBeLessThan(maxBytesPerRequest)
+    expect((await readHeapBytes() - beforeBytes) / requests).toBeLessThan(maxBytesPerRequest)
     expect(statuses.every((status) => status === 200)).toEqual(true)
   } finally {
     await group.stop()
