Return the check of an unwritten response as a result

Found in reading the change again. The three users of findUnwrittenFailure each asked `isComplete` first, though the head of a complete response has always been written, and two of them turned the failure into the same result. checkWritten returns that result and replaces it. ResponseWriter.abandon takes any AttemptResult instead of a union of two.

Ruled out: a change of behaviour. The condition and both failures are the same; a complete response has its headers sent, so the check passes as before.

--- a/src/entry/InternalHandler.ts
+++ b/src/entry/InternalHandler.ts
@@ -10,10 +10,10 @@
 import type { AttemptContext } from './AttemptContext.js'
 import { AttemptLoop } from './AttemptLoop.js'
 import type { AttemptPolicy } from './AttemptPolicy.js'
+import { checkWritten } from './checkWritten.js'
 import { closeUntaken } from './closeUntaken.js'
 import type { EntryRequest } from './EntryRequest.js'
 import { entryLimits } from './entryLimits.js'
-import { findUnwrittenFailure } from './findUnwrittenFailure.js'
 import type { EntryState } from './EntryState.js'
 import { parseDeadline } from './parseDeadline.js'
 import { parsePath } from './parsePath.js'
@@ -106,13 +106,12 @@
     if (answered.isErr()) return err(answered.error)
     const region = this.findRegion(forwarded.sender)
     const { steering } = this.options.context
-    const isComplete = await new ResponseWriter(res, answered.value, {
+    await new ResponseWriter(res, answered.value, {
       headers: ['Shunt-Request-Id', request.id, ...this.options.state.responseHeaders],
       isHead: request.method === 'HEAD',
       reserveBytes: region === undefined ? undefined : (bytes) => steering.reserveLinkBytes(region, request.workClass, bytes)
     }).write()
-    const failure = isComplete ? undefined : findUnwrittenFailure(res, request.scope)
-    return failure === undefined ? ok() : err(failure)
+    return checkWritten(res, request.scope)
   }
 
   private createPolicy (request: EntryRequest, forwarded: ForwardedRequest, attemptedEndpoints: string[]): AttemptPolicy {
--- a/src/entry/RequestPipeline.ts
+++ b/src/entry/RequestPipeline.ts
@@ -11,10 +11,10 @@
 import type { AttemptContext } from './AttemptContext.js'
 import { AttemptLoop } from './AttemptLoop.js'
 import type { AttemptPolicy } from './AttemptPolicy.js'
+import { checkWritten } from './checkWritten.js'
 import { RequestClaim } from './RequestClaim.js'
 import type { EntryRequest } from './EntryRequest.js'
 import { entryLimits } from './entryLimits.js'
-import { findUnwrittenFailure } from './findUnwrittenFailure.js'
 import type { OpenResponse } from './OpenResponse.js'
 import type { PipelinedResponse } from './PipelinedResponse.js'
 import { readRequestBody } from './readRequestBody.js'
@@ -127,8 +127,7 @@
       isHead: request.method === 'HEAD'
     }).write()
     claim.settleStreamed(isComplete)
-    const failure = isComplete ? undefined : findUnwrittenFailure(res, request.scope)
-    return failure === undefined ? ok() : err(failure)
+    return checkWritten(res, request.scope)
   }
 
   private createExtraHeaders (exchange: CallerExchange): readonly string[] {
--- a/src/entry/ResponseWriter.ts
+++ b/src/entry/ResponseWriter.ts
@@ -60,7 +60,7 @@
   }
 
   /** Gives up a response of which nothing has been written. */
-  private abandon (result: typeof AttemptResult.cancelled | typeof AttemptResult.broken): boolean {
+  private abandon (result: AttemptResult): boolean {
     if (this.openResponse.response.stream !== undefined) {
       this.openResponse.finish(result)
       this.openResponse.abort()
--- a/src/host/HostProcess.ts
+++ b/src/host/HostProcess.ts
@@ -233,7 +233,7 @@
     this.registration.start()
   }
 
-  /** Shuts down gracefully: announces the departure, then waits for requests in flight until the grace time is nearly over. */
+  /** Shuts down gracefully: announces the departure, then waits for requests in flight and callers' connections until the grace time is nearly over. */
   async stop (): Promise<void> {
     const startMs = this.options.clock.nowMs()
     this.graceTime.begin(this.settings.bounds.graceMs - hostLimits.stopMarginMs)
--- a/src/host/RequestHandler.ts
+++ b/src/host/RequestHandler.ts
@@ -5,11 +5,11 @@
 import type { Failure } from '../common/Failure.js'
 import { formatException } from '../common/formatException.js'
 import { Outcome } from '../common/Outcome.js'
+import { checkWritten } from '../entry/checkWritten.js'
 import { ResponseWriter } from '../entry/ResponseWriter.js'
 import type { OpenResponse } from '../entry/OpenResponse.js'
 import type { PipelinedResponse } from '../entry/PipelinedResponse.js'
 import { findHeader } from '../entry/findHeader.js'
-import { findUnwrittenFailure } from '../entry/findUnwrittenFailure.js'
 import { readRequestBody } from '../entry/readRequestBody.js'
 import { RequestScope } from '../entry/RequestScope.js'
 import { writeRefusal } from '../entry/writeRefusal.js'
@@ -124,8 +124,8 @@
     const { req, res, startMs } = exchange
     const { status } = open.response
     const isComplete = await new ResponseWriter(res, open, { headers: [], isHead: req.method === 'HEAD' }).write()
-    const failure = isComplete ? undefined : findUnwrittenFailure(res, request.scope)
-    if (failure !== undefined) return this.refuse(exchange, failure, request.route.name, fields)
+    const written = checkWritten(res, request.scope)
+    if (written.isErr()) return this.refuse(exchange, written.error, request.route.name, fields)
     const elapsedMs = Math.round(this.context.clock.nowMs() - startMs)
     this.context.metrics.recordCompletion(request.service, status, elapsedMs)
     this.log(exchange, 'answered', { ...fields, status, whole: isComplete })
