Share the front server and the garbage collection of tests

Assertions, bounds and limits are as they were. ConnectionRecords and refusedRequests collect twice now. test/entry/EntryDaemon keeps its own waitUntil, whose limit is shorter than the shared one.

--- a/test/entry/ConnectionRecords.test.ts
+++ b/test/entry/ConnectionRecords.test.ts
@@ -1,13 +1,10 @@
 import { Socket } from 'node:net'
 import { test } from 'node:test'
-import { setFlagsFromString } from 'node:v8'
-import { runInNewContext } from 'node:vm'
 import { expect } from 'earl'
 import { ConnectionRecords } from '../../src/entry/ConnectionRecords.js'
 import { entryLimits } from '../../src/entry/entryLimits.js'
+import { collectGarbage } from '../support/collectGarbage.js'
 
-setFlagsFromString('--expose-gc')
-const collectGarbage = runInNewContext('gc') as () => void
 const idBytes = 12_000
 const connections = 200
 /** Far below what the ids take (77 MB), and above the sockets and the records. */
--- a/test/entry/DrainableHttpServerTimeouts.test.ts
+++ b/test/entry/DrainableHttpServerTimeouts.test.ts
@@ -2,8 +2,7 @@
 import type { Socket } from 'node:net'
 import { test } from 'node:test'
 import { expect } from 'earl'
-import { SystemClock } from '../../src/common/SystemClock.js'
-import { DrainableHttpServer } from '../../src/entry/DrainableHttpServer.js'
+import { createFrontServer } from '../support/createFrontServer.js'
 
 const address = '127.22.5.9'
 const port = 8_081
@@ -14,14 +13,10 @@
 const checkIntervalMs = 1_500
 
 async function withFront (run: () => Promise<void>): Promise<void> {
-  const front = new DrainableHttpServer({
-    clock: new SystemClock(),
-    closesConnections: () => false,
+  const front = createFrontServer({
     limits: { maxConnections: 10, maxHeaderBytes: 16_384, headersTimeoutMs: 60_000, idleTimeoutMs: 60_000 },
     onRequest: (_req, res) => { res.end('whole') },
-    createRequestId: () => 'r-1',
-    onRefused: () => {},
-    onException: () => {}
+    createRequestId: () => 'r-1'
   })
   await front.listen(address, port)
   front.setTimeouts({ idleTimeoutMs, headerTimeoutMs })
--- a/test/entry/closeSlowReaders.test.ts
+++ b/test/entry/closeSlowReaders.test.ts
@@ -2,10 +2,9 @@
 import type { Socket } from 'node:net'
 import { test } from 'node:test'
 import { expect } from 'earl'
-import { SystemClock } from '../../src/common/SystemClock.js'
-import { DrainableHttpServer } from '../../src/entry/DrainableHttpServer.js'
 import { SlowReaderSystem } from '../../src/entry/SlowReaderSystem.js'
 import { entryLimits } from '../../src/entry/entryLimits.js'
+import { createFrontServer } from '../support/createFrontServer.js'
 import { waitUntil } from '../support/waitUntil.js'
 
 const address = '127.22.5.7'
@@ -23,13 +22,7 @@
 // Guards against closing callers who take their responses slowly, before or instead of those who fill the memory.
 test('the connections with most untaken bytes are closed, and none below the bound', async () => {
   const closed: unknown[] = []
-  const server = new DrainableHttpServer({
-    clock: new SystemClock(),
-    limits: { maxConnections: 10, maxHeaderBytes: 16_384, headersTimeoutMs: 5_000, idleTimeoutMs: 5_000 },
-    closesConnections: () => false,
-    createRequestId: () => '',
-    onRefused: () => {},
-    onException: () => {},
+  const server = createFrontServer({
     onRequest: (req, res) => {
       for (let index = 0; index < Number(req.url!.slice(1)); index++) res.write(part)
     }
@@ -57,13 +50,7 @@
 
 // Guards against callers who are served well and are closed for those who come in a burst, when equally many bytes wait for both.
 test('of connections with equally many waiting bytes the newest is closed', async () => {
-  const server = new DrainableHttpServer({
-    clock: new SystemClock(),
-    limits: { maxConnections: 10, maxHeaderBytes: 16_384, headersTimeoutMs: 5_000, idleTimeoutMs: 5_000 },
-    closesConnections: () => false,
-    createRequestId: () => '',
-    onRefused: () => {},
-    onException: () => {},
+  const server = createFrontServer({
     onRequest: (req, res) => { if (req.url === '/waiting') res.waitForTurn(entryLimits.maxUnsentBytes / 2).catch(() => {}) }
   })
   const system = new SlowReaderSystem({ server, onClosed: () => {} })
--- a/test/entry/lingeringConnections.test.ts
+++ b/test/entry/lingeringConnections.test.ts
@@ -3,10 +3,10 @@
 import { test } from 'node:test'
 import { connect as connectTls } from 'node:tls'
 import { expect } from 'earl'
-import { SystemClock } from '../../src/common/SystemClock.js'
-import { DrainableHttpServer } from '../../src/entry/DrainableHttpServer.js'
+import type { DrainableHttpServer } from '../../src/entry/DrainableHttpServer.js'
 import { entryLimits } from '../../src/entry/entryLimits.js'
 import { RawCaller } from '../support/RawCaller.js'
+import { createFrontServer } from '../support/createFrontServer.js'
 import { waitUntil } from '../support/waitUntil.js'
 import { testCertificates } from './testCertificates.js'
 
@@ -24,14 +24,9 @@
 /** Starts a server that closes each connection with its first response. */
 async function startServer (tls?: typeof testCertificates[number]): Promise<Started> {
   let written = 0
-  const server = new DrainableHttpServer({
-    clock: new SystemClock(),
+  const server = createFrontServer({
     tls,
-    limits: { maxConnections: 10, maxHeaderBytes: 16_384, headersTimeoutMs: 5_000, idleTimeoutMs: 5_000 },
     closesConnections: () => true,
-    createRequestId: () => '',
-    onRefused: () => {},
-    onException: () => {},
     onRequest: (_req, res) => {
       res.writeHead(200, { 'Content-Length': bodyBytes })
       res.once('finish', () => { written += 1 })
--- a/test/entry/refusedRequests.test.ts
+++ b/test/entry/refusedRequests.test.ts
@@ -1,11 +1,9 @@
 import { connect } from 'node:net'
 import { test } from 'node:test'
-import { setFlagsFromString } from 'node:v8'
-import { runInNewContext } from 'node:vm'
 import { expect } from 'earl'
-import { SystemClock } from '../../src/common/SystemClock.js'
-import { DrainableHttpServer } from '../../src/entry/DrainableHttpServer.js'
 import { entryLimits } from '../../src/entry/entryLimits.js'
+import { collectGarbage } from '../support/collectGarbage.js'
+import { createFrontServer } from '../support/createFrontServer.js'
 import { waitUntil } from '../support/waitUntil.js'
 
 const address = '127.22.5.10'
@@ -14,9 +12,6 @@
 const sentBytes = 4_000_000
 const maxHeapBytes = 16_000_000
 
-setFlagsFromString('--expose-gc')
-const collectGarbage = runInNewContext('gc') as () => void
-
 function readHeapBytes (): number {
   collectGarbage()
   return process.memoryUsage().heapUsed
@@ -25,13 +20,7 @@
 // Guards against a caller that fills the memory with requests beyond the limit, each of which takes some KB until the connection ends.
 test('requests that are not read take no memory', async () => {
   let handled = 0
-  const server = new DrainableHttpServer({
-    clock: new SystemClock(),
-    limits: { maxConnections: 10, maxHeaderBytes: 16_384, headersTimeoutMs: 5_000, idleTimeoutMs: 5_000 },
-    closesConnections: () => false,
-    createRequestId: () => '',
-    onRefused: () => {},
-    onException: () => {},
+  const server = createFrontServer({
     onRequest: () => { handled += 1 }
   })
   await server.listen(address, port)
--- a/test/host/longObjects.test.ts
+++ b/test/host/longObjects.test.ts
@@ -1,8 +1,7 @@
 import { test } from 'node:test'
-import { setFlagsFromString } from 'node:v8'
-import { runInNewContext } from 'node:vm'
 import { expect } from 'earl'
 import { entryLimits } from '../../src/entry/entryLimits.js'
+import { collectGarbage } from '../support/collectGarbage.js'
 import { HostGroup } from '../support/HostGroup.js'
 
 const requests = 2_000
@@ -11,14 +10,10 @@
 /** Rankings of two endpoints, recent objects and what the process allocates otherwise; the keys take 12,000 bytes each. */
 const maxBytesPerRequest = 1_000
 
-setFlagsFromString('--expose-gc')
-const collectGarbage = runInNewContext('gc') as () => void
-
 /** Returns the bytes of heap in use once connections that have ended are no longer kept. */
 async function readHeapBytes (): Promise<number> {
   await new Promise((resolve) => setTimeout(resolve, entryLimits.lingerMs + 200))
   collectGarbage()
-  collectGarbage()
   return process.memoryUsage().heapUsed
 }
 
--- a/test/host/plannedStop.test.ts
+++ b/test/host/plannedStop.test.ts
@@ -4,7 +4,6 @@
 import { HostGroup } from '../support/HostGroup.js'
 import { RawCaller } from '../support/RawCaller.js'
 import { RawEndpoint } from '../support/RawEndpoint.js'
-import { waitUntil } from '../support/waitUntil.js'
 
 const callerCount = 12
 /** Time in ms between the caller's request and the closing of the listener. */
@@ -71,7 +70,7 @@
   const stopped = group.hosts[0]!.stop()
   await new Promise((resolve) => setTimeout(resolve, hostLimits.listenerCloseDelayMs - beforeCloseMs))
   caller.send('long', '/read/1')
-  await waitUntil(() => group.logger.lines.some((line) => line.includes('answered') && line.includes('id=long')), () => '; the response was not written')
+  await group.waitUntil(() => group.logger.lines.some((line) => line.includes('answered') && line.includes('id=long')))
   await new Promise((resolve) => setTimeout(resolve, 100))
   caller.send('late', '/read/2')
   await new Promise((resolve) => setTimeout(resolve, 50))
--- a/test/host/slowReaders.test.ts
+++ b/test/host/slowReaders.test.ts
@@ -1,9 +1,8 @@
 import type { Socket } from 'node:net'
 import { test } from 'node:test'
-import { setFlagsFromString } from 'node:v8'
-import { runInNewContext } from 'node:vm'
 import { expect } from 'earl'
 import { entryLimits } from '../../src/entry/entryLimits.js'
+import { collectGarbage } from '../support/collectGarbage.js'
 import { HostGroup } from '../support/HostGroup.js'
 import { RawEndpoint } from '../support/RawEndpoint.js'
 
@@ -17,15 +16,8 @@
 /** Responses under way from the endpoint, and what arrives between two checks of the host: those of four callers, and some room. */
 const otherBytes = 40_000_000
 
-setFlagsFromString('--expose-gc')
-const collectGarbage = runInNewContext('gc') as () => void
-
-/**
- * Returns the bytes of buffers that are in use. V8 frees unreachable buffers in the background after a collection and counts them until
- * then; the second collection waits for that.
- */
+/** Returns the bytes of buffers that are in use. */
 function readBufferBytes (): number {
-  collectGarbage()
   collectGarbage()
   return process.memoryUsage().arrayBuffers
 }
