Review: each case holds its own harness

The common folder review/lib-3 goes, since a review adds only the folders of its cases; its module stands in review/11 to review/14.

--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -3,7 +3,7 @@
  * promises that the order has not run, so the caller sends it again, and it runs twice.
  */
 import { createServer } from 'node:http'
-import { createConfig, Host, runCase, send, sleep } from '../lib-3/harness.mjs'
+import { createConfig, Host, runCase, send, sleep } from './harness.mjs'
 
 const zones = { 'north-a': 'north-tt', 'south-a': 'south-tt' }
 const endpointCount = 7
