Replace statuses that promise too much at entry hosts

An endpoint ran an order and answered 503, 429 or 408 without Upstream-Not-Run, and the caller got that status. With an idempotency key the false "not run" was stored, and each repeat of the key got it again.

Cause: Attempt.findEndpointFailure reads Upstream-Not-Run only to find refusals and passes any other response on; an owning host passes such a response to the host that forwarded the request, which passes it on too.

Evidence: four new tests failed before, with 408, 429 and 503 in place of 502 (test/entry/RequestPipeline, test/entry/InternalHandler).

Why this works: Attempt asks findAmbiguousStatus for each response that is no failure already, whether it comes from an endpoint or from an owning host, so also when the owner runs an earlier release. The failure is unknown, so the attempt isn't repeated and the claim of the key is settled as unknown. Reads get these statuses as before.

shunt_responses_replaced_total counts at the host that called the endpoint, and the debug line of the refusal has the message with the status.

--- a/src/entry/Attempt.ts
+++ b/src/entry/Attempt.ts
@@ -9,6 +9,7 @@
 import type { AttemptFailure } from './AttemptFailure.js'
 import type { AttemptPolicy } from './AttemptPolicy.js'
 import type { EntryRequest } from './EntryRequest.js'
+import { findAmbiguousStatus } from './findAmbiguousStatus.js'
 import { findHeader } from './findHeader.js'
 import type { OpenResponse } from './OpenResponse.js'
 import { parseLoadReport } from './parseLoadReport.js'
@@ -145,7 +146,16 @@
   }
 
   private findFailure (response: UpstreamResponse): AttemptFailure | undefined {
-    return this.target.kind === 'endpoint' ? this.findEndpointFailure(response, this.target.endpoint.name) : this.findHostFailure(response)
+    const failure = this.target.kind === 'endpoint' ? this.findEndpointFailure(response, this.target.endpoint.name) : this.findHostFailure(response)
+    return failure ?? this.findAmbiguity(response)
+  }
+
+  private findAmbiguity (response: UpstreamResponse): AttemptFailure | undefined {
+    const failure = findAmbiguousStatus(response.status, this.request.idempotent)
+    if (failure === undefined) return undefined
+    this.context.metrics.replaced(response.status, this.request.service, this.request.customer)
+    if (response.stream !== undefined) this.cancel()
+    return { failure, result: AttemptResult.ok }
   }
 
   private findEndpointFailure (response: UpstreamResponse, endpoint: string): AttemptFailure | undefined {
--- a/src/entry/CallerHandler.ts
+++ b/src/entry/CallerHandler.ts
@@ -134,7 +134,7 @@
   private refuse (req: IncomingMessage, res: PipelinedResponse, labels: RequestLabels, failure: Failure): void {
     const { metrics, logger, state } = this.options
     metrics.refused(failure.name, labels.service, labels.customer)
-    logger.debug('request-refused', { id: labels.id, reason: failure.name, outcome: failure.outcome, service: labels.service, customer: labels.customer })
+    logger.debug('request-refused', { id: labels.id, reason: failure.name, outcome: failure.outcome, message: failure.message, service: labels.service, customer: labels.customer })
     const close = failure.name === 'requestTimeout' || failure.name === 'credentialThrottled'
     writeRefusal(req, res, failure, { requestId: labels.id, close, headers: state.isLeaving ? ['Shunt-Leaving', '1'] : [] })
   }
--- a/src/metrics/EntryMetrics.ts
+++ b/src/metrics/EntryMetrics.ts
@@ -13,12 +13,14 @@
 const headroomScale = 1_000
 
 const reasonLabels = ['code', 'name', 'service', 'customer'] as const
+const statusLabels = ['status', 'service', 'customer'] as const
 const customerLabels = ['service', 'customer'] as const
 
 /** Metrics of an entry process, exported through its registry. */
 export class EntryMetrics extends RequestMetrics {
   private readonly refusals: BoundedCounter<typeof reasonLabels[number]>
   private readonly retries: BoundedCounter<typeof reasonLabels[number]>
+  private readonly replacements: BoundedCounter<typeof statusLabels[number]>
   private readonly completions: BoundedCounter<typeof customerLabels[number]>
   private readonly hedges: BoundedCounter<typeof customerLabels[number]>
   private readonly latency: QuantileGauge
@@ -32,6 +34,7 @@
     })
     this.refusals = create('shunt_refused_total', 'Requests refused, by result code', reasonLabels)
     this.retries = create('shunt_retried_total', 'Retries, by the result code of the failed attempt', reasonLabels)
+    this.replacements = create('shunt_responses_replaced_total', 'Responses of endpoints that were replaced, by the endpoint\'s status', statusLabels)
     this.completions = create('shunt_completed_total', 'Answers delivered completely', customerLabels)
     this.hedges = create('shunt_hedged_total', 'Second attempts started because the first was slow', customerLabels)
     this.latency = new QuantileGauge({ name: 'shunt_latency_ms', help: 'Time from a request\'s headers to its complete answer, last 1 to 2 minutes', registry, clock, label: 'service' })
@@ -47,6 +50,10 @@
     this.retries.add(String(resultCodes[name].code), name, service, customer)
   }
 
+  override replaced (status: number, service: string, customer: string): void {
+    this.replacements.add(String(status), service, customer)
+  }
+
   override completed (service: string, customer: string, elapsedMs: number): void {
     this.completions.add(service, customer)
     this.latency.record(service, elapsedMs)
--- a/src/metrics/RequestMetrics.ts
+++ b/src/metrics/RequestMetrics.ts
@@ -8,6 +8,9 @@
   /** Counts a retry that was made because the previous attempt failed with `name`. */
   abstract retried (name: ResultName, service: string, customer: string): void
 
+  /** Counts a response of an endpoint that was replaced because its status would have told that a non-idempotent request did not run. */
+  abstract replaced (status: number, service: string, customer: string): void
+
   /** Records a response that was delivered completely, `elapsedMs` after the request's headers arrived. */
   abstract completed (service: string, customer: string, elapsedMs: number): void
 
--- a/test/entry/InternalHandler.test.ts
+++ b/test/entry/InternalHandler.test.ts
@@ -1,3 +1,4 @@
+import { createServer } from 'node:http'
 import { connect, createServer as createTcpServer } from 'node:net'
 import { after, before, beforeEach, test } from 'node:test'
 import { expect } from 'earl'
@@ -52,6 +53,20 @@
   expect([notRun.headers['shunt-code'], notRun.headers['shunt-outcome'], first.claims.settled]).toEqual(['3001', 'not-run', ['unknown', 'not-run']])
 })
 
+// Guards against a false "not run" that passes through two hosts, also from an owner that passes such a status on.
+test('an order that ran at the owner\'s endpoint is not answered 503', async () => {
+  owner.steering.targets = [await owner.startUpstream(9_006, (_req, res) => { res.writeHead(503); res.end() })]
+  const replaced = await call(first.address, '/orders', order)
+  const passing = createServer((req, res) => { res.writeHead(503, { 'Shunt-Request-Id': String(req.headers['shunt-request-id']) }).end() })
+  await new Promise<void>((resolve) => passing.listen(8_081, '127.22.3.5', resolve))
+  first.steering.targets = [createHost('p', '127.22.3.5')]
+  const passedOn = await call(first.address, '/orders', order)
+  first.steering.targets = [createHost('g', owner.address)]
+  passing.close()
+  expect([replaced, passedOn].map(({ status, headers }) => [status, headers['shunt-code'], headers['shunt-outcome']])).toEqual([[502, '5008', 'unknown'], [502, '5008', 'unknown']])
+  expect([owner.metrics.events.includes('replaced 503'), first.claims.settled]).toEqual([true, ['unknown', 'unknown']])
+})
+
 // Guards against reporting `not-run` after the connection to the owner broke, although the order may be running.
 test('after a broken connection to the owner the outcome of orders is unknown and reads are retried', async () => {
   const breaking = createTcpServer((socket) => { socket.on('error', () => {}); socket.once('data', () => socket.resetAndDestroy()) })
--- a/test/entry/RequestPipeline.test.ts
+++ b/test/entry/RequestPipeline.test.ts
@@ -59,6 +59,21 @@
   })
 }
 
+const falseRefusals = [408, 429, 503]
+
+for (const status of falseRefusals) {
+  // Guards against a status by which a caller takes an order that ran as not run, and against a key whose stored response says so.
+  test(`an order that ran at an endpoint is not answered ${status}`, async () => {
+    const spec = await fixture.startUpstream(9_100 + status, (_req, res) => { res.writeHead(status); res.end('failed') })
+    steering.targets = [spec]
+    const { status: received, headers } = await call(address, '/orders', order)
+    expect([received, headers['shunt-code'], headers['shunt-outcome'], claims.settled]).toEqual([502, '5008', 'unknown', ['unknown']])
+    expect(metrics.events.slice(0, 2)).toEqual([`replaced ${status}`, 'refused upstreamAmbiguous orders a'])
+    const read = await call(address, '/stock')
+    expect([read.status, read.body]).toEqual([status, 'failed'])
+  })
+}
+
 // Guards against giving up an order after a failure that certainly did not run it.
 test('an order is retried after a refused connection and after shedding', async () => {
   setTargets(refusedPort, 9_004, 9_001)
--- a/test/entry/fakes.ts
+++ b/test/entry/fakes.ts
@@ -125,6 +125,7 @@
   readonly events: string[] = []
   refused (name: string, service: string, customer: string): void { this.events.push(`refused ${name} ${service} ${customer}`) }
   retried (name: string): void { this.events.push(`retried ${name}`) }
+  replaced (status: number): void { this.events.push(`replaced ${status}`) }
   completed (): void { this.events.push('completed') }
   hedged (): void { this.events.push('hedged') }
   measuredHeadroom (): void {}
--- a/test/metrics/EntryMetrics.test.ts
+++ b/test/metrics/EntryMetrics.test.ts
@@ -14,10 +14,12 @@
   metrics.refused('rateCap', 'stock', 'ann')
   metrics.retried('upstreamReset', 'stock', 'ann')
   metrics.hedged('stock', 'ann')
+  metrics.replaced(503, 'stock', 'ann')
   const text = await registry.metrics()
   expect(text).toInclude('shunt_refused_total{code="2001",name="rateCap",service="stock",customer="ann"} 2')
   expect(text).toInclude('shunt_retried_total{code="5002",name="upstreamReset",service="stock",customer="ann"} 1')
   expect(text).toInclude('shunt_hedged_total{service="stock",customer="ann"} 1')
+  expect(text).toInclude('shunt_responses_replaced_total{status="503",service="stock",customer="ann"} 1')
 })
 
 // Guards against memory use that grows with the number of customers, and against lost counts.
