Accept the statement that a request was not run with each such status

Cause: Attempt took the header as a refusal with 503 only.

Why this works: with 408, 421, 429 and 503 the header and the status say the same, so the order moves on as after a 503. The new test failed before and passes now.

--- a/src/entry/Attempt.ts
+++ b/src/entry/Attempt.ts
@@ -2,6 +2,7 @@
 import type { Result } from 'neverthrow'
 import { createFailure } from '../common/createFailure.js'
 import type { Failure } from '../common/Failure.js'
+import { impliesNotRun } from '../common/impliesNotRun.js'
 import { Outcome } from '../common/Outcome.js'
 import { AttemptResult } from '../steer/AttemptResult.js'
 import type { SteerTarget } from '../steer/SteerTarget.js'
@@ -18,7 +19,6 @@
 import type { UpstreamCall } from './UpstreamCall.js'
 
 const shedRetryAfterMs = 1_000
-const shedStatus = 503
 
 /** Sends a request once to a reserved target and releases the target exactly once, when the attempt ends. */
 export class Attempt {
@@ -192,6 +192,7 @@
   }
 }
 
+/** A refusal states that the request was not run; a status alone doesn't. */
 function isEndpointRefusal (status: number, headers: readonly string[]): boolean {
-  return status === shedStatus && findHeader(headers, 'upstream-not-run') === '1'
+  return impliesNotRun(status) && findHeader(headers, 'upstream-not-run') === '1'
 }
--- a/test/entry/RequestPipeline.test.ts
+++ b/test/entry/RequestPipeline.test.ts
@@ -19,6 +19,7 @@
   await fixture.startUpstream(9_002, (_req, res) => { observed.push('truncated'); res.writeHead(200, { 'content-length': 100 }); res.write('part', () => res.destroy()) })
   await fixture.startUpstream(9_003, (req) => { observed.push('reset'); req.socket.resetAndDestroy() })
   await fixture.startUpstream(9_004, (_req, res) => { observed.push('shed'); res.writeHead(503, { 'upstream-not-run': '1' }); res.end() })
+  await fixture.startUpstream(9_015, (_req, res) => { observed.push('busy'); res.writeHead(429, { 'upstream-not-run': '1' }); res.end() })
   await fixture.startUpstream(9_005, (_req, res) => { observed.push('late'); setTimeout(() => res.end('late'), 400) })
 })
 beforeEach(() => {
@@ -82,6 +83,13 @@
   expect(metrics.events.slice(0, 2)).toEqual(['retried upstreamRefused', 'retried upstreamShed'])
 })
 
+// Guards against an order that is given up, or reported as possibly run, although its endpoint states that it didn't run it.
+test('an order is retried after a 429 that states that it was not run', async () => {
+  setTargets(9_015, 9_001)
+  const answer = await call(address, '/orders', order)
+  expect([answer.status, observed, claims.settled, steering.results]).toEqual([200, ['busy', '/orders'], ['done'], ['shed', 'ok']])
+})
+
 // Guards against reporting `unknown` after a refused connection, or a key that stays claimed after it.
 test('an order that no endpoint accepts was not run', async () => {
   setTargets(refusedPort)
