Give uploads that may have run no status that says otherwise

Callers saw: an upload that stalls for 10 s after a part of it has reached an endpoint got 408 from an entry host, with the outcome unknown. By its status the upload had not run.

Cause: BodyUploader names the failure requestTimeout (408) and marks it unknown; AttemptLoop returned the name as it was. The platform's hosts map such failures to upstreamReset already (AttemptSeries.toFailure).

Why this works: AttemptLoop.fail is the one place where failures of attempts become refusals of an entry host. There a request that isn't idempotent and may have run gets upstreamReset (502) in place of a failure whose status implies "not run".

--- a/src/entry/AttemptLoop.ts
+++ b/src/entry/AttemptLoop.ts
@@ -2,7 +2,9 @@
 import type { Result } from 'neverthrow'
 import { createFailure } from '../common/createFailure.js'
 import type { Failure } from '../common/Failure.js'
+import { impliesNotRun } from '../common/impliesNotRun.js'
 import { Outcome } from '../common/Outcome.js'
+import { resultCodes } from '../common/resultCodes.js'
 import { sleep } from '../common/sleep.js'
 import { AttemptResult } from '../steer/AttemptResult.js'
 import type { SteerTarget } from '../steer/SteerTarget.js'
@@ -156,8 +158,11 @@
     })
   }
 
+  /** A non-idempotent request that may have run gets no status by which its caller would take it as not run. */
   private fail (failure: Failure): Result<never, Failure> {
-    return err(this.mayHaveRun ? { ...failure, outcome: Outcome.unknown } : failure)
+    if (!this.mayHaveRun) return err(failure)
+    const isAmbiguous = !this.request.idempotent && impliesNotRun(resultCodes[failure.name].status)
+    return err({ ...failure, name: isAmbiguous ? 'upstreamReset' : failure.name, outcome: Outcome.unknown })
   }
 }
 
