Require the start time of an endpoint's entry

Cause: decodeEndpoint took `born` as optional and gave an entry of another writer without it the start time 0. It named an endpoint of its own, or another incarnation of the one that its key names. PROTOCOL.md says that `born` stands in all that an endpoint says of itself, and that an entry with a missing field names no endpoint; all deployments' site files have `born = true`.

--- a/test/platformAdapter/HttpCatalogStore.test.ts
+++ b/test/platformAdapter/HttpCatalogStore.test.ts
@@ -23,7 +23,7 @@
 function putEndpoint (store: StoreServer, index: number, state: string): void {
   const address = `10.0.${index >> 8}.${index & 255}:80`
   const info = { service: 'stock', version: 'v1', zone: 'north-a', slots: 4 }
-  store.tables.put('servers', `e-${String(index).padStart(4, '0')}`, { address, info, status: { state, sequence: 1, cold_remaining_s: 0 } })
+  store.tables.put('servers', `e-${String(index).padStart(4, '0')}`, { born: 1, address, info, status: { state, sequence: 1, cold_remaining_s: 0 } })
 }
 
 // Guards against a change of an earlier page's row that is lost because a later page has a newer version.
--- a/test/platformAdapter/decoders.test.ts
+++ b/test/platformAdapter/decoders.test.ts
@@ -63,10 +63,12 @@
   return { ...entry, [section]: rest }
 }
 
+const { born: _born, ...withoutStart } = entry
+
 // Guards against an entry of another writer that is used although a field is missing, has another type or is out of range.
 test('an entry that no endpoint writes names no endpoint', () => {
   const entries: unknown[] = [
-    without('info', 'version'), without('info', 'zone'), without('status', 'sequence'), without('status', 'cold_remaining_s'),
+    withoutStart, without('info', 'version'), without('info', 'zone'), without('status', 'sequence'), without('status', 'cold_remaining_s'),
     ...['10.128.0.9:0', '10.128.0.9:65536', '10.128.0.9', '10.128.0.999:80', ':80', ''].map((address) => ({ ...entry, address })),
     ...[0, -1, 1.5, 1e300, '6'].map((slots) => ({ ...entry, info: { ...entry.info, slots } })),
     ...['', 7, 's'.repeat(201)].map((service) => ({ ...entry, info: { ...entry.info, service } })),
