Keep what an endpoint announced when another entry replaces its own

Cause: EndpointTable.updateRow replaced the row, and only rows that were removed had their announcements kept.

Why this works: the announcements of the row that is replaced are kept by its address and start time, as those of removed rows are, and taken up again by an entry with both. What another incarnation announced does not hold for it, as before.

--- a/src/endpoints/AnnouncedStates.ts
+++ b/src/endpoints/AnnouncedStates.ts
@@ -10,8 +10,8 @@
 }
 
 /**
- * Keeps what incarnations announced after their registry entries have gone. An entry may come back, as after an outage of the store or
- * from another writer, while the incarnation is still leaving or wants no requests.
+ * Keeps what incarnations announced after their registry entries have gone or were replaced. An entry may come back, as after an
+ * outage of the store or when another writer had put one in its place, while the incarnation is still leaving or wants no requests.
  */
 export class AnnouncedStates {
   /** By the id of the endpoint, oldest first. */
--- a/src/endpoints/EndpointTable.ts
+++ b/src/endpoints/EndpointTable.ts
@@ -26,7 +26,7 @@
 export class EndpointTable {
   private readonly rows = new Table<EndpointRow>()
   private byService = new Map<string, EndpointRow[]>()
-  /** What removed endpoints announced. */
+  /** What removed and replaced incarnations announced. */
   private readonly announcedStates = new AnnouncedStates()
   private changes = 0
 
@@ -106,7 +106,9 @@
   private updateRow (record: EndpointRecord, nowMs: number): boolean {
     const existing = this.rows.get(record.id)
     if (existing === undefined || existing.record.bornAtMs !== record.bornAtMs || existing.record.address !== record.address) {
-      this.rows.set(record.id, createRow(record, this.findRegion(record.zone), this.announcedStates.take(record), nowMs))
+      const announced = this.announcedStates.take(record)
+      if (existing !== undefined) this.announcedStates.keep(existing.record, existing.announced)
+      this.rows.set(record.id, createRow(record, this.findRegion(record.zone), announced, nowMs))
       return true
     }
     const hasNewColdPeriod = record.coldMs > 0 && record.coldMs !== existing.record.coldMs
--- a/test/endpoints/EndpointTable.test.ts
+++ b/test/endpoints/EndpointTable.test.ts
@@ -97,3 +97,15 @@
   update(records.map((record) => ({ ...record, bornAtMs: 2 })), 40)
   expect(endpoints.listService('stock').map((row) => row.announced.backoffUntilMs)).toEqual([-Infinity, -Infinity])
 })
+
+// Guards against requests to a leaving endpoint after an entry with another start time stood in the place of its own (review/14, DRAIN).
+test('what an incarnation announced holds when its entry replaces that of another one', () => {
+  const endpoints = createTable()
+  const update = (bornAtMs: number, nowMs: number): void => { endpoints.update([createEndpoint('a', { bornAtMs })], { nowMs, mayHaveLapsed: false }) }
+  update(7, 0)
+  endpoints.setLeaving(endpoints.get('a')!, 5)
+  update(6, 10)
+  expect(endpoints.get('a')!.announced.leavingSinceMs).toEqual(undefined)
+  update(7, 20)
+  expect([endpoints.get('a')!.announced.leavingSinceMs, endpoints.listService('stock')]).toEqual([5, []])
+})
