--- a/dev/soak/soakSeeds.ts
+++ b/dev/soak/soakSeeds.ts
@@ -20,5 +20,5 @@
     options: { hosts: 6, endpoints: 10, overlap: 3, silencesConnections: true },
     cause: 'SIGHUP ended a host that was starting (test/platformAdapter/shuntHost.test.ts)'
   },
-  { seed: 8104, seconds: 30, cause: 'orders that ran were answered with the 503 or 429 of their endpoints (test/host/ambiguousStatuses.test.ts)' }
+  { seed: 8104, seconds: 30, cause: 'orders that ran were answered with the 503, 429 or 408 of their endpoints (test/host/ambiguousStatuses.test.ts)' }
 ]
